Hedge only what a second run can win, and keep the pace of publications

Cause: second runs went to every late sample, also on engines that keep up, where a second run is drawn alike and just as long; and each step measured the interval of publications anew, so its first floor was a guess. Ruled out: a higher ratio alone, which leaves samples of a lagging engine waiting as long as the merely long ones. Change: upstreams that lag are told from long samples by their finished runs; only stragglers on those, or far beyond the tail, run twice. The pace of publications outlives a step. Samples that take longest go first when a step is drawn again.

--- a/bergamotdoor/entry/steps.py
+++ b/bergamotdoor/entry/steps.py
@@ -14,6 +14,7 @@
 from bergamotdoor.entry.steps_tasks import TaskSet
 from bergamotdoor.entry.steps_tools import StepTools, StepView
 from bergamotdoor.entry.steps_trainer import TrainerRun
+from bergamotdoor.samples.freshness import Publications
 from bergamotdoor.types import FencingToken, TrainerId
 
 if TYPE_CHECKING:
@@ -136,6 +137,7 @@
             self._runner,
             self._context.clock,
             self._context.rng,
+            Publications(),
             _namespaces(token),
         )
         run = TrainerRun(tools, self._index, trainer)
--- a/bergamotdoor/entry/steps_run.py
+++ b/bergamotdoor/entry/steps_run.py
@@ -136,12 +136,11 @@
     def _begin(self, bound: int) -> StepAssembly:
         """Return an assembly whose run ids no other one uses."""
         namespace = next(self._tools.namespaces)
-        now = self._tools.clock.elapsed()
         current = self._tools.board.version(self._plan.service)
         return StepAssembly(
             self._plan,
             msgspec.structs.replace(self._rules, namespace=namespace),
-            Freshness(bound, current, now),
+            Freshness(bound, current, self._tools.publications),
             self._tools.rng,
         )
 
--- a/bergamotdoor/entry/steps_tools.py
+++ b/bergamotdoor/entry/steps_tools.py
@@ -10,6 +10,7 @@
 from bergamotdoor.entry.interfaces import CallRunner
 from bergamotdoor.entry.steps_board import BatchBoard
 from bergamotdoor.entry.steps_records import StepRecords
+from bergamotdoor.samples.freshness import Publications
 from bergamotdoor.samples.pacing import RandomSource
 
 
@@ -21,6 +22,7 @@
     runner: CallRunner
     clock: Clock
     rng: RandomSource
+    publications: Publications
     #: Prefixes of run ids, each used by one assembly only.
     namespaces: Iterator[str]
 
--- a/bergamotdoor/entry/steps_trainer.py
+++ b/bergamotdoor/entry/steps_trainer.py
@@ -96,6 +96,7 @@
     def announce(self) -> None:
         """Tell the steps of the highest version known."""
         version = self._tools.board.version(self._trainer.service)
+        self._tools.publications.note(version, self._tools.clock.elapsed())
         for run in self._runs.values():
             run.notify(VersionPublished(version))
 
--- a/bergamotdoor/samples/reactions.py
+++ b/bergamotdoor/samples/reactions.py
@@ -54,7 +54,7 @@
 def _finished(
     event: RunFinished, state: StepState, now: dt.timedelta
 ) -> Iterator[Action]:
-    run = state.table.end(event.request)
+    run = state.table.end(event.request, now)
     if run is None:
         # The loser of a hedged pair finished before it was cancelled.
         yield ForgetRun(event.request, event.upstream)
@@ -65,20 +65,21 @@
         yield ForgetRun(event.request, event.upstream)
         return
     for loser in tuple(slot.runs):
-        state.table.end(loser)
+        state.table.end(loser, now)
         yield CancelRun(loser)
     _keep(event, state, slot)
     state.window.finished()
     if run.hedge:
         state.stragglers.budget += 1
-    state.stragglers.finished(slot.group, now - run.began)
+    run.upstream = event.upstream
+    state.stragglers.finished(run, slot, now)
 
 
 @react.register
 def _failed(
     event: RunFailed, state: StepState, now: dt.timedelta
 ) -> Iterator[Action]:
-    run = state.table.end(event.request)
+    run = state.table.end(event.request, now)
     if run is None:
         return
     failure = event.failure
@@ -112,7 +113,7 @@
 def _published(
     event: VersionPublished, state: StepState, now: dt.timedelta
 ) -> Iterator[Action]:
-    newer = state.freshness.publish(event.version, now)
+    newer = state.freshness.publish(event.version)
     if newer and state.commit.may_refresh():
         yield from state.replace_old(now)
 
@@ -180,12 +181,11 @@
     if state.table.next_ready(now) is not None:
         # First runs go before second ones.
         return
-    overdue = state.stragglers.overdue(state.table, now)
-    if state.stragglers.seeks(overdue, now):
+    stragglers = state.stragglers.review(state.table, now)
+    if state.stragglers.seeks(now):
         yield LocateRuns()
-    for run in overdue:
-        if run.upstream is not None or run.sought:
-            yield from _hedge(run, state, now)
+    for run in stragglers:
+        yield from _hedge(run, state, now)
 
 
 def _hedge(run: Run, state: StepState, now: dt.timedelta) -> Iterator[Action]:
--- a/bergamotdoor/samples/slots.py
+++ b/bergamotdoor/samples/slots.py
@@ -4,7 +4,7 @@
 
 import datetime as dt
 import heapq
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 import msgspec
 
@@ -51,6 +51,8 @@
     finished: BatchSample | None = None
     #: Which sidecar still holds the finished answer.
     origin: HeldRun | None = None
+    #: How long its longest run took.
+    took: dt.timedelta = dt.timedelta()
     #: Failed runs since the last success.
     failures: int = 0
     #: Runs that an engine refused for good.
@@ -58,10 +60,9 @@
     #: No second run is begun before this.
     hedge_after: dt.timedelta = dt.timedelta()
 
-    @property
-    def hedged(self) -> bool:
-        """Whether a second run goes on beside the first."""
-        return len(self.runs) > 1
+    def may_hedge(self, now: dt.timedelta) -> bool:
+        """Return whether a second run may begin beside the first."""
+        return len(self.runs) < 2 and now >= self.hedge_after
 
     @property
     def group(self) -> GroupId:
@@ -69,6 +70,15 @@
         return self.spec.group.group
 
 
+class _Waiting(NamedTuple):
+    """A sample that waits, in the order in which it goes."""
+
+    ready_at: dt.timedelta
+    longest_first: dt.timedelta
+    order: int
+    sample: SampleId
+
+
 class SlotTable:
     """All slots of a step, and counts that stay right with each change."""
 
@@ -76,7 +86,7 @@
         self.slots: dict[SampleId, Slot] = {}
         self.unfinished = plan.sample_count
         self._runs: dict[RequestId, Run] = {}
-        self._waiting: list[tuple[dt.timedelta, int, SampleId]] = []
+        self._waiting: list[_Waiting] = []
         for order, spec in enumerate(plan.samples()):
             self.slots[spec.sample] = Slot(spec, order)
             self.wait(self.slots[spec.sample], now)
@@ -94,11 +104,13 @@
         slot.runs[run.request] = run
         self._runs[run.request] = run
 
-    def end(self, request: RequestId) -> Run | None:
+    def end(self, request: RequestId, now: dt.timedelta) -> Run | None:
         """Take a run off the table; None if it is not on it."""
         run = self._runs.pop(request, None)
         if run is not None:
-            self.slots[run.sample].runs.pop(request)
+            slot = self.slots[run.sample]
+            slot.runs.pop(request)
+            slot.took = max(slot.took, now - run.began)
         return run
 
     def run(self, request: RequestId) -> Run | None:
@@ -133,14 +145,20 @@
         if slot.runs:
             return
         slot.ready_at = until
-        heapq.heappush(self._waiting, (until, slot.order, slot.spec.sample))
+        # Drawn alike, a sample takes as long as before: those that take
+        # longest go first, or the step waits for them at its end.
+        longest_first = -slot.took
+        heapq.heappush(
+            self._waiting,
+            _Waiting(until, longest_first, slot.order, slot.spec.sample),
+        )
 
     def next_ready(self, now: dt.timedelta) -> Slot | None:
         """Return the first slot that may be dispatched, if any."""
-        while self._waiting and self._waiting[0][0] <= now:
-            ready_at, _, sample = self._waiting[0]
-            slot = self.slots[sample]
-            if slot.ready_at == ready_at:
+        while self._waiting and self._waiting[0].ready_at <= now:
+            first = self._waiting[0]
+            slot = self.slots[first.sample]
+            if slot.ready_at == first.ready_at:
                 return slot
             heapq.heappop(self._waiting)
         return None
--- a/bergamotdoor/samples/step_state.py
+++ b/bergamotdoor/samples/step_state.py
@@ -67,9 +67,14 @@
         return self.table.in_flight >= self.window.limit
 
     def dispatch(self, slot: Slot, now: dt.timedelta) -> Dispatch:
-        """Begin the first run of a sample, beside the rest of its group."""
+        """Begin a sample's run, beside the rest of its group.
+
+        Away from upstreams that lag, unless that has failed: where the
+        others are gone, a slow one is better than none.
+        """
         affinity = self._plan.prefix + slot.group
-        return self._dispatch(slot, affinity, _NOWHERE, now)
+        avoid = _NOWHERE if slot.failures else self.stragglers.suspects
+        return self._dispatch(slot, affinity, avoid, now)
 
     def hedge(self, run: Run, now: dt.timedelta) -> Dispatch:
         """Begin a second run of a straggler, away from the first.
@@ -79,10 +84,11 @@
         """
         slot = self.table.slots[run.sample]
         self.stragglers.budget -= 1
+        suspects = self.stragglers.suspects
         if run.upstream is None:
-            return self._dispatch(slot, '', _NOWHERE, now)
+            return self._dispatch(slot, '', suspects, now)
         affinity = self._plan.prefix + slot.group
-        return self._dispatch(slot, affinity, frozenset((run.upstream,)), now)
+        return self._dispatch(slot, affinity, suspects | {run.upstream}, now)
 
     def usable(self, answer: RunFinished) -> bool:
         """Return whether an answer's origin is known and fresh enough."""
@@ -112,7 +118,7 @@
             # Its first token is no newer than what was published when it
             # began, so by now its answer would be refused.
             if run.published and self.freshness.too_old(run.published):
-                self.table.end(run.request)
+                self.table.end(run.request, now)
                 self.table.wait(self.table.slots[run.sample], now)
                 yield CancelRun(run.request)
 
@@ -147,7 +153,7 @@
             slot.spec,
             affinity=affinity,
             avoid=avoid,
-            version_floor=self.freshness.floor(now, left),
+            version_floor=self.freshness.floor(now + left),
             deadline=max(self._rules.deadline - now, _LEAST_DEADLINE),
             hedge=second,
         )
--- a/bergamotdoor/samples/stragglers.py
+++ b/bergamotdoor/samples/stragglers.py
@@ -4,21 +4,26 @@
 
 import bisect
 import datetime as dt
+from collections import Counter
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 
+from bergamotdoor.samples.suspects import UpstreamRecords
+
 if TYPE_CHECKING:
     from bergamotdoor.samples.plan import StepPlan
     from bergamotdoor.samples.rules import AssemblyRules
     from bergamotdoor.samples.slots import Run, Slot, SlotTable
-    from bergamotdoor.types import GroupId
+    from bergamotdoor.types import GroupId, UpstreamId
 
 #: How often the sidecars are asked at most where stragglers are.
 SEARCH_INTERVAL: Final = dt.timedelta(seconds=5)
 
 _LEAST_FINISHED: Final = 3
 _LEAST_BUDGET: Final = 2
+#: On an upstream that keeps up, this much beyond late is stuck.
+_STUCK_RATIO: Final = 4
 #: Before the median is known: this share has to be finished, and the
 #: longest of these, times the ratio, counts as usual.
 _EARLY_SHARE: Final = 0.125
@@ -84,12 +89,19 @@
         self._groups = {
             group.group: _Durations(group.samples) for group in plan.groups
         }
+        self._records = UpstreamRecords()
         self._next_search = rules.began
+        self._seek = False
+        self.suspects: frozenset[UpstreamId] = frozenset()
 
-    def finished(self, group: GroupId, duration: dt.timedelta) -> None:
+    def finished(self, run: Run, slot: Slot, now: dt.timedelta) -> None:
         """Learn from a run that ended well."""
+        late = self._overrun(run, slot, now) > self._ratio
+        duration = now - run.began
         bisect.insort(self._step.spans, duration)
-        bisect.insort(self._groups[group].spans, duration)
+        bisect.insort(self._groups[slot.group].spans, duration)
+        if run.upstream is not None:
+            self._records.finished(run.upstream, late=late)
 
     def usual(self, group: GroupId) -> dt.timedelta:
         """Return a group's usual duration, as well as it is known."""
@@ -114,40 +126,61 @@
         rounds = max(1, -(-unfinished // max(width, 1)))
         return middle * rounds
 
-    def seeks(self, overdue: list[Run], now: dt.timedelta) -> bool:
+    def review(self, table: SlotTable, now: dt.timedelta) -> list[Run]:
+        """Return the stragglers worth a second run, worst first.
+
+        Also finds the upstreams that lag behind, see ``suspects``.
+        """
+        late = [
+            (overrun, run)
+            for run in table.running()
+            if (overrun := self._overrun(run, table.slots[run.sample], now))
+            > self._ratio
+        ]
+        self._seek = any(not (run.upstream or run.sought) for _, run in late)
+        self.suspects = self._records.suspects(
+            Counter(run.upstream for _, run in late if run.upstream)
+        )
+        late.sort(key=_by_overrun, reverse=True)
+        return [
+            run
+            for overrun, run in late
+            if self._worth(run, overrun, now)
+            and table.slots[run.sample].may_hedge(now)
+        ]
+
+    def seeks(self, now: dt.timedelta) -> bool:
         """Return whether to ask now where stragglers are, and note it.
 
         Asking goes to every sidecar of the service, so not at each tick.
         """
-        lost = any(run.upstream is None and not run.sought for run in overdue)
-        if not lost or now < self._next_search:
+        if not self._seek or now < self._next_search:
             return False
         self._next_search = now + SEARCH_INTERVAL
         return True
 
-    def overdue(self, table: SlotTable, now: dt.timedelta) -> list[Run]:
-        """Return the stragglers that have no second run, worst first."""
-        scored = (
-            (self._overrun(run, table.slots[run.sample], now), run)
-            for run in table.running()
-            if self._may_hedge(table.slots[run.sample], now)
-        )
-        late = [(score, run) for score, run in scored if score > self._ratio]
-        late.sort(key=_by_score, reverse=True)
-        return [run for _, run in late]
-
-    def _may_hedge(self, slot: Slot, now: dt.timedelta) -> bool:
-        return not slot.hedged and now >= slot.hedge_after
-
     def _overrun(self, run: Run, slot: Slot, now: dt.timedelta) -> float:
         """How many times the usual duration a run has taken."""
         usual = max(self.usual(slot.group), dt.timedelta.resolution)
-        overrun = (now - run.began) / usual
-        if self._deadline - now < usual * self._ratio:
-            # A failure from here on could not be made good in time.
-            return overrun + self._ratio
-        return overrun
+        return (now - run.began) / usual
 
+    def _worth(self, run: Run, overrun: float, now: dt.timedelta) -> bool:
+        """Whether a second run has a chance to end first.
 
-def _by_score(scored: tuple[float, Run]) -> float:
-    return scored[0]
+        On an upstream that keeps up, a late run is long, and its second
+        run is drawn alike and just as long. So there only what is far
+        beyond the tail counts as stuck, or whatever is late once a
+        failure could not be made good in time.
+        """
+        if run.upstream is None:
+            # No sidecar has it: it was lost on its way.
+            return run.sought
+        if run.upstream in self.suspects:
+            return True
+        if overrun > self._ratio * _STUCK_RATIO:
+            return True
+        return self._deadline - now < now - run.began
+
+
+def _by_overrun(late: tuple[float, Run]) -> float:
+    return late[0]
--- a/features/samples_assembly.feature
+++ b/features/samples_assembly.feature
@@ -13,11 +13,24 @@
 
   Scenario: the first whole answer of a hedged sample wins
     Given the assembly of a step of 2 groups of 4 samples
-    When all but one sample of the assembly finish and one runs 3 times as long
+    When all but one sample of the assembly finish and one runs 9 times as long
     Then the assembly asks where the straggler is and runs it elsewhere
     And the second run's answer counts, the first is cancelled
     And the assembly commits 8 samples, each once
 
+  Scenario: long samples are not run again, those of a slow engine are
+    Lengths are heavy-tailed. On the engines that keep up the last samples
+    are long, and a second run would be as long; one engine lags.
+    Given the assembly of a step of 10 groups of 20 samples
+    When the assembly's engines are prompt on 85% but engine-0 on nothing
+    Then the assembly runs only samples of engine-0 a second time
+    And a sample that the assembly gets back may run on engine-0 again
+
+  Scenario: the longest samples run first when a step is drawn again
+    Given the assembly of a step of 1 groups of 8 samples
+    When the assembly's samples took 8 to 1 s and then become too old
+    Then the assembly runs them again in the order of their lengths
+
   Scenario: second runs are bounded
     The engines are not loaded with second runs when many samples are long.
     Given the assembly of a step of 10 groups of 20 samples
