Give the object API client a package of its own name

Cause: the adapter to the users' machines must be bergamotdoor/platform/, where the product's own object API client lies today. Ruled out: two packages whose names differ only by place. Before: make check failed on the bench's formatting and types. Tests were not run again: only names moved. Conclusion: the name platform is free.

--- a/benchmarks/_steps_engines.py
+++ b/benchmarks/_steps_engines.py
@@ -10,17 +10,20 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable
-from typing import Final
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 import msgspec
 
-from bergamotdoor.samples.actions import Dispatch
 from bergamotdoor.samples.events import RunFinished
 from bergamotdoor.types import RequestId, UpstreamId, WeightVersion
 from bergamotdoor.utils import hrw_order
 from bergamotdoor.wire.messages import VersionSpan
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bergamotdoor.samples.actions import Dispatch
+
 #: Runs that one engine takes at once.
 SLOTS: Final = 64
 
@@ -30,23 +33,32 @@
 _MOST_TOKENS: Final = 8192
 
 
+class _Due(NamedTuple):
+    """Work at a moment; `order` keeps equal moments in order."""
+
+    when: float
+    order: int
+    work: Callable[[], None]
+
+
 class Timeline:
     """Virtual time in seconds, and what happens when."""
 
     def __init__(self) -> None:
         self.now = float()
         self._numbers = itertools.count()
-        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._queue: list[_Due] = []
 
     def at(self, delay_s: float, work: Callable[[], None]) -> None:
         """Have `work` done in `delay_s` seconds."""
         when = self.now + delay_s
-        heapq.heappush(self._queue, (when, next(self._numbers), work))
+        heapq.heappush(self._queue, _Due(when, next(self._numbers), work))
 
     def step(self) -> None:
         """Do what is next."""
-        self.now, _, work = heapq.heappop(self._queue)
-        work()
+        due = heapq.heappop(self._queue)
+        self.now = due.when
+        due.work()
 
 
 class Engine(msgspec.Struct):
--- a/benchmarks/_store_calls.py
+++ b/benchmarks/_store_calls.py
@@ -13,18 +13,18 @@
 from bergamotdoor.clock import LoopClock
 from bergamotdoor.http.client import HttpClient
 from bergamotdoor.observe.metrics import Metrics, Stage
-from bergamotdoor.platform.object_api import HttpObjectStore
-from bergamotdoor.platform.protocols import StoredObject, StoreProblem
 from bergamotdoor.settings.document import Address
 from bergamotdoor.settings.process import PlatformSettings
 from bergamotdoor.standins.object_api import ObjectApiDaemon, ObjectTable
 from bergamotdoor.standins.platform_settings import ObjectApiSettings
+from bergamotdoor.store.object_api import HttpObjectStore
+from bergamotdoor.store.protocols import StoredObject, StoreProblem
 from bergamotdoor.types import ABSENT, ServiceId
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
-    from bergamotdoor.platform.protocols import ObjectStore
+    from bergamotdoor.store.protocols import ObjectStore
 
 
 #: Where the store listens in virtual time.
--- a/benchmarks/_store_leases.py
+++ b/benchmarks/_store_leases.py
@@ -15,7 +15,7 @@
 from bergamotdoor.types import EntryId, Incarnation
 
 if TYPE_CHECKING:
-    from bergamotdoor.platform.protocols import StoredObject, StoreFailure
+    from bergamotdoor.store.protocols import StoredObject, StoreFailure
     from bergamotdoor.types import ObjectVersion
 
 LEASES: Final = 13
--- a/benchmarks/_wire_daemon.py
+++ b/benchmarks/_wire_daemon.py
@@ -14,7 +14,6 @@
     ClientResponse,
     Headers,
 )
-from bergamotdoor.platform.protocols import StoreFailure, StoreProblem
 from bergamotdoor.settings import document
 from bergamotdoor.settings.codec import encode_configuration
 from bergamotdoor.settings.process import (
@@ -24,6 +23,7 @@
     SidecarSettings,
 )
 from bergamotdoor.sidecar.daemon import SidecarDaemon
+from bergamotdoor.store.protocols import StoreFailure, StoreProblem
 from bergamotdoor.types import (
     Generation,
     RegionId,
@@ -40,7 +40,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Iterator
 
-    from bergamotdoor.platform.protocols import ObjectStore, StoredObject
+    from bergamotdoor.store.protocols import ObjectStore, StoredObject
 
 _COUNT: Final = 3_000
 _BATCH: Final = 8
--- a/bergamotdoor/admin/api.py
+++ b/bergamotdoor/admin/api.py
@@ -49,8 +49,8 @@
     from bergamotdoor.admin.views import ProcessViews, StateViews
     from bergamotdoor.clock import Clock
     from bergamotdoor.http.messages import HttpRequest
-    from bergamotdoor.platform.protocols import ObjectStore
     from bergamotdoor.settings.process import EntrySettings, SidecarSettings
+    from bergamotdoor.store.protocols import ObjectStore
 
 #: Longer than the store's own timeouts and the reads that settle a doubt.
 _TIMEOUT: Final = dt.timedelta(minutes=0.5)
--- a/bergamotdoor/admin/config_object.py
+++ b/bergamotdoor/admin/config_object.py
@@ -13,20 +13,20 @@
 
 import msgspec
 
-from bergamotdoor.platform.protocols import StoreFailure, StoreProblem
 from bergamotdoor.settings.codec import (
     decode_configuration,
     encode_configuration,
 )
 from bergamotdoor.settings.document import Configuration
 from bergamotdoor.settings.problems import Problem, describe
+from bergamotdoor.store.protocols import StoreFailure, StoreProblem
 from bergamotdoor.types import ABSENT, Generation, ObjectVersion
 from bergamotdoor.verdict import Failure, Reason, Verdict
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
-    from bergamotdoor.platform.protocols import ObjectStore, StoredObject
     from bergamotdoor.settings.document import Document
+    from bergamotdoor.store.protocols import ObjectStore, StoredObject
 
 KIND: Final = 'config'
 NAME: Final = 'current'
--- a/bergamotdoor/entry/claims.py
+++ b/bergamotdoor/entry/claims.py
@@ -23,7 +23,6 @@
 )
 from bergamotdoor.entry.dispatch_state import ClaimState
 from bergamotdoor.entry.interfaces import Call, ConfigurationView
-from bergamotdoor.platform.protocols import ObjectStore
 from bergamotdoor.routing.keys import (
     Claim,
     ClaimFound,
@@ -43,6 +42,7 @@
     witness_of,
 )
 from bergamotdoor.settings.document import Limits
+from bergamotdoor.store.protocols import ObjectStore
 from bergamotdoor.types import (
     IdempotencyKey,
     Incarnation,
--- a/bergamotdoor/entry/claims_store.py
+++ b/bergamotdoor/entry/claims_store.py
@@ -9,12 +9,6 @@
 
 from bergamotdoor import utils
 from bergamotdoor.entry.patient_store import PatientStore
-from bergamotdoor.platform.protocols import (
-    ObjectStore,
-    StoredObject,
-    StoreFailure,
-    StoreProblem,
-)
 from bergamotdoor.routing.keys import (
     Claim,
     ClaimFound,
@@ -22,6 +16,12 @@
     ClaimResult,
     StoreSilent,
 )
+from bergamotdoor.store.protocols import (
+    ObjectStore,
+    StoredObject,
+    StoreFailure,
+    StoreProblem,
+)
 from bergamotdoor.types import ABSENT, ObjectVersion
 
 if TYPE_CHECKING:
--- a/bergamotdoor/entry/claims_witnesses.py
+++ b/bergamotdoor/entry/claims_witnesses.py
@@ -10,17 +10,17 @@
 import msgspec
 
 from bergamotdoor.entry.patient_store import PatientStore
-from bergamotdoor.platform.protocols import (
-    ObjectStore,
-    StoredObject,
-    StoreProblem,
-)
 from bergamotdoor.routing.witnesses import (
     WitnessBook,
     WitnessTimes,
     with_homes,
     with_incarnation,
 )
+from bergamotdoor.store.protocols import (
+    ObjectStore,
+    StoredObject,
+    StoreProblem,
+)
 from bergamotdoor.types import (
     ABSENT,
     Generation,
--- a/bergamotdoor/entry/configuration.py
+++ b/bergamotdoor/entry/configuration.py
@@ -31,8 +31,8 @@
     from bergamotdoor.entry.configuration_holder import Subscriber
     from bergamotdoor.entry.group import EntryGroupTask
     from bergamotdoor.membership.chance import Chance
-    from bergamotdoor.platform.protocols import ObjectStore
     from bergamotdoor.settings.document import Configuration
+    from bergamotdoor.store.protocols import ObjectStore
 
 _KEY: Final = 'config-watch'
 _TICK: Final = dt.timedelta(seconds=1) / 4
--- a/bergamotdoor/entry/configuration_store.py
+++ b/bergamotdoor/entry/configuration_store.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.membership.starting import StoreAnswer
-from bergamotdoor.platform.protocols import (
+from bergamotdoor.store.protocols import (
     StoredObject,
     StoreFailure,
     StoreProblem,
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     from bergamotdoor.membership.chance import Chance
-    from bergamotdoor.platform.protocols import ObjectStore
+    from bergamotdoor.store.protocols import ObjectStore
 
 CONFIG_KIND: Final = 'config'
 CONFIG_NAME: Final = 'current'
--- a/bergamotdoor/entry/group.py
+++ b/bergamotdoor/entry/group.py
@@ -28,8 +28,8 @@
 if TYPE_CHECKING:
     from bergamotdoor.membership.chance import Chance
     from bergamotdoor.membership.sending import SwimMessage
-    from bergamotdoor.platform.protocols import ObjectStore
     from bergamotdoor.settings.process import EntrySettings
+    from bergamotdoor.store.protocols import ObjectStore
     from bergamotdoor.types import EntryId, Generation, ZoneId
     from bergamotdoor.wire.link import Endpoint
     from bergamotdoor.wire.messages import AnyMessage
--- a/bergamotdoor/entry/group_finder.py
+++ b/bergamotdoor/entry/group_finder.py
@@ -15,7 +15,7 @@
     from bergamotdoor.entry.group_registry import EntryRecord
     from bergamotdoor.membership.chance import Chance
     from bergamotdoor.membership.swim import Swim
-    from bergamotdoor.platform.protocols import ObjectStore
+    from bergamotdoor.store.protocols import ObjectStore
     from bergamotdoor.types import EntryId
 
 _LOG: Final = logging.getLogger('bergamotdoor.group')
--- a/bergamotdoor/entry/group_registry.py
+++ b/bergamotdoor/entry/group_registry.py
@@ -9,7 +9,7 @@
 
 from bergamotdoor import utils
 from bergamotdoor.entry.group_links import format_address
-from bergamotdoor.platform.protocols import (
+from bergamotdoor.store.protocols import (
     StoredObject,
     StoreFailure,
     StoreProblem,
@@ -24,8 +24,8 @@
 from bergamotdoor.wire.messages import MemberState, MemberUpdate
 
 if TYPE_CHECKING:
-    from bergamotdoor.platform.protocols import ObjectStore
     from bergamotdoor.settings.process import EntrySettings
+    from bergamotdoor.store.protocols import ObjectStore
     from bergamotdoor.wire.link import Endpoint
 
 ENTRY_KIND: Final = 'entry'
--- a/bergamotdoor/entry/jobs.py
+++ b/bergamotdoor/entry/jobs.py
@@ -17,7 +17,7 @@
 
     from bergamotdoor.clock import Clock
     from bergamotdoor.entry.fabric import EntryFabric
-    from bergamotdoor.platform.protocols import ObjectStore
+    from bergamotdoor.store.protocols import ObjectStore
     from bergamotdoor.types import EntryId
 
 
--- a/bergamotdoor/entry/lease_keeper.py
+++ b/bergamotdoor/entry/lease_keeper.py
@@ -22,7 +22,7 @@
     WriteResult,
     encode_record,
 )
-from bergamotdoor.platform.protocols import (
+from bergamotdoor.store.protocols import (
     StoredObject,
     StoreFailure,
     StoreProblem,
@@ -33,7 +33,7 @@
     import random
 
     from bergamotdoor.clock import Clock
-    from bergamotdoor.platform.protocols import ObjectStore
+    from bergamotdoor.store.protocols import ObjectStore
     from bergamotdoor.types import FencingToken
 
 _log: Final = logging.getLogger('bergamotdoor.lease')
--- a/bergamotdoor/entry/leaving.py
+++ b/bergamotdoor/entry/leaving.py
@@ -25,7 +25,7 @@
     ListedVms,
 )
 from bergamotdoor.membership.watchers import is_watcher
-from bergamotdoor.platform.protocols import VmSnapshot, VmState
+from bergamotdoor.store.protocols import VmSnapshot, VmState
 from bergamotdoor.types import UpstreamId
 from bergamotdoor.wire.messages import LeavingNotice
 
@@ -33,8 +33,8 @@
     from bergamotdoor.clock import Clock
     from bergamotdoor.entry.configuration import ConfigurationTask
     from bergamotdoor.entry.group import EntryGroupTask
-    from bergamotdoor.platform.protocols import VmList
     from bergamotdoor.settings.document import Configuration
+    from bergamotdoor.store.protocols import VmList
     from bergamotdoor.types import EntryId, VmId
 
 _LOG: Final = logging.getLogger('bergamotdoor.leaving')
--- a/bergamotdoor/entry/patient_store.py
+++ b/bergamotdoor/entry/patient_store.py
@@ -6,12 +6,12 @@
 import datetime as dt
 from typing import TYPE_CHECKING, Final, TypeVar
 
-from bergamotdoor.platform.protocols import StoreFailure, StoreProblem
+from bergamotdoor.store.protocols import StoreFailure, StoreProblem
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
 
-    from bergamotdoor.platform.protocols import ObjectStore, StoredObject
+    from bergamotdoor.store.protocols import ObjectStore, StoredObject
     from bergamotdoor.types import ObjectVersion
 
 Found = TypeVar('Found')
--- a/bergamotdoor/entry/platform_clients.py
+++ b/bergamotdoor/entry/platform_clients.py
@@ -7,10 +7,10 @@
 import msgspec
 
 from bergamotdoor.http.client import HttpClient
-from bergamotdoor.platform.guard import CallGuard
-from bergamotdoor.platform.object_api import HttpObjectStore
-from bergamotdoor.platform.vm_list import HttpVmList
-from bergamotdoor.platform.weight_store import HttpWeightStore
+from bergamotdoor.store.guard import CallGuard
+from bergamotdoor.store.object_api import HttpObjectStore
+from bergamotdoor.store.vm_list import HttpVmList
+from bergamotdoor.store.weight_store import HttpWeightStore
 
 if TYPE_CHECKING:
     import random
--- a/bergamotdoor/entry/rollouts.py
+++ b/bergamotdoor/entry/rollouts.py
@@ -22,9 +22,9 @@
 if TYPE_CHECKING:
     from bergamotdoor.entry.interfaces import OrderRunner
     from bergamotdoor.entry.steps_context import EntryContext
-    from bergamotdoor.platform.protocols import ObjectStore
     from bergamotdoor.settings.document import RolloutRules, Service
     from bergamotdoor.settings.lookup import Index
+    from bergamotdoor.store.protocols import ObjectStore
     from bergamotdoor.types import FencingToken, ServiceId, WeightVersion
 
 _log: Final = logging.getLogger('bergamotdoor.rollouts')
--- a/bergamotdoor/entry/rollouts_service.py
+++ b/bergamotdoor/entry/rollouts_service.py
@@ -14,7 +14,7 @@
 from bergamotdoor.entry.interfaces import OrderRunner
 from bergamotdoor.entry.steps_records import WEIGHTS, Versioned, decode
 from bergamotdoor.entry.steps_tasks import TaskSet, wait_set
-from bergamotdoor.platform.protocols import (
+from bergamotdoor.store.protocols import (
     ObjectStore,
     StoreFailure,
     StoreProblem,
--- a/bergamotdoor/entry/state_views.py
+++ b/bergamotdoor/entry/state_views.py
@@ -20,7 +20,7 @@
 from bergamotdoor.entry.steps_records import StepRecords, Versioned
 from bergamotdoor.entry.trainers import TrainerApi
 from bergamotdoor.membership.lease_terms import LEASE_KIND, decode_record
-from bergamotdoor.platform.protocols import StoreFailure
+from bergamotdoor.store.protocols import StoreFailure
 from bergamotdoor.types import TrainerId, UpstreamId
 
 if TYPE_CHECKING:
--- a/bergamotdoor/entry/steps.py
+++ b/bergamotdoor/entry/steps.py
@@ -23,8 +23,8 @@
     from bergamotdoor.entry.interfaces import CallRunner
     from bergamotdoor.entry.steps_board import BatchBoard, StepKey
     from bergamotdoor.entry.steps_context import EntryContext
-    from bergamotdoor.platform.protocols import ObjectStore
     from bergamotdoor.settings.document import Trainer
+    from bergamotdoor.store.protocols import ObjectStore
     from bergamotdoor.types import ServiceId, StepId, WeightVersion
 
 _log: Final = logging.getLogger('bergamotdoor.steps')
--- a/bergamotdoor/entry/steps_commit.py
+++ b/bergamotdoor/entry/steps_commit.py
@@ -8,7 +8,6 @@
 
 from bergamotdoor.entry.steps_board import KnownBatch
 from bergamotdoor.entry.steps_records import BATCH, Versioned, step_name
-from bergamotdoor.platform.protocols import StoreFailure, StoreProblem
 from bergamotdoor.samples.delivery import (
     BatchManifest,
     BatchState,
@@ -21,6 +20,7 @@
     VersionPublished,
 )
 from bergamotdoor.samples.parts import pack
+from bergamotdoor.store.protocols import StoreFailure, StoreProblem
 from bergamotdoor.types import ABSENT, WeightVersion
 
 if TYPE_CHECKING:
--- a/bergamotdoor/entry/steps_progress.py
+++ b/bergamotdoor/entry/steps_progress.py
@@ -5,8 +5,8 @@
 from typing import TYPE_CHECKING
 
 from bergamotdoor.entry.steps_records import PROGRESS
-from bergamotdoor.platform.protocols import StoreFailure
 from bergamotdoor.samples.delivery import BatchManifest, BatchState, Progress
+from bergamotdoor.store.protocols import StoreFailure
 
 if TYPE_CHECKING:
     from bergamotdoor.entry.steps_records import StepRecords
--- a/bergamotdoor/entry/steps_records.py
+++ b/bergamotdoor/entry/steps_records.py
@@ -6,16 +6,16 @@
 
 import msgspec
 
-from bergamotdoor.platform.protocols import StoreFailure, StoreProblem
 from bergamotdoor.samples.delivery import BatchManifest, Progress
 from bergamotdoor.samples.parts import digest_of, unpack
 from bergamotdoor.samples.plan import StepPlan
+from bergamotdoor.store.protocols import StoreFailure, StoreProblem
 from bergamotdoor.types import ABSENT, ObjectVersion, StepId
 from bergamotdoor.weights.versions import PublishedWeights
 
 if TYPE_CHECKING:
-    from bergamotdoor.platform.protocols import ObjectStore, StoredObject
     from bergamotdoor.samples.events import BatchSample
+    from bergamotdoor.store.protocols import ObjectStore, StoredObject
     from bergamotdoor.types import ServiceId, TrainerId
 
 Record = TypeVar('Record')
--- a/bergamotdoor/entry/steps_run.py
+++ b/bergamotdoor/entry/steps_run.py
@@ -13,11 +13,11 @@
 from bergamotdoor.entry.steps_commit import BatchCommitter
 from bergamotdoor.entry.steps_effects import StepEffects
 from bergamotdoor.entry.steps_tools import StepView
-from bergamotdoor.platform.protocols import StoreFailure
 from bergamotdoor.samples import events
 from bergamotdoor.samples.assembly import StepAssembly
 from bergamotdoor.samples.delivery import BatchState
 from bergamotdoor.samples.freshness import Freshness
+from bergamotdoor.store.protocols import StoreFailure
 
 if TYPE_CHECKING:
     from bergamotdoor.entry.steps_records import Versioned
--- a/bergamotdoor/entry/steps_sweep.py
+++ b/bergamotdoor/entry/steps_sweep.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.entry.steps_records import BATCH, PART, STEP
-from bergamotdoor.platform.protocols import StoreFailure
+from bergamotdoor.store.protocols import StoreFailure
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/bergamotdoor/entry/steps_trainer.py
+++ b/bergamotdoor/entry/steps_trainer.py
@@ -12,9 +12,9 @@
 from bergamotdoor.entry.steps_run import StepRun
 from bergamotdoor.entry.steps_sweep import sweep
 from bergamotdoor.entry.steps_tasks import TaskSet, wait_set
-from bergamotdoor.platform.protocols import StoreFailure
 from bergamotdoor.samples.events import BatchTaken, VersionPublished
 from bergamotdoor.samples.rules import AssemblyRules
+from bergamotdoor.store.protocols import StoreFailure
 
 if TYPE_CHECKING:
     from bergamotdoor.entry.steps_index import CurrentIndex
--- a/bergamotdoor/entry/trainers_acks.py
+++ b/bergamotdoor/entry/trainers_acks.py
@@ -15,7 +15,6 @@
     store_failure,
 )
 from bergamotdoor.http.failures import failure_response, json_response
-from bergamotdoor.platform.protocols import StoreFailure, StoreProblem
 from bergamotdoor.samples.delivery import (
     Acknowledgement,
     BatchManifest,
@@ -24,6 +23,7 @@
     check_acknowledgement,
     with_state,
 )
+from bergamotdoor.store.protocols import StoreFailure, StoreProblem
 from bergamotdoor.verdict import Failure, Reason, Verdict
 
 if TYPE_CHECKING:
--- a/bergamotdoor/entry/trainers_batches.py
+++ b/bergamotdoor/entry/trainers_batches.py
@@ -9,7 +9,6 @@
 
 from bergamotdoor.entry.steps_board import KnownBatch, StepKey
 from bergamotdoor.entry.steps_records import BATCH, step_name
-from bergamotdoor.platform.protocols import StoreFailure, StoreProblem
 from bergamotdoor.samples.delivery import (
     BatchManifest,
     BatchState,
@@ -17,6 +16,7 @@
     check_hand_over,
     with_state,
 )
+from bergamotdoor.store.protocols import StoreFailure, StoreProblem
 from bergamotdoor.types import ABSENT, ObjectVersion, WeightVersion
 
 if TYPE_CHECKING:
--- a/bergamotdoor/entry/trainers_failures.py
+++ b/bergamotdoor/entry/trainers_failures.py
@@ -4,7 +4,7 @@
 
 from typing import Final
 
-from bergamotdoor.platform.protocols import StoreFailure, StoreProblem
+from bergamotdoor.store.protocols import StoreFailure, StoreProblem
 from bergamotdoor.verdict import Failure, Reason, Verdict
 
 RETRY_MS: Final = 1000
--- a/bergamotdoor/entry/trainers_intake.py
+++ b/bergamotdoor/entry/trainers_intake.py
@@ -15,8 +15,8 @@
     store_failure,
 )
 from bergamotdoor.http.failures import failure_response, json_response
-from bergamotdoor.platform.protocols import StoreFailure, StoreProblem
 from bergamotdoor.samples.plan import StepPlan, parse_step
+from bergamotdoor.store.protocols import StoreFailure, StoreProblem
 from bergamotdoor.types import ABSENT
 from bergamotdoor.verdict import Failure, Reason
 
--- a/bergamotdoor/entry/trainers_parts.py
+++ b/bergamotdoor/entry/trainers_parts.py
@@ -9,7 +9,7 @@
 from bergamotdoor.clock import Clock
 from bergamotdoor.entry.interfaces import ConfigurationView, OrderRunner
 from bergamotdoor.entry.steps_board import BatchBoard
-from bergamotdoor.platform.protocols import ObjectStore, WeightStore
+from bergamotdoor.store.protocols import ObjectStore, WeightStore
 
 if TYPE_CHECKING:
     from bergamotdoor.types import (
--- a/bergamotdoor/entry/trainers_polls.py
+++ b/bergamotdoor/entry/trainers_polls.py
@@ -10,9 +10,9 @@
 from bergamotdoor.entry.steps_board import StepKey
 from bergamotdoor.entry.trainers_batches import Look
 from bergamotdoor.entry.trainers_failures import refused, store_failure
-from bergamotdoor.platform.protocols import StoreFailure
 from bergamotdoor.samples.delivery import HandOver
 from bergamotdoor.settings.document import Trainer
+from bergamotdoor.store.protocols import StoreFailure
 from bergamotdoor.types import ABSENT, StepId
 from bergamotdoor.verdict import Failure, Reason
 
--- a/bergamotdoor/entry/trainers_watch.py
+++ b/bergamotdoor/entry/trainers_watch.py
@@ -7,12 +7,12 @@
 
 from bergamotdoor.entry.steps_records import BATCH, step_name
 from bergamotdoor.entry.steps_tasks import TaskSet
-from bergamotdoor.platform.protocols import StoreFailure, StoreProblem
+from bergamotdoor.store.protocols import StoreFailure, StoreProblem
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
     from bergamotdoor.entry.steps_board import BatchBoard, StepKey
-    from bergamotdoor.platform.protocols import ObjectStore
+    from bergamotdoor.store.protocols import ObjectStore
     from bergamotdoor.types import ObjectVersion
 
 #: The longest that one watch waits at the store.
--- a/bergamotdoor/entry/trainers_weights.py
+++ b/bergamotdoor/entry/trainers_weights.py
@@ -14,7 +14,7 @@
     store_failure,
 )
 from bergamotdoor.http.failures import failure_response, json_response
-from bergamotdoor.platform.protocols import StoreFailure, StoreProblem
+from bergamotdoor.store.protocols import StoreFailure, StoreProblem
 from bergamotdoor.types import WeightVersion
 from bergamotdoor.verdict import Failure, Reason, Verdict
 from bergamotdoor.weights.versions import (
@@ -28,7 +28,7 @@
     from bergamotdoor.entry.trainers_parts import TrainerParts
     from bergamotdoor.entry.trainers_target import TrainerRequest
     from bergamotdoor.http.messages import HttpResponse
-    from bergamotdoor.platform.protocols import WeightStore
+    from bergamotdoor.store.protocols import WeightStore
 
 _MOST_TRIES: Final = 5
 
--- a/bergamotdoor/sidecar/configuration.py
+++ b/bergamotdoor/sidecar/configuration.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from bergamotdoor.platform.protocols import StoredObject
 from bergamotdoor.settings.codec import decode_configuration
 from bergamotdoor.settings.document import Configuration
+from bergamotdoor.store.protocols import StoredObject
 
 if TYPE_CHECKING:
-    from bergamotdoor.platform.protocols import ObjectStore
+    from bergamotdoor.store.protocols import ObjectStore
 
 
 async def read_configuration(store: ObjectStore) -> Configuration | None:
--- a/bergamotdoor/sidecar/daemon.py
+++ b/bergamotdoor/sidecar/daemon.py
@@ -8,21 +8,21 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.http.client import HttpClient
-from bergamotdoor.platform.object_api import HttpObjectStore
 from bergamotdoor.sidecar.entries import EntryPort
 from bergamotdoor.sidecar.operators import operators_port
 from bergamotdoor.sidecar.service import SidecarService
 from bergamotdoor.sidecar.timers import Timers
 from bergamotdoor.sidecar.views import SidecarViews
+from bergamotdoor.store.object_api import HttpObjectStore
 from bergamotdoor.types import Incarnation
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
     from bergamotdoor.http.messages import Client
-    from bergamotdoor.platform.protocols import ObjectStore
     from bergamotdoor.settings.document import Address
     from bergamotdoor.settings.process import SidecarSettings
     from bergamotdoor.sidecar.status import SidecarStatus
+    from bergamotdoor.store.protocols import ObjectStore
 
 _LOG: Final = logging.getLogger('bergamotdoor.sidecar')
 _NO_DRAIN: Final = dt.timedelta()
--- a/bergamotdoor/sidecar/engine.py
+++ b/bergamotdoor/sidecar/engine.py
@@ -10,15 +10,15 @@
 import msgspec
 
 from bergamotdoor import utils
-from bergamotdoor.platform.protocols import (
-    ObjectStore,
-    StoredObject,
-    StoreProblem,
-)
 from bergamotdoor.settings.document import RolloutRules
 from bergamotdoor.sidecar.orders import OrderBook
 from bergamotdoor.sidecar.provenance import EngineState
 from bergamotdoor.sidecar.upstream import StaleToken, SwapUnclear, Upstream
+from bergamotdoor.store.protocols import (
+    ObjectStore,
+    StoredObject,
+    StoreProblem,
+)
 from bergamotdoor.types import FencingToken, ServiceId
 from bergamotdoor.verdict import Failure, Reason, Verdict
 from bergamotdoor.wire.messages import LoadWeights, OrderOutcome, OrderResult
--- a/bergamotdoor/sidecar/service.py
+++ b/bergamotdoor/sidecar/service.py
@@ -19,9 +19,9 @@
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
     from bergamotdoor.http.messages import Client
-    from bergamotdoor.platform.protocols import ObjectStore
     from bergamotdoor.settings.document import Configuration
     from bergamotdoor.settings.process import SidecarSettings
+    from bergamotdoor.store.protocols import ObjectStore
     from bergamotdoor.wire.messages import LeavingNotice
 
 _LOG: Final = logging.getLogger('bergamotdoor.sidecar')
--- a/bergamotdoor/sidecar/timers.py
+++ b/bergamotdoor/sidecar/timers.py
@@ -12,8 +12,8 @@
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
-    from bergamotdoor.platform.protocols import ObjectStore
     from bergamotdoor.sidecar.service import SidecarService
+    from bergamotdoor.store.protocols import ObjectStore
     from bergamotdoor.wire.link import Link
 
 _TICK: Final = dt.timedelta(milliseconds=100)
--- a/bergamotdoor/standins/memory_store.py
+++ b/bergamotdoor/standins/memory_store.py
@@ -6,11 +6,6 @@
 import itertools
 from typing import TYPE_CHECKING, Final
 
-from bergamotdoor.platform.protocols import (
-    StoredObject,
-    StoreFailure,
-    StoreProblem,
-)
 from bergamotdoor.standins._platform_table import (
     MAX_VALUE_BYTES,
     CallKind,
@@ -22,6 +17,11 @@
     WriteStatus,
 )
 from bergamotdoor.standins._platform_watch import wait_above
+from bergamotdoor.store.protocols import (
+    StoredObject,
+    StoreFailure,
+    StoreProblem,
+)
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
--- a/bergamotdoor/standins/platform_settings.py
+++ b/bergamotdoor/standins/platform_settings.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-from bergamotdoor.platform.protocols import VmState
 from bergamotdoor.settings.document import Address, Strict
 from bergamotdoor.standins._platform_table import Outage
+from bergamotdoor.store.protocols import VmState
 from bergamotdoor.types import ServiceId, VmId, WeightVersion
 
 
--- a/bergamotdoor/standins/vm_list.py
+++ b/bergamotdoor/standins/vm_list.py
@@ -7,10 +7,10 @@
 import msgspec
 
 from bergamotdoor import utils
-from bergamotdoor.platform.protocols import VmRecord, VmSnapshot, VmState
 from bergamotdoor.standins import _platform_http as http
 from bergamotdoor.standins._lagged import Lagged
 from bergamotdoor.standins._platform_daemon import PlatformDaemon
+from bergamotdoor.store.protocols import VmRecord, VmSnapshot, VmState
 from bergamotdoor.types import VmId
 
 if TYPE_CHECKING:
--- a/bergamotdoor/standins/weight_store.py
+++ b/bergamotdoor/standins/weight_store.py
@@ -7,9 +7,9 @@
 
 import msgspec
 
-from bergamotdoor.platform.protocols import WeightRecord
 from bergamotdoor.standins import _platform_http as http
 from bergamotdoor.standins._platform_daemon import PlatformDaemon
+from bergamotdoor.store.protocols import WeightRecord
 from bergamotdoor.types import ServiceId, WeightVersion
 
 if TYPE_CHECKING:
--- a/bergamotdoor/platform/calls.py
+++ b/bergamotdoor/store/calls.py
@@ -16,7 +16,7 @@
     ClientResponse,
     Headers,
 )
-from bergamotdoor.platform.attempts import (
+from bergamotdoor.store.attempts import (
     Answer,
     Attempt,
     Doubt,
@@ -29,9 +29,9 @@
 
     from bergamotdoor.clock import Clock
     from bergamotdoor.http.messages import Client
-    from bergamotdoor.platform.guard import CallGuard
     from bergamotdoor.settings.document import Address
     from bergamotdoor.settings.process import PlatformSettings
+    from bergamotdoor.store.guard import CallGuard
 
 RETRY_AFTER_HEADER: Final = 'retry-after-ms'
 #: The largest answer read; a list of names may be above one value's size.
--- a/bergamotdoor/platform/guard.py
+++ b/bergamotdoor/store/guard.py
@@ -16,7 +16,7 @@
 
 import msgspec
 
-from bergamotdoor.platform.attempts import CallKind, Refusal
+from bergamotdoor.store.attempts import CallKind, Refusal
 
 if TYPE_CHECKING:
     import random
--- a/bergamotdoor/platform/measures.py
+++ b/bergamotdoor/store/measures.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, TypeVar
 
 from bergamotdoor.observe.metrics import Stage
-from bergamotdoor.platform.protocols import StoreFailure
+from bergamotdoor.store.protocols import StoreFailure
 
 if TYPE_CHECKING:
     import datetime as dt
--- a/bergamotdoor/platform/object_api.py
+++ b/bergamotdoor/store/object_api.py
@@ -7,12 +7,12 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor import utils
-from bergamotdoor.platform import object_calls
-from bergamotdoor.platform.calls import PlatformCalls
-from bergamotdoor.platform.guard import CallGuard, GuardState
-from bergamotdoor.platform.measures import StoreMeasures
-from bergamotdoor.platform.pending_write import NextStep, PendingWrite
-from bergamotdoor.platform.retries import Attempts
+from bergamotdoor.store import object_calls
+from bergamotdoor.store.calls import PlatformCalls
+from bergamotdoor.store.guard import CallGuard, GuardState
+from bergamotdoor.store.measures import StoreMeasures
+from bergamotdoor.store.pending_write import NextStep, PendingWrite
+from bergamotdoor.store.retries import Attempts
 
 if TYPE_CHECKING:
     import datetime as dt
@@ -20,10 +20,10 @@
     from bergamotdoor.clock import Clock
     from bergamotdoor.http.messages import Client
     from bergamotdoor.observe.metrics import Metrics
-    from bergamotdoor.platform.attempts import Attempt, PlatformCall
-    from bergamotdoor.platform.pending_write import Decision
-    from bergamotdoor.platform.protocols import StoredObject, StoreFailure
     from bergamotdoor.settings.process import PlatformSettings
+    from bergamotdoor.store.attempts import Attempt, PlatformCall
+    from bergamotdoor.store.pending_write import Decision
+    from bergamotdoor.store.protocols import StoredObject, StoreFailure
     from bergamotdoor.types import ObjectVersion
 
 #: The largest value that the platform keeps.
--- a/bergamotdoor/platform/object_calls.py
+++ b/bergamotdoor/store/object_calls.py
@@ -10,8 +10,8 @@
 
 from bergamotdoor import utils
 from bergamotdoor.http.messages import Headers
-from bergamotdoor.platform.attempts import Answer, CallKind, PlatformCall
-from bergamotdoor.platform.protocols import (
+from bergamotdoor.store.attempts import Answer, CallKind, PlatformCall
+from bergamotdoor.store.protocols import (
     StoredObject,
     StoreFailure,
     StoreProblem,
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     import datetime as dt
 
-    from bergamotdoor.platform.attempts import Attempt
+    from bergamotdoor.store.attempts import Attempt
 
 VERSION_HEADER: Final = 'x-object-version'
 NONCE_HEADER: Final = 'x-object-nonce'
--- a/bergamotdoor/platform/pending_write.py
+++ b/bergamotdoor/store/pending_write.py
@@ -24,9 +24,9 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from bergamotdoor.platform.attempts import Answer, Refusal
-from bergamotdoor.platform.object_calls import NONCE_HEADER, version_of
-from bergamotdoor.platform.protocols import (
+from bergamotdoor.store.attempts import Answer, Refusal
+from bergamotdoor.store.object_calls import NONCE_HEADER, version_of
+from bergamotdoor.store.protocols import (
     StoredObject,
     StoreFailure,
     StoreProblem,
@@ -34,8 +34,8 @@
 from bergamotdoor.types import ABSENT
 
 if TYPE_CHECKING:
-    from bergamotdoor.platform.attempts import Attempt
-    from bergamotdoor.platform.object_calls import WriteOrder
+    from bergamotdoor.store.attempts import Attempt
+    from bergamotdoor.store.object_calls import WriteOrder
     from bergamotdoor.types import ObjectVersion
 
 
--- a/bergamotdoor/platform/retries.py
+++ b/bergamotdoor/store/retries.py
@@ -5,13 +5,13 @@
 import datetime as dt
 from typing import TYPE_CHECKING, Final
 
-from bergamotdoor.platform.attempts import Answer, Doubt, Refusal
+from bergamotdoor.store.attempts import Answer, Doubt, Refusal
 
 if TYPE_CHECKING:
     import random
 
-    from bergamotdoor.platform.attempts import Attempt, PlatformCall
-    from bergamotdoor.platform.calls import PlatformCalls
+    from bergamotdoor.store.attempts import Attempt, PlatformCall
+    from bergamotdoor.store.calls import PlatformCalls
 
 #: The longest pause after the first failed attempt; doubles with each.
 _LAST_PAUSE: Final = dt.timedelta(seconds=1)
--- a/bergamotdoor/platform/vm_list.py
+++ b/bergamotdoor/store/vm_list.py
@@ -9,11 +9,11 @@
 import msgspec
 
 from bergamotdoor import utils
-from bergamotdoor.platform.attempts import Answer, CallKind, PlatformCall
-from bergamotdoor.platform.calls import PlatformCalls
-from bergamotdoor.platform.guard import CallGuard
-from bergamotdoor.platform.object_calls import unavailable
-from bergamotdoor.platform.protocols import (
+from bergamotdoor.store.attempts import Answer, CallKind, PlatformCall
+from bergamotdoor.store.calls import PlatformCalls
+from bergamotdoor.store.guard import CallGuard
+from bergamotdoor.store.object_calls import unavailable
+from bergamotdoor.store.protocols import (
     StoreFailure,
     StoreProblem,
     VmRecord,
--- a/bergamotdoor/platform/weight_store.py
+++ b/bergamotdoor/store/weight_store.py
@@ -10,22 +10,22 @@
 import msgspec
 
 from bergamotdoor import utils
-from bergamotdoor.platform.attempts import (
+from bergamotdoor.store.attempts import (
     Answer,
     Attempt,
     CallKind,
     Doubt,
     PlatformCall,
 )
-from bergamotdoor.platform.calls import PlatformCalls
-from bergamotdoor.platform.guard import CallGuard
-from bergamotdoor.platform.object_calls import unavailable
-from bergamotdoor.platform.protocols import (
+from bergamotdoor.store.calls import PlatformCalls
+from bergamotdoor.store.guard import CallGuard
+from bergamotdoor.store.object_calls import unavailable
+from bergamotdoor.store.protocols import (
     StoreFailure,
     StoreProblem,
     WeightRecord,
 )
-from bergamotdoor.platform.retries import Attempts
+from bergamotdoor.store.retries import Attempts
 
 if TYPE_CHECKING:
     import datetime as dt
--- a/features/admin_fakes.py
+++ b/features/admin_fakes.py
@@ -17,14 +17,14 @@
 )
 from bergamotdoor.observe.dump import DumpRegistry
 from bergamotdoor.observe.metrics import Metrics, Stage
-from bergamotdoor.platform.protocols import (
+from bergamotdoor.settings.codec import encode_configuration
+from bergamotdoor.settings.document import Configuration, Document
+from bergamotdoor.settings.loading import parse_document
+from bergamotdoor.store.protocols import (
     StoredObject,
     StoreFailure,
     StoreProblem,
 )
-from bergamotdoor.settings.codec import encode_configuration
-from bergamotdoor.settings.document import Configuration, Document
-from bergamotdoor.settings.loading import parse_document
 from bergamotdoor.types import (
     EntryId,
     Generation,
--- a/features/claim_world.py
+++ b/features/claim_world.py
@@ -10,7 +10,6 @@
 
 from bergamotdoor.entry.claims import ClaimParts, Claims
 from bergamotdoor.entry.interfaces import Call
-from bergamotdoor.platform.protocols import StoreFailure, StoreProblem
 from bergamotdoor.routing.attempts import Binding
 from bergamotdoor.settings.codec import encode_configuration
 from bergamotdoor.settings.document import (
@@ -26,6 +25,7 @@
 )
 from bergamotdoor.standins._platform_table import ObjectTable
 from bergamotdoor.standins.memory_store import MemoryObjectStore
+from bergamotdoor.store.protocols import StoreFailure, StoreProblem
 from bergamotdoor.types import (
     Generation,
     IdempotencyKey,
@@ -44,7 +44,7 @@
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
-    from bergamotdoor.platform.protocols import StoredObject
+    from bergamotdoor.store.protocols import StoredObject
     from bergamotdoor.types import ObjectVersion
     from bergamotdoor.verdict import Failure
 
--- a/features/entry_group_rig.py
+++ b/features/entry_group_rig.py
@@ -13,7 +13,6 @@
 from bergamotdoor.entry.configuration_sidecars import SidecarSpread
 from bergamotdoor.entry.group import EntryGroupTask
 from bergamotdoor.entry.leaving import LeavingTask
-from bergamotdoor.platform.protocols import VmRecord, VmSnapshot, VmState
 from bergamotdoor.settings.codec import encode_configuration
 from bergamotdoor.settings.document import (
     Address,
@@ -37,6 +36,7 @@
     ObjectTable,
 )
 from bergamotdoor.standins.memory_store import MemoryObjectStore
+from bergamotdoor.store.protocols import VmRecord, VmSnapshot, VmState
 from bergamotdoor.types import (
     EntryId,
     Generation,
--- a/features/platform_world.py
+++ b/features/platform_world.py
@@ -15,7 +15,6 @@
     Headers,
     HttpRequest,
 )
-from bergamotdoor.platform.object_api import HttpObjectStore
 from bergamotdoor.settings.document import Address
 from bergamotdoor.settings.process import PlatformSettings
 from bergamotdoor.standins._platform_table import Change
@@ -24,6 +23,7 @@
     ObjectKey,
     ObjectTable,
 )
+from bergamotdoor.store.object_api import HttpObjectStore
 from bergamotdoor.types import ABSENT
 from features.support import virtual_clock
 
--- a/features/samples_world.py
+++ b/features/samples_world.py
@@ -17,15 +17,15 @@
 from bergamotdoor.entry.trainers import TrainerApi
 from bergamotdoor.entry.trainers_parts import TrainerParts
 from bergamotdoor.http.messages import Headers, HttpRequest, HttpResponse
-from bergamotdoor.platform.protocols import (
-    StoredObject,
-    StoreFailure,
-    StoreProblem,
-)
 from bergamotdoor.settings import document as doc
 from bergamotdoor.settings.process import TrainerToken
 from bergamotdoor.standins._platform_table import ObjectKey, ObjectTable
 from bergamotdoor.standins.memory_store import MemoryObjectStore
+from bergamotdoor.store.protocols import (
+    StoredObject,
+    StoreFailure,
+    StoreProblem,
+)
 from bergamotdoor.types import (
     EntryId,
     FencingToken,
--- a/features/steps/admin_api_steps.py
+++ b/features/steps/admin_api_steps.py
@@ -25,8 +25,8 @@
 from features.support import run_machine, run_virtual, virtual_clock
 
 if TYPE_CHECKING:
-    from bergamotdoor.platform.protocols import ObjectStore
     from bergamotdoor.settings.document import Document
+    from bergamotdoor.store.protocols import ObjectStore
 
 TOKEN = 'operator-token-001'
 
--- a/features/steps/cli_ctl_steps.py
+++ b/features/steps/cli_ctl_steps.py
@@ -26,7 +26,7 @@
     from collections.abc import Awaitable, Callable
 
     from bergamotdoor.http.messages import HttpRequest, HttpResponse
-    from bergamotdoor.platform.protocols import ObjectStore
+    from bergamotdoor.store.protocols import ObjectStore
 
 PORT = 20001
 TOKEN = 'example-operator-token-replace'
--- a/features/steps/entry_patient_store_steps.py
+++ b/features/steps/entry_patient_store_steps.py
@@ -8,9 +8,9 @@
 from behave import given, then, when
 
 from bergamotdoor.entry.patient_store import PatientStore
-from bergamotdoor.platform.protocols import StoredObject, StoreFailure
 from bergamotdoor.standins.memory_store import MemoryObjectStore
 from bergamotdoor.standins.object_api import ObjectTable, Outage
+from bergamotdoor.store.protocols import StoredObject, StoreFailure
 from bergamotdoor.types import ABSENT
 from features.support import run_virtual, virtual_clock
 
--- a/features/steps/platform_guard_steps.py
+++ b/features/steps/platform_guard_steps.py
@@ -1,4 +1,4 @@
-"""Steps for bergamotdoor.platform.guard."""
+"""Steps for bergamotdoor.store.guard."""
 
 from __future__ import annotations
 
@@ -11,15 +11,15 @@
 
 from bergamotdoor.http.messages import ClientFailure, ClientRequest
 from bergamotdoor.observe.metrics import Metrics
-from bergamotdoor.platform.guard import CallGuard, GuardLimits
-from bergamotdoor.platform.object_api import HttpObjectStore
-from bergamotdoor.platform.protocols import StoredObject, StoreProblem
 from bergamotdoor.standins.object_api import (
     ObjectApiStandin,
     ObjectFaults,
     ObjectTable,
     Outage,
 )
+from bergamotdoor.store.guard import CallGuard, GuardLimits
+from bergamotdoor.store.object_api import HttpObjectStore
+from bergamotdoor.store.protocols import StoredObject, StoreProblem
 from bergamotdoor.types import ABSENT
 from features.platform_world import KEY, SETTINGS, FaultyClient
 from features.support import run_virtual, virtual_clock
--- a/features/steps/platform_object_api_steps.py
+++ b/features/steps/platform_object_api_steps.py
@@ -1,4 +1,4 @@
-"""Steps for bergamotdoor.platform.object_api."""
+"""Steps for bergamotdoor.store.object_api."""
 
 from __future__ import annotations
 
@@ -15,16 +15,16 @@
 
 from bergamotdoor.http.client import HttpClient
 from bergamotdoor.http.server import HttpServer
-from bergamotdoor.platform import object_api
-from bergamotdoor.platform.attempts import Answer, Attempt
-from bergamotdoor.platform.pending_write import Decision, PendingWrite
-from bergamotdoor.platform.protocols import (
+from bergamotdoor.settings.process import HttpLimits
+from bergamotdoor.standins.object_api import ObjectApiStandin, ObjectTable
+from bergamotdoor.store import object_api
+from bergamotdoor.store.attempts import Answer, Attempt
+from bergamotdoor.store.pending_write import Decision, PendingWrite
+from bergamotdoor.store.protocols import (
     StoredObject,
     StoreFailure,
     StoreProblem,
 )
-from bergamotdoor.settings.process import HttpLimits
-from bergamotdoor.standins.object_api import ObjectApiStandin, ObjectTable
 from bergamotdoor.types import ABSENT, ObjectVersion
 from features.platform_world import (
     ADDRESS,
--- a/features/steps/standins_platform_steps.py
+++ b/features/steps/standins_platform_steps.py
@@ -14,15 +14,6 @@
 
 from bergamotdoor.http.client import HttpClient
 from bergamotdoor.http.messages import ClientRequest, Headers
-from bergamotdoor.platform.object_api import HttpObjectStore
-from bergamotdoor.platform.protocols import (
-    StoredObject,
-    StoreFailure,
-    StoreProblem,
-    VmState,
-)
-from bergamotdoor.platform.vm_list import HttpVmList
-from bergamotdoor.platform.weight_store import HttpWeightStore
 from bergamotdoor.settings.document import Address
 from bergamotdoor.settings.process import PlatformSettings
 from bergamotdoor.standins import object_api, vm_list, weight_store
@@ -38,6 +29,15 @@
     VmSettings,
     WeightStoreSettings,
 )
+from bergamotdoor.store.object_api import HttpObjectStore
+from bergamotdoor.store.protocols import (
+    StoredObject,
+    StoreFailure,
+    StoreProblem,
+    VmState,
+)
+from bergamotdoor.store.vm_list import HttpVmList
+from bergamotdoor.store.weight_store import HttpWeightStore
 from bergamotdoor.types import (
     ABSENT,
     ObjectVersion,
