--- /dev/null
+++ b/bergamotdoor/agent/daemon.py
@@ -0,0 +1,65 @@
+"""Joins the parts of an agent process together."""
+
+from __future__ import annotations
+
+import datetime as dt
+import logging
+from typing import TYPE_CHECKING, Final
+
+from bergamotdoor.agent.evacuation import EvacuationAgent
+from bergamotdoor.agent.weights import WeightsAgent
+from bergamotdoor.clock import Clock, LoopClock
+from bergamotdoor.gateway.context import Tasks
+from bergamotdoor.http import HttpClient
+from bergamotdoor.objects.client import DirectCaller, ObjectClient
+from bergamotdoor.objects.watcher import Watcher
+from bergamotdoor.platform import headers as names
+
+if TYPE_CHECKING:
+    from bergamotdoor.platform.settings import NodeSettings
+
+#: Versions of several models that are named together are taken together.
+_GATHER: Final = dt.timedelta(milliseconds=100)
+
+_log = logging.getLogger('bergamotdoor.agent')
+
+
+class AgentDaemon:
+    """One process beside an engine, or on a VM with a disk."""
+
+    def __init__(
+        self, settings: NodeSettings, clock: Clock | None = None
+    ) -> None:
+        self._settings = settings
+        self._clock = clock or LoopClock()
+        self._client = HttpClient(self._clock)
+        self._store = ObjectClient(DirectCaller(self._client, settings.store))
+        self._tasks = Tasks()
+
+    async def start(self) -> None:
+        """Begin to work."""
+        _log.info('agent: %s starts', self._settings.node)
+        if self._settings.engine is None:
+            evacuations = EvacuationAgent(self._store, self._settings.node)
+            self._follow(names.EVACUATION_KIND, evacuations)
+            self._tasks.start(evacuations.run())
+            return
+        weights = WeightsAgent(
+            self._store,
+            self._client,
+            self._settings.engine,
+            self._settings.node,
+            self._clock,
+        )
+        self._follow(names.VERSION_KIND, weights)
+        self._tasks.start(weights.run())
+
+    async def stop(self) -> None:
+        """End at once: nothing here is in progress for a caller."""
+        _log.info('agent: %s stops', self._settings.node)
+        await self._tasks.stop()
+        await self._client.close()
+
+    def _follow(self, kind: str, view: EvacuationAgent | WeightsAgent) -> None:
+        watcher = Watcher(self._store, kind, view, self._clock, _GATHER)
+        self._tasks.start(watcher.run())
--- /dev/null
+++ b/bergamotdoor/calls/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions about plain requests: routes, attempts, refusals."""
+
+from __future__ import annotations
--- a/bergamotdoor/cli/main.py
+++ b/bergamotdoor/cli/main.py
@@ -38,6 +38,16 @@
         'sidecar': _Listed(
             _DAEMONS, 'SIDECAR', 'run beside one upstream and admit its work'
         ),
+        'gateway': _Listed(
+            'bergamotdoor.cli.node',
+            'GATEWAY',
+            "run an entry on the platform's machines",
+        ),
+        'agent': _Listed(
+            'bergamotdoor.cli.node',
+            'AGENT',
+            'run beside an engine, or on a VM with a disk',
+        ),
         'ctl': _Listed(
             'bergamotdoor.cli.ctl',
             'CTL',
--- /dev/null
+++ b/bergamotdoor/fleet/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions about upstreams: which exist, how loaded, which to choose."""
+
+from __future__ import annotations
--- /dev/null
+++ b/bergamotdoor/fleet/loads.py
@@ -0,0 +1,92 @@
+"""How loaded and how well each upstream is, as far as one process knows.
+
+Load pattern: bursts of items and a trickle of calls from several processes
+that do not tell each other what they send. Each counts its own requests,
+adds what the upstream told of the others a moment ago, and leaves an
+upstream that refuses or breaks alone for a while.
+"""
+
+from __future__ import annotations
+
+import datetime as dt
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+if TYPE_CHECKING:
+    from bergamotdoor.types import UpstreamId
+
+#: After a refusal the upstream is full or loading weights, which takes
+#: about a second; asking more often costs connections and gains nothing.
+REFUSAL_REST: Final = dt.timedelta(milliseconds=300)
+#: After a broken or failed request; doubled with each one that follows.
+FAILURE_REST: Final = dt.timedelta(milliseconds=500)
+_MOST_DOUBLINGS: Final = 4
+#: What an upstream told of its load is worth nothing after this.
+_TOLD_AGE: Final = dt.timedelta(seconds=2)
+#: The weight of the newest measurement.
+_SMOOTHING: Final = 0.25
+
+_ZERO: Final = dt.timedelta()
+
+
+class UpstreamLoad(msgspec.Struct):
+    """What is known of one upstream now."""
+
+    in_flight: int = 0
+    #: Requests of other processes that it told of.
+    others: int = 0
+    told_at: dt.timedelta = _ZERO
+    rest_until: dt.timedelta = _ZERO
+    failures: int = 0
+    #: How long its answers take, in seconds; 0 while unmeasured.
+    latency_s: float = 0
+
+    def told(self, busy: int, now: dt.timedelta) -> None:
+        """Take how many requests it says to have, running and waiting."""
+        self.others = max(busy - self.in_flight, 0)
+        self.told_at = now
+
+    def refused(self, now: dt.timedelta) -> None:
+        """Take a refusal."""
+        self.rest_until = max(self.rest_until, now + REFUSAL_REST)
+
+    def failed(self, now: dt.timedelta) -> None:
+        """Take a broken or failed request."""
+        doublings = min(self.failures, _MOST_DOUBLINGS)
+        self.failures += 1
+        rest = FAILURE_REST * (1 << doublings)
+        self.rest_until = max(self.rest_until, now + rest)
+
+    def answered(self, latency: dt.timedelta) -> None:
+        """Take a good answer."""
+        self.failures = 0
+        seconds = latency.total_seconds()
+        if self.latency_s:
+            self.latency_s += _SMOOTHING * (seconds - self.latency_s)
+        else:
+            self.latency_s = seconds
+
+    def resting(self, now: dt.timedelta) -> bool:
+        """Return whether it should be left alone."""
+        return now < self.rest_until
+
+    def busy(self, now: dt.timedelta) -> int:
+        """Return how many requests it probably has."""
+        fresh = now - self.told_at < _TOLD_AGE
+        return self.in_flight + (self.others if fresh else 0)
+
+
+class Loads:
+    """The loads of all upstreams."""
+
+    def __init__(self) -> None:
+        self._loads: dict[UpstreamId, UpstreamLoad] = {}
+
+    def of(self, upstream: UpstreamId) -> UpstreamLoad:
+        """Return the load of one upstream."""
+        return self._loads.setdefault(upstream, UpstreamLoad())
+
+    def forget(self, upstream: UpstreamId) -> None:
+        """Drop an upstream that is gone."""
+        self._loads.pop(upstream, None)
--- /dev/null
+++ b/bergamotdoor/gateway/job_store.py
@@ -0,0 +1,260 @@
+"""Batch jobs as objects of the platform's store.
+
+======================  ==============  ================================
+kind                    name            spec
+======================  ==============  ================================
+``jobs``                job             who runs it (``JobRecord``);
+                                        status: whether it is ended
+``job-ID``              ``part-0000``   pieces of its body
+``job-ID``              ``result-0000`` results, one record a number
+======================  ==============  ================================
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from bergamotdoor.jobs.ledger import Ledger
+from bergamotdoor.jobs.messages import (
+    ItemSpec,
+    JobRecord,
+    JobSpec,
+    JobStatus,
+    ResultRecord,
+)
+from bergamotdoor.objects.messages import (
+    Conflict,
+    Listing,
+    Outcome,
+    StoredObject,
+)
+from bergamotdoor.types import JobId, Revision
+
+if TYPE_CHECKING:
+    from bergamotdoor.objects.client import ObjectClient
+
+JOB_KIND: Final = 'jobs'
+_PART: Final = 'part-'
+_RESULT: Final = 'result-'
+#: An object may take a megabyte; JSON writes bodies in base64.
+PART_BYTES: Final = 600_000
+#: How often a call whose outcome is unclear is repeated before its caller
+#: is told so, and the pause between.
+_ATTEMPTS: Final = 3
+_PAUSE_S: Final = 0.05
+
+_log = logging.getLogger('bergamotdoor.gateway')
+
+
+class FoundJob(msgspec.Struct, frozen=True):
+    """A job's record as stored."""
+
+    job: JobId
+    record: JobRecord
+    status: JobStatus
+    revision: Revision
+
+
+class LoadedJob(msgspec.Struct, frozen=True):
+    """A job's body and results as stored."""
+
+    spec: JobSpec
+    ledger: Ledger
+
+
+class _Part(msgspec.Struct):
+    """A piece of a job; every piece repeats its head."""
+
+    head: JobSpec
+    items: tuple[ItemSpec, ...]
+
+
+class JobStore:
+    """Reads and writes batch jobs."""
+
+    def __init__(self, store: ObjectClient) -> None:
+        self._store = store
+
+    async def submit(
+        self, spec: JobSpec, record: JobRecord
+    ) -> FoundJob | Outcome:
+        """Store a whole job; return it, or the one stored before.
+
+        NOT_DONE promises that the job does not exist and will not.
+        """
+        parts = list(split(spec))
+        for number, part in enumerate(parts):
+            outcome = await self._create(
+                parts_kind(spec.job), f'{_PART}{number:04}', part
+            )
+            if outcome is Outcome.NOT_DONE or outcome is Outcome.UNCLEAR:
+                # Without its record the job does not exist: parts alone
+                # are never run.
+                return Outcome.NOT_DONE
+        record = msgspec.structs.replace(record, parts=len(parts))
+        body = msgspec.json.encode(record)
+        found = await self._create(JOB_KIND, spec.job, body)
+        if isinstance(found, Conflict):
+            if found.current is None:
+                return await self.find(spec.job)
+            return found_job(found.current)
+        if isinstance(found, Outcome):
+            return found
+        return found_job(found)
+
+    async def find(self, job: JobId) -> FoundJob | Outcome:
+        """Return who runs a job; ABSENT if there is no such job."""
+        found = await self._store.get(JOB_KIND, job)
+        return found if isinstance(found, Outcome) else found_job(found)
+
+    async def all_jobs(self, stale: bool) -> tuple[FoundJob, ...] | Outcome:
+        """Return all jobs."""
+        listing = await self._store.listing(JOB_KIND, stale=stale)
+        if isinstance(listing, Outcome):
+            return listing
+        return tuple(found_job(stored) for stored in listing.objects)
+
+    async def claim(
+        self, found: FoundJob, record: JobRecord
+    ) -> FoundJob | Outcome:
+        """Take a job over; return it as it is then, whoever has it."""
+        body = msgspec.json.encode(record)
+        outcome = await self._store.replace(
+            JOB_KIND, found.job, body, found.revision
+        )
+        if isinstance(outcome, Conflict):
+            if outcome.current is None:
+                return await self.find(found.job)
+            return found_job(outcome.current)
+        return outcome if isinstance(outcome, Outcome) else found_job(outcome)
+
+    async def end(self, job: JobId) -> Outcome | None:
+        """Note that a job is ended; None once it is."""
+        status = msgspec.json.encode(JobStatus(ended=True))
+        for _ in range(_ATTEMPTS):
+            outcome = await self._store.put_status(JOB_KIND, job, status)
+            if isinstance(outcome, StoredObject):
+                return None
+            if outcome is Outcome.ABSENT or outcome is Outcome.NOT_DONE:
+                return outcome
+            await asyncio.sleep(_PAUSE_S)
+        return Outcome.UNCLEAR
+
+    async def load(self, job: JobId) -> LoadedJob | Outcome:
+        """Return a job's body and all its results."""
+        listing = await self._store.listing(parts_kind(job))
+        if isinstance(listing, Outcome):
+            return listing
+        return _loaded(listing)
+
+    async def results(self, job: JobId) -> Ledger | Outcome:
+        """Return a job's results."""
+        listing = await self._store.listing(parts_kind(job), after=_PART + '~')
+        if isinstance(listing, Outcome):
+            return listing
+        return Ledger(_records(listing))
+
+    async def append(
+        self, job: JobId, number: int, record: ResultRecord
+    ) -> ResultRecord | Outcome:
+        """Store results under a number.
+
+        Returns
+        -------
+        ResultRecord or Outcome
+            The record that has the number: this one, or another process's.
+            While the outcome is unclear, the same record has to be tried
+            again under the same number: the first call may still be done.
+        """
+        kind = parts_kind(job)
+        name = f'{_RESULT}{number:06}'
+        outcome = await self._store.create(
+            kind, name, msgspec.json.encode(record)
+        )
+        if isinstance(outcome, StoredObject):
+            return record
+        if isinstance(outcome, Outcome):
+            return outcome
+        if outcome.current is not None:
+            return _record(outcome.current)
+        found = await self._store.get(kind, name)
+        return found if isinstance(found, Outcome) else _record(found)
+
+    async def _create(
+        self, kind: str, name: str, body: bytes
+    ) -> StoredObject | Conflict | Outcome:
+        outcome: StoredObject | Conflict | Outcome = Outcome.NOT_DONE
+        unclear = False
+        for _ in range(_ATTEMPTS):
+            outcome = await self._store.create(kind, name, body)
+            if not isinstance(outcome, Outcome):
+                return outcome
+            unclear = unclear or outcome is Outcome.UNCLEAR
+            if not unclear:
+                # Refused before: nothing was done, and the caller can come
+                # back when it suits.
+                return outcome
+            await asyncio.sleep(_PAUSE_S)
+        return Outcome.UNCLEAR
+
+
+def parts_kind(job: JobId) -> str:
+    """Return the kind of a job's parts and results."""
+    return f'job-{job}'
+
+
+def split(spec: JobSpec) -> list[bytes]:
+    """Cut a job into pieces that fit into an object each."""
+    head = msgspec.structs.replace(spec, items=())
+    pieces: list[list[ItemSpec]] = [[]]
+    size_bytes = 0
+    for item in spec.items:
+        item_bytes = len(msgspec.json.encode(item))
+        if pieces[-1] and size_bytes + item_bytes > PART_BYTES:
+            pieces.append([])
+            size_bytes = 0
+        pieces[-1].append(item)
+        size_bytes += item_bytes
+    return [msgspec.json.encode(_Part(head, tuple(piece))) for piece in pieces]
+
+
+def found_job(stored: StoredObject) -> FoundJob:
+    """Read a job's record."""
+    status = msgspec.json.decode(
+        stored.status or b'null', type=JobStatus | None
+    )
+    return FoundJob(
+        JobId(stored.name),
+        msgspec.json.decode(stored.spec, type=JobRecord),
+        status or JobStatus(),
+        stored.revision,
+    )
+
+
+def _loaded(listing: Listing) -> LoadedJob | Outcome:
+    parts = [
+        msgspec.json.decode(stored.spec, type=_Part)
+        for stored in listing.objects
+        if stored.name.startswith(_PART)
+    ]
+    if not parts:
+        return Outcome.ABSENT
+    items = tuple(item for part in parts for item in part.items)
+    spec = msgspec.structs.replace(parts[0].head, items=items)
+    return LoadedJob(spec, Ledger(_records(listing)))
+
+
+def _records(listing: Listing) -> list[ResultRecord]:
+    return [
+        _record(stored)
+        for stored in listing.objects
+        if stored.name.startswith(_RESULT)
+    ]
+
+
+def _record(stored: StoredObject) -> ResultRecord:
+    return msgspec.json.decode(stored.spec, type=ResultRecord)
--- /dev/null
+++ b/bergamotdoor/gateway/peer_messages.py
@@ -0,0 +1,67 @@
+"""Messages between entry processes, as msgpack in HTTP bodies."""
+
+from __future__ import annotations
+
+from typing import Final, TypeAlias
+
+import msgspec
+
+from bergamotdoor.jobs.messages import ItemResult, JobRecord
+from bergamotdoor.types import ItemId, JobId
+
+PEER_PATH: Final = '/peer'
+
+
+class ReadResults(msgspec.Struct, frozen=True, tag=True):
+    """Ask a job's owner for results; waits until there is one."""
+
+    job: JobId
+    after: int
+    wait_ms: int
+
+
+class ReadBody(msgspec.Struct, frozen=True, tag=True):
+    """Ask a job's owner for the body of an item that is not listed."""
+
+    job: JobId
+    item: ItemId
+
+
+class JobEnded(msgspec.Struct, frozen=True, tag=True):
+    """Tell a job's owner that it was ended."""
+
+    job: JobId
+
+
+class JobOwned(msgspec.Struct, frozen=True, tag=True):
+    """Tell who owns a job, so that others need not ask the store."""
+
+    job: JobId
+    record: JobRecord
+
+
+PeerRequest: TypeAlias = ReadResults | ReadBody | JobEnded | JobOwned
+
+
+class ResultPage(msgspec.Struct, frozen=True, tag=True):
+    """Results from the position that was asked for."""
+
+    total: int
+    results: tuple[ItemResult, ...]
+
+
+class ItemBody(msgspec.Struct, frozen=True, tag=True):
+    """The body of an item, None if it is listed or unknown."""
+
+    body: bytes | None
+
+
+class Done(msgspec.Struct, frozen=True, tag=True):
+    """The message was taken."""
+
+
+class NotOwner(msgspec.Struct, frozen=True, tag=True):
+    """The process that was asked does not run the job."""
+
+
+PeerReply: TypeAlias = ResultPage | ItemBody | Done | NotOwner
--- /dev/null
+++ b/bergamotdoor/gateway/views.py
@@ -0,0 +1,153 @@
+"""What a process keeps of the manifest and of the upstreams."""
+
+from __future__ import annotations
+
+import datetime as dt
+import logging
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from bergamotdoor.platform.engines import parse_upstream
+from bergamotdoor.platform.headers import MANIFEST_NAME
+from bergamotdoor.platform.manifest import parse_manifest
+from bergamotdoor.types import UpstreamId
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bergamotdoor.calls.manifest import Manifest
+    from bergamotdoor.clock import Clock
+    from bergamotdoor.fleet.fleet import Fleet
+    from bergamotdoor.fleet.loads import Loads
+    from bergamotdoor.objects.messages import Change, Listing, StoredObject
+
+#: After the store's return, living upstreams register again within two
+#: seconds.
+_REGISTER_AGAIN: Final = dt.timedelta(seconds=2.5)
+
+_log = logging.getLogger('bergamotdoor.gateway')
+
+
+class ManifestView:
+    """The manifest in force in this process; never goes back.
+
+    Parameters
+    ----------
+    on_change
+        Called after each new one.
+    """
+
+    def __init__(self, on_change: Callable[[], None]) -> None:
+        self.manifest: Manifest | None = None
+        self._on_change = on_change
+
+    def reset(self, listing: Listing) -> None:
+        """Take the listed manifest."""
+        for stored in listing.objects:
+            self._take(stored)
+
+    def apply(self, changes: tuple[Change, ...]) -> None:
+        """Take each manifest that was written."""
+        for change in changes:
+            if not change.removed:
+                self._take(change.stored)
+
+    def interrupted(self) -> None:
+        """Keep the manifest: it stays in force without the store."""
+
+    def _take(self, stored: StoredObject) -> None:
+        if stored.name != MANIFEST_NAME:
+            return
+        try:
+            found = parse_manifest(stored.spec)
+        except msgspec.MsgspecError as error:
+            _log.error('gateway: manifest not understood: %s', error)
+            return
+        known = self.manifest
+        # A view that was delayed must not undo what callers have seen.
+        if known is not None and found.generation <= known.generation:
+            return
+        self.manifest = found
+        _log.info('gateway: manifest %d in force', found.generation)
+        self._on_change()
+
+
+class FleetView:
+    """Feeds registrations of upstreams to the fleet.
+
+    Parameters
+    ----------
+    fleet
+        Who is there.
+    loads
+        Forgets those that are gone.
+    clock
+        For registrations that lapse while the store is away.
+    on_change
+        Called after each change.
+    """
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        loads: Loads,
+        clock: Clock,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._fleet = fleet
+        self._loads = loads
+        self._clock = clock
+        self._on_change = on_change
+        self._store_failed_at: dt.timedelta | None = None
+
+    def reset(self, listing: Listing) -> None:
+        """Take all registrations."""
+        for stored in listing.objects:
+            self._put(stored)
+        present = [UpstreamId(stored.name) for stored in listing.objects]
+        for missing in self._fleet.keep_only(present):
+            self._remove(missing)
+        self._on_change()
+
+    def apply(self, changes: tuple[Change, ...]) -> None:
+        """Take changed registrations."""
+        for change in changes:
+            if change.removed:
+                self._remove(UpstreamId(change.stored.name))
+            else:
+                self._put(change.stored)
+        self._on_change()
+
+    def interrupted(self) -> None:
+        """Note that registrations may lapse without cause."""
+        self._store_failed_at = self._clock.elapsed()
+
+    def _put(self, stored: StoredObject) -> None:
+        try:
+            upstream = parse_upstream(stored.name, stored.spec)
+        except (msgspec.MsgspecError, ValueError) as error:
+            _log.error('gateway: registration %s: %s', stored.name, error)
+            return
+        known = self._fleet.get(upstream.upstream)
+        if known is None or known.draining != upstream.draining:
+            _log.info(
+                'gateway: upstream %s of %s at %s:%d, draining: %s',
+                upstream.upstream,
+                upstream.service,
+                upstream.address.ip,
+                upstream.address.port,
+                upstream.draining,
+            )
+        self._fleet.put(upstream)
+
+    def _remove(self, upstream: UpstreamId) -> None:
+        now = self._clock.elapsed()
+        failed_at = self._store_failed_at
+        if failed_at is not None and now < failed_at + _REGISTER_AGAIN:
+            _log.info('gateway: upstream %s lapsed, kept a while', upstream)
+            self._fleet.lapse(upstream, failed_at + _REGISTER_AGAIN)
+            return
+        _log.info('gateway: upstream %s is gone', upstream)
+        self._fleet.remove(upstream)
+        self._loads.forget(upstream)
--- a/bergamotdoor/http/_call.py
+++ b/bergamotdoor/http/_call.py
@@ -6,12 +6,12 @@
 import contextlib
 import weakref
 from collections import deque
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, TypeAlias
 
 import h11
 
 from bergamotdoor.http._bodies import close_body, pieces_of
-from bergamotdoor.http._client_heads import check_end
+from bergamotdoor.http._client_heads import check_end, idle_limit
 from bergamotdoor.http._stream import READ_BYTES
 from bergamotdoor.http.headers import decoded, end_to_end
 from bergamotdoor.http.messages import (
@@ -21,10 +21,13 @@
 )
 
 if TYPE_CHECKING:
+    import datetime as dt
     from collections.abc import Callable
 
     from bergamotdoor.http._stream import Stream
 
+#: Takes a connection back, and how long the other side keeps it idle.
+Release: TypeAlias = 'Callable[[Stream, dt.timedelta | None], None]'
 #: What h11 makes of the bytes it was given.
 Received = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
@@ -52,11 +55,12 @@
         self,
         stream: Stream,
         request: ClientRequest,
-        release: Callable[[Stream], None],
+        release: Release,
     ) -> None:
         self._stream = stream
         self._request = request
-        self._release: Callable[[Stream], None] | None = release
+        self._release: Release | None = release
+        self._idle_limit: dt.timedelta | None = None
         self._machine = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=_MAX_HEAD_BYTES
         )
@@ -95,7 +99,9 @@
         if not isinstance(event, h11.Response):
             raise h11.RemoteProtocolError('closed before a response')
         headers = decoded(event.headers)
-        check_end(self._request.method, event.status_code, headers)
+        if not self._request.close_ends_body:
+            check_end(self._request.method, event.status_code, headers)
+        self._idle_limit = idle_limit(headers)
         self._take_what_came()
         body = ResponseBody(self)
         if not self._whole:
@@ -164,14 +170,17 @@
             self.abort()
             return
         self._release = None
-        release(self._stream)
+        release(self._stream, self._idle_limit)
 
     async def _next_event(self) -> Received:
         event: Received = self._machine.next_event()
         while event is h11.NEED_DATA:
-            self._machine.receive_data(
-                await self._stream.read(self._request.timeout)
-            )
+            piece = await self._stream.read(self._request.timeout)
+            if not piece and self._stream.broken:
+                # To h11 a reset is like an orderly close, which may end a
+                # body of no declared length.
+                raise h11.RemoteProtocolError('the connection broke')
+            self._machine.receive_data(piece)
             event = self._machine.next_event()
         return event
 
--- a/bergamotdoor/http/_client_heads.py
+++ b/bergamotdoor/http/_client_heads.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import datetime as dt
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
@@ -14,6 +15,7 @@
     from bergamotdoor.http.messages import ClientRequest
 
 _LENGTH: Final = 'content-length'
+_LEAST_IDLE_S: Final = 0.5
 _BODILESS: Final = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 
 
@@ -50,6 +52,20 @@
     return f'{ip}:{address.port}'
 
 
+def idle_limit(headers: Headers) -> dt.timedelta | None:
+    """Return how long the other side keeps an idle connection, if told.
+
+    A request that is sent as the other side closes is lost, so a second
+    less is counted.
+    """
+    for part in headers.first('keep-alive').split(','):
+        name, _, number = part.strip().partition('=')
+        if name.lower() == 'timeout' and number.isdecimal():
+            seconds = max(int(number) - 1, _LEAST_IDLE_S)
+            return dt.timedelta(seconds=seconds)
+    return None
+
+
 def check_end(method: str, status: int, headers: Headers) -> None:
     """Refuse a response whose end could not be told from a crash.
 
--- a/bergamotdoor/http/_pool.py
+++ b/bergamotdoor/http/_pool.py
@@ -17,7 +17,7 @@
 
 class _Idle(NamedTuple):
     stream: Stream
-    since: dt.timedelta
+    until: dt.timedelta
 
 
 class Pool:
@@ -60,13 +60,29 @@
             idle.stream.close()
         return None
 
-    def give(self, address: Address, stream: Stream) -> None:
-        """Keep a connection whose last response was read to its end."""
+    def give(
+        self,
+        address: Address,
+        stream: Stream,
+        idle_limit: dt.timedelta | None = None,
+    ) -> None:
+        """Keep a connection whose last response was read to its end.
+
+        Parameters
+        ----------
+        address
+            The other side.
+        stream
+            The connection.
+        idle_limit
+            How long the other side keeps it, where it told.
+        """
         if self._closed or _spoilt(stream):
             stream.close()
             return
         kept = self._idle.setdefault(address, deque())
-        kept.append(_Idle(stream, self._clock.elapsed()))
+        until = self._clock.elapsed() + (idle_limit or self._idle_timeout)
+        kept.append(_Idle(stream, until))
         if len(kept) > self._most:
             kept.popleft().stream.close()
         if self._sweeper is None:
@@ -108,8 +124,7 @@
                 self._idle.pop(address)
 
     def _usable(self, idle: _Idle) -> bool:
-        age = self._clock.elapsed() - idle.since
-        return age < self._idle_timeout and not _spoilt(idle.stream)
+        return self._clock.elapsed() < idle.until and not _spoilt(idle.stream)
 
 
 def _spoilt(stream: Stream) -> bool:
--- a/bergamotdoor/http/_stream.py
+++ b/bergamotdoor/http/_stream.py
@@ -20,6 +20,22 @@
 #: ``struct linger``: on, zero seconds.
 _RESET: Final = struct.pack('ii', 1, 0)
 
+#: An open connection can go silent for good while new ones work. Probes
+#: after a second of silence, and twice again, show it within three; a wait
+#: on such a connection would otherwise last until its own timeout, which
+#: is half a minute for a watch. Data that stays unacknowledged is the same
+#: failure, bounded alike.
+_PROBES: Final = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 2500),
+)
+#: A dark VM answers no connection request. A network of milliseconds
+#: carries one and its answer in far less.
+CONNECT_TIMEOUT_S: Final = 0.5
+
 
 class WatchedProtocol(asyncio.StreamReaderProtocol):
     """Tells when bytes came or the other side closed, also unread.
@@ -39,6 +55,8 @@
         self.gone = False
         #: Whether the connection no longer exists.
         self.lost = False
+        #: Whether it broke, rather than being closed in order.
+        self.broken = False
         self.on_gone: Callable[[], None] | None = None
         self.stream: Stream | None = None
         self._connected = connected
@@ -63,6 +81,7 @@
         """
         super().connection_lost(None)
         self.lost = True
+        self.broken = exc is not None
         self._report()
 
     def _announce(
@@ -108,6 +127,11 @@
         """Whether either side has closed; unread bytes may be left."""
         return self._protocol.gone or self._writer.is_closing()
 
+    @property
+    def broken(self) -> bool:
+        """Whether it was reset or timed out, not closed in order."""
+        return self._protocol.broken
+
     @property
     def has_input(self) -> bool:
         """Whether bytes came that nobody has read."""
@@ -226,9 +250,17 @@
         If nothing listens there, or no way leads there.
     """
     loop = asyncio.get_running_loop()
-    _, protocol = await loop.create_connection(
-        WatchedProtocol, address.ip, address.port
-    )
+    async with asyncio.timeout(CONNECT_TIMEOUT_S):
+        transport, protocol = await loop.create_connection(
+            WatchedProtocol, address.ip, address.port
+        )
     if protocol.stream is None:
         raise ConnectionResetError(f'{address} closed at once')
+    _probe(transport.get_extra_info('socket'))
     return protocol.stream
+
+
+def _probe(sock: socket.socket) -> None:
+    for level, option, setting in _PROBES:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(level, option, setting)
--- a/bergamotdoor/http/connection.py
+++ b/bergamotdoor/http/connection.py
@@ -66,6 +66,7 @@
         self._writer = ResponseWriter(stream, self._machine, limits, clock)
         self._flush_timeout = utils.from_ms(limits.body_timeout_ms)
         self._ending = False
+        self._last = False
         self._task: asyncio.Task[None] | None = None
         #: Whether a request is in progress.
         self.busy = False
@@ -86,6 +87,10 @@
         """Take no request after those that have begun to arrive."""
         self._ending = True
 
+    def end_after_next(self) -> None:
+        """Answer one more request, or the one in progress, and close."""
+        self._last = True
+
     def close_if_idle(self) -> None:
         """Close unless a request is in progress or has begun to arrive."""
         if self._reader.idle and not self._stream.has_input:
@@ -127,6 +132,7 @@
         self.busy = True
         self.requests += 1
         response = await self._answer(request)
+        self._ending = self._ending or self._last
         # A caller that still waits for leave to send its body may or may
         # not send it after this response. The next bytes could be either
         # body or request, so the connection ends here.
--- a/bergamotdoor/http/messages.py
+++ b/bergamotdoor/http/messages.py
@@ -111,6 +111,9 @@
     body: bytes | AsyncIterator[bytes] = b''
     timeout: dt.timedelta
     idempotent: bool = True
+    #: Whether an orderly close may end a body of no declared length. Only
+    #: where the other side's protocol says so: its crash looks the same.
+    close_ends_body: bool = False
 
 
 class ClientResponse(msgspec.Struct, kw_only=True):
--- a/bergamotdoor/http/server.py
+++ b/bergamotdoor/http/server.py
@@ -83,10 +83,24 @@
         self._name = name
         self._server: asyncio.Server | None = None
         self._stopping = False
+        self._ending = False
         self._open: dict[asyncio.Task[None], ServerConnection] = {}
         self._refusing: set[asyncio.Task[None]] = set()
         self._past = _Counts()
 
+    def use_limits(self, limits: HttpLimits) -> None:
+        """Take other limits, for the connections that come from now on."""
+        self._limits = limits
+
+    def end_connections(self) -> None:
+        """Ask callers to leave: each next response ends its connection.
+
+        New connections are still served, once each, until ``stop``.
+        """
+        self._ending = True
+        for connection in self._open.values():
+            connection.end_after_next()
+
     @property
     def connections(self) -> int:
         """How many connections are open."""
@@ -174,6 +188,8 @@
             stream.abort()
 
     def _serve(self, connection: ServerConnection) -> None:
+        if self._ending:
+            connection.end_after_next()
         task = asyncio.create_task(connection.run())
         self._open[task] = connection
         task.add_done_callback(self._closed)
--- /dev/null
+++ b/bergamotdoor/jobs/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions about batch jobs: order of work, numbered results."""
+
+from __future__ import annotations
--- /dev/null
+++ b/bergamotdoor/jobs/board.py
@@ -0,0 +1,188 @@
+"""Which items of a job wait, run or are finished.
+
+Load pattern: a step's items arrive at once, more than the engines have
+slots; the trainer needs whole groups. So items start in the order of the
+job, in which a group's items stand together and groups that came again
+stand first, and an item that has to run again goes before those that have
+not begun: its group waits for it.
+"""
+
+from __future__ import annotations
+
+import enum
+import heapq
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from bergamotdoor.jobs.messages import ItemResult, ItemSpec, ItemState
+from bergamotdoor.types import UpstreamId
+
+if TYPE_CHECKING:
+    import datetime as dt
+    from collections.abc import Iterator
+
+    from bergamotdoor.jobs.ledger import Ledger
+    from bergamotdoor.jobs.messages import JobSpec
+    from bergamotdoor.types import ItemId
+
+#: An engine that fails on an item is not asked at once again: a failure
+#: that comes back in milliseconds would use up all attempts in one fault.
+_RETRY_PAUSES_S: Final = (0, 0.1, 0.3, 0.6)
+
+
+class RunEnd(enum.Enum):
+    """Why a run of an item gave no text."""
+
+    #: The engine did not run it: full, another incarnation, loading.
+    REFUSED = 'refused'
+    #: The connection or the stream broke.
+    BROKEN = 'broken'
+    #: The engine answered that it failed.
+    FAILED = 'failed'
+    #: The item can never be done.
+    IMPOSSIBLE = 'impossible'
+    #: Made under a version that the job does not take.
+    TOO_OLD = 'too-old'
+
+
+class Slot(msgspec.Struct):
+    """One item and what became of it so far."""
+
+    spec: ItemSpec
+    order: int
+    running: int = 0
+    failures: int = 0
+    #: Upstreams where it broke or failed last.
+    avoid: frozenset[UpstreamId] = frozenset()
+    result: ItemResult | None = None
+
+
+class JobBoard:
+    """The items of one job.
+
+    Parameters
+    ----------
+    spec
+        The job.
+    ledger
+        Results that are stored already; their items do not run again.
+    max_failures
+        After how many failed runs an item is given up.
+    """
+
+    def __init__(
+        self, spec: JobSpec, ledger: Ledger, max_failures: int
+    ) -> None:
+        self._max_failures = max_failures
+        self._slots: dict[ItemId, Slot] = {}
+        self._waiting: list[tuple[int, ItemId]] = []
+        self._later: list[tuple[dt.timedelta, int, ItemId]] = []
+        self._finished: list[ItemResult] = []
+        for order, item in enumerate(spec.items):
+            if item.item not in ledger:
+                self._slots[item.item] = Slot(item, order)
+                self._waiting.append((order, item.item))
+        #: Items that have no result yet.
+        self.open_items = len(self._slots)
+
+    @property
+    def has_finished(self) -> bool:
+        """Whether results wait to be stored."""
+        return bool(self._finished)
+
+    def ready(self, now: dt.timedelta) -> Slot | None:
+        """Return the item that should start next, if any."""
+        self._wake(now)
+        while self._waiting:
+            slot = self._slots[self._waiting[0][1]]
+            if slot.result is None:
+                return slot
+            heapq.heappop(self._waiting)
+        return None
+
+    def next_wake(self) -> dt.timedelta | None:
+        """Return when an item that rests may start again."""
+        return self._later[0][0] if self._later else None
+
+    def start(self, slot: Slot) -> None:
+        """Take an item that ``ready`` returned off the queue."""
+        taken = heapq.heappop(self._waiting)
+        assert taken[1] == slot.spec.item, taken
+        slot.running += 1
+
+    def finish(self, result: ItemResult) -> None:
+        """Take a result; a second one of the same item is dropped."""
+        slot = self._slots[result.item]
+        slot.running = max(slot.running - 1, 0)
+        if slot.result is None:
+            slot.result = result
+            self.open_items -= 1
+            self._finished.append(result)
+
+    def give_back(
+        self, item: ItemId, end: RunEnd, where: UpstreamId, now: dt.timedelta
+    ) -> None:
+        """Take an item whose run gave no text; it waits again, or is lost."""
+        slot = self._slots[item]
+        slot.running = max(slot.running - 1, 0)
+        if slot.result is not None:
+            return
+        if self._hopeless(slot, end):
+            self.finish(ItemResult(item, ItemState.LOST))
+            return
+        if end in {RunEnd.FAILED, RunEnd.BROKEN}:
+            slot.avoid = frozenset((where,))
+        pause_s = _RETRY_PAUSES_S[min(slot.failures, len(_RETRY_PAUSES_S) - 1)]
+        if pause_s:
+            ready_at = now + type(now)(seconds=pause_s)
+            heapq.heappush(self._later, (ready_at, slot.order, item))
+        else:
+            heapq.heappush(self._waiting, (slot.order, item))
+
+    def give_up(self) -> None:
+        """End every open item as lost."""
+        for slot in self._slots.values():
+            if slot.result is None:
+                self.finish(ItemResult(slot.spec.item, ItemState.LOST))
+
+    def take_finished(self, limit_bytes: int) -> tuple[ItemResult, ...]:
+        """Remove results to store together, at least one if there is one."""
+        size_bytes = 0
+        taken = 0
+        for result in self._finished:
+            size_bytes += len(result.text.encode())
+            if taken and size_bytes > limit_bytes:
+                break
+            taken += 1
+        batch = tuple(self._finished[:taken])
+        self._finished = self._finished[taken:]
+        return batch
+
+    def stored(self, result: ItemResult) -> None:
+        """Take a result that another process stored."""
+        slot = self._slots.get(result.item)
+        if slot is not None and slot.result is None:
+            slot.result = result
+            self.open_items -= 1
+
+    def body_of(self, item: ItemId) -> bytes | None:
+        """Return the body of an item that is still open."""
+        slot = self._slots.get(item)
+        return None if slot is None else slot.spec.body
+
+    def running(self) -> Iterator[Slot]:
+        """Return the items that run now."""
+        return (slot for slot in self._slots.values() if slot.running)
+
+    def _hopeless(self, slot: Slot, end: RunEnd) -> bool:
+        if end is RunEnd.IMPOSSIBLE:
+            return True
+        if end is RunEnd.FAILED:
+            slot.failures += 1
+        return slot.failures >= self._max_failures
+
+    def _wake(self, now: dt.timedelta) -> None:
+        while self._later and self._later[0][0] <= now:
+            _, order, item = heapq.heappop(self._later)
+            heapq.heappush(self._waiting, (order, item))
--- /dev/null
+++ b/bergamotdoor/jobs/ledger.py
@@ -0,0 +1,67 @@
+"""The results of one job, in the order in which they were stored.
+
+A result has a position once its record is in the store under the next
+number. Only one record can have a number, so two processes that both run
+the job cannot give one position to different results.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from bergamotdoor.jobs.messages import ItemResult, ResultRecord
+    from bergamotdoor.types import ItemId
+
+
+class Ledger:
+    """Positions of results; grows and never changes."""
+
+    def __init__(self, records: Iterable[ResultRecord] = ()) -> None:
+        self._results: list[ItemResult] = []
+        self._items: set[ItemId] = set()
+        #: The number that the next record gets.
+        self.next_number = 0
+        for record in records:
+            self.append(record)
+
+    def __len__(self) -> int:
+        """Return how many results have a position."""
+        return len(self._results)
+
+    def __contains__(self, item: ItemId) -> bool:
+        """Return whether an item has a position."""
+        return item in self._items
+
+    def append(self, record: ResultRecord) -> None:
+        """Take the record that the store holds under the next number."""
+        self.next_number += 1
+        for result in record.results:
+            assert result.item not in self._items, result.item
+            self._items.add(result.item)
+            self._results.append(result)
+
+    def unlisted(self, results: Iterable[ItemResult]) -> Iterator[ItemResult]:
+        """Drop results of items that have a position already."""
+        return (result for result in results if result.item not in self._items)
+
+    def page(self, after: int, limit_bytes: int) -> tuple[ItemResult, ...]:
+        """Return results from a position on, at least one if there is one.
+
+        Parameters
+        ----------
+        after
+            The first position, from zero.
+        limit_bytes
+            How much text the page may hold, if it is more than one result.
+        """
+        page: list[ItemResult] = []
+        size_bytes = 0
+        for result in self._results[after:]:
+            size_bytes += len(result.text.encode())
+            if page and size_bytes > limit_bytes:
+                break
+            page.append(result)
+        return tuple(page)
--- /dev/null
+++ b/bergamotdoor/jobs/placement.py
@@ -0,0 +1,58 @@
+"""Which engine runs an item.
+
+Load pattern: a step's items arrive at once and fill the engines; several
+processes place on the same engines. An engine gets no more than its slots,
+as far as is known, since items that wait inside an engine can't be moved.
+A group goes where its prompt is cached as long as there is room.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    import datetime as dt
+    from collections.abc import Sequence
+
+    from bergamotdoor.fleet.loads import Loads
+    from bergamotdoor.fleet.upstreams import Upstream
+    from bergamotdoor.types import UpstreamId
+
+
+def place_item(
+    candidates: Sequence[Upstream],
+    loads: Loads,
+    home: UpstreamId | None,
+    avoid: frozenset[UpstreamId],
+    now: dt.timedelta,
+) -> Upstream | None:
+    """Return the engine for an item; None if it should wait.
+
+    Parameters
+    ----------
+    candidates
+        Engines whose weights the job takes.
+    loads
+        How full they are.
+    home
+        Where the prompt of the item's group is cached.
+    avoid
+        Where the item broke last; taken only if there is no other.
+    now
+        The monotonic time.
+    """
+    able = [one for one in candidates if one.upstream not in avoid]
+    free = [one for one in able or candidates if _has_room(one, loads, now)]
+    at_home = next((one for one in free if one.upstream == home), None)
+    if at_home is not None:
+        return at_home
+    return min(free, key=lambda one: _fullness(one, loads, now), default=None)
+
+
+def _has_room(upstream: Upstream, loads: Loads, now: dt.timedelta) -> bool:
+    load = loads.of(upstream.upstream)
+    return not load.resting(now) and load.busy(now) < upstream.slots
+
+
+def _fullness(upstream: Upstream, loads: Loads, now: dt.timedelta) -> float:
+    return loads.of(upstream.upstream).busy(now) / upstream.slots
--- /dev/null
+++ b/bergamotdoor/jobs/transcript.py
@@ -0,0 +1,66 @@
+"""What an item's runs have generated so far."""
+
+from __future__ import annotations
+
+import msgspec
+
+from bergamotdoor.types import WeightVersion
+
+
+class GeneratedEvent(msgspec.Struct, frozen=True):
+    """One event of an engine's stream.
+
+    ``version`` is set where the generating version changes with it.
+    """
+
+    number: int
+    text: str
+    version: WeightVersion | None = None
+
+
+class Transcript:
+    """Events of one item in order, over all runs that made them.
+
+    A run that breaks is continued behind the last whole event, by any
+    engine. An event out of order would be missing or stand twice in the
+    text, so it ends the run.
+    """
+
+    def __init__(self) -> None:
+        self._texts: list[str] = []
+        self._versions: set[WeightVersion] = set()
+        self._version = WeightVersion(0)
+        #: The number of the last whole event, None before the first.
+        self.last_number: int | None = None
+
+    @property
+    def versions(self) -> tuple[WeightVersion, ...]:
+        """Every version that generated an event."""
+        return tuple(sorted(self._versions))
+
+    @property
+    def text(self) -> str:
+        """The texts of all events."""
+        return '\n'.join(self._texts)
+
+    def begin_run(self, version: WeightVersion) -> None:
+        """Take the version under which a run begins or goes on."""
+        self._version = version
+
+    def add(self, event: GeneratedEvent) -> bool:
+        """Take the next event; return False if it is out of order."""
+        last = self.last_number
+        if last is not None and event.number != last + 1:
+            return False
+        if event.version is not None:
+            self._version = event.version
+        self.last_number = event.number
+        self._texts.append(event.text)
+        self._versions.add(self._version)
+        return True
+
+    def fits(self, oldest: WeightVersion, single: bool) -> bool:
+        """Return whether a job takes what was generated."""
+        if any(version < oldest for version in self._versions):
+            return False
+        return not single or len(self._versions) <= 1
--- /dev/null
+++ b/bergamotdoor/objects/client.py
@@ -0,0 +1,211 @@
+"""Calls to the platform's object store."""
+
+from __future__ import annotations
+
+import datetime as dt
+import logging
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Final, Protocol
+
+import msgspec
+
+from bergamotdoor.http.messages import (
+    BodyBrokenError,
+    BodyTooLargeError,
+    Client,
+    ClientRequest,
+    Headers,
+)
+from bergamotdoor.objects.messages import (
+    Changes,
+    Conflict,
+    Listing,
+    Outcome,
+    StoredObject,
+)
+from bergamotdoor.platform import store_wire
+
+if TYPE_CHECKING:
+    from bergamotdoor.settings.document import Address
+    from bergamotdoor.types import Revision
+
+#: The store answers in milliseconds; even one that is sixty times as slow
+#: as usual does so within a quarter of this.
+CALL_TIMEOUT: Final = dt.timedelta(seconds=1)
+#: An object is a megabyte at most, a page of a listing little more.
+_MAX_BODY_BYTES: Final = 16_777_216
+_WATCH_MARGIN: Final = dt.timedelta(seconds=2)
+_MS: Final = dt.timedelta(milliseconds=1)
+
+_log = logging.getLogger('bergamotdoor.objects')
+
+
+class Answer(msgspec.Struct, frozen=True):
+    """A whole answer of the store."""
+
+    status: int
+    body: bytes
+
+
+class Caller(Protocol):
+    """Carries one call to the store, on whatever way."""
+
+    async def call(
+        self, method: str, path: str, body: bytes, timeout: dt.timedelta
+    ) -> Answer | Outcome:
+        """Return the answer, NOT_DONE or UNCLEAR."""
+
+
+class DirectCaller:
+    """Calls the store over HTTP from this VM."""
+
+    def __init__(self, client: Client, address: Address) -> None:
+        self._client = client
+        self.address = address
+
+    async def call(
+        self, method: str, path: str, body: bytes, timeout: dt.timedelta
+    ) -> Answer | Outcome:
+        """Send one call; say what is known if no answer comes."""
+        request = ClientRequest(
+            address=self.address,
+            method=method,
+            target=path,
+            headers=Headers.of([('content-type', 'application/json')]),
+            body=body,
+            timeout=timeout,
+        )
+        response = await self._client.send(request)
+        if not hasattr(response, 'status'):
+            _log.warning('objects: %s %s: %s', method, path, response.detail)
+            return Outcome.UNCLEAR if response.sent else Outcome.NOT_DONE
+        try:
+            whole = await response.read_body(_MAX_BODY_BYTES)
+        except (BodyBrokenError, BodyTooLargeError) as error:
+            _log.warning('objects: %s %s: %r', method, path, error)
+            return Outcome.UNCLEAR
+        return Answer(response.status, whole)
+
+
+class ObjectClient:
+    """The store's calls as typed functions; none is repeated here."""
+
+    def __init__(self, caller: Caller) -> None:
+        self._caller = caller
+
+    async def get(self, kind: str, name: str) -> StoredObject | Outcome:
+        """Return an object, ABSENT, or why it is not known."""
+        path = store_wire.object_path(kind, name)
+        answer = await self._call('GET', path)
+        if isinstance(answer, Outcome):
+            return answer
+        return store_wire.parse_object(answer.body)
+
+    async def listing(
+        self, kind: str, after: str = '', stale: bool = False
+    ) -> Listing | Outcome:
+        """Return all objects of a kind, page after page.
+
+        Parameters
+        ----------
+        kind
+            What to list.
+        after
+            The name to begin behind.
+        stale
+            Whether a view that is seconds old will do; it costs a tenth.
+        """
+        objects: list[StoredObject] = []
+        more = True
+        while more:
+            path = store_wire.list_path(kind, after, stale)
+            answer = await self._call('GET', path)
+            if answer is Outcome.ABSENT:
+                return Outcome.NOT_DONE
+            if isinstance(answer, Outcome):
+                return answer
+            page = store_wire.parse_page(answer.body)
+            objects.extend(page.listing.objects)
+            more = page.more and bool(page.listing.objects)
+            after = objects[-1].name if objects else after
+        return Listing(tuple(objects), page.listing.revision)
+
+    async def create(
+        self, kind: str, name: str, spec: bytes
+    ) -> StoredObject | Conflict | Outcome:
+        """Create an object unless one of the name exists."""
+        body = store_wire.object_body(name, spec, None)
+        return await self._write('POST', store_wire.kind_path(kind), body)
+
+    async def replace(
+        self, kind: str, name: str, spec: bytes, revision: Revision
+    ) -> StoredObject | Conflict | Outcome:
+        """Replace an object's spec if it is still at `revision`."""
+        body = store_wire.object_body(name, spec, revision)
+        return await self._write(
+            'PUT', store_wire.object_path(kind, name), body
+        )
+
+    async def put_status(
+        self, kind: str, name: str, status: bytes
+    ) -> StoredObject | Conflict | Outcome:
+        """Replace an object's status, whatever its revision."""
+        body = store_wire.status_body(name, status)
+        return await self._write(
+            'PUT', store_wire.status_path(kind, name), body
+        )
+
+    async def delete(self, kind: str, name: str) -> Outcome:
+        """Remove an object; ABSENT once it is gone."""
+        answer = await self._call('DELETE', store_wire.object_path(kind, name))
+        return answer if isinstance(answer, Outcome) else Outcome.ABSENT
+
+    async def changes(
+        self, kind: str, since: Revision, wait: dt.timedelta
+    ) -> Changes | Outcome:
+        """Wait for changes since a revision; none came if it is empty."""
+        path = store_wire.watch_path(kind, since, wait // _MS)
+        answer = await self._call('GET', path, wait + _WATCH_MARGIN)
+        if isinstance(answer, Outcome):
+            return answer
+        return store_wire.parse_changes(answer.body)
+
+    async def _write(
+        self, method: str, path: str, body: bytes
+    ) -> StoredObject | Conflict | Outcome:
+        answer = await self._caller.call(method, path, body, CALL_TIMEOUT)
+        if isinstance(answer, Outcome):
+            return answer
+        if answer.status == HTTPStatus.CONFLICT:
+            return Conflict(_conflicting(answer.body))
+        if answer.status >= HTTPStatus.MULTIPLE_CHOICES:
+            return _outcome(method, path, answer)
+        return store_wire.parse_object(answer.body)
+
+    async def _call(
+        self, method: str, path: str, timeout: dt.timedelta = CALL_TIMEOUT
+    ) -> Answer | Outcome:
+        answer = await self._caller.call(method, path, b'', timeout)
+        if isinstance(answer, Outcome):
+            return answer
+        if answer.status >= HTTPStatus.MULTIPLE_CHOICES:
+            return _outcome(method, path, answer)
+        return answer
+
+
+def _conflicting(body: bytes) -> StoredObject | None:
+    try:
+        return store_wire.parse_object(body)
+    except msgspec.MsgspecError:
+        _log.warning('objects: a conflict without the object: %r', body[:80])
+        return None
+
+
+def _outcome(method: str, path: str, answer: Answer) -> Outcome:
+    if answer.status == HTTPStatus.NOT_FOUND:
+        return Outcome.ABSENT
+    if answer.status == HTTPStatus.GONE:
+        return Outcome.HISTORY_GONE
+    _log.warning('objects: %s %s: status %d', method, path, answer.status)
+    # A refusal, by rate or by an outage, promises that nothing was done.
+    return Outcome.NOT_DONE
--- /dev/null
+++ b/bergamotdoor/objects/messages.py
@@ -0,0 +1,61 @@
+"""Objects of the platform's store, and what its calls return."""
+
+from __future__ import annotations
+
+import enum
+
+import msgspec
+
+from bergamotdoor.types import Revision
+
+
+class StoredObject(msgspec.Struct, frozen=True):
+    """An object as the store returned it.
+
+    ``spec`` and ``status`` are the encoded bodies.
+    """
+
+    name: str
+    revision: Revision
+    spec: bytes
+    status: bytes = b''
+
+
+class Listing(msgspec.Struct, frozen=True):
+    """All objects of a kind at one revision."""
+
+    objects: tuple[StoredObject, ...]
+    revision: Revision
+
+
+class Change(msgspec.Struct, frozen=True):
+    """An object that was written, or removed."""
+
+    stored: StoredObject
+    removed: bool
+
+
+class Changes(msgspec.Struct, frozen=True):
+    """What happened to a kind since a revision, in order."""
+
+    changes: tuple[Change, ...]
+    revision: Revision
+
+
+class Outcome(enum.Enum):
+    """Why a call of the store gave no object."""
+
+    #: There is no such object.
+    ABSENT = 'absent'
+    #: The store no longer has the changes since that revision.
+    HISTORY_GONE = 'history-gone'
+    #: Nothing was done: refused, or not sent.
+    NOT_DONE = 'not-done'
+    #: It may have been done, or may be done seconds later.
+    UNCLEAR = 'unclear'
+
+
+class Conflict(msgspec.Struct, frozen=True):
+    """Nothing was done: the object exists, or has another revision."""
+
+    current: StoredObject | None
--- /dev/null
+++ b/bergamotdoor/objects/watcher.py
@@ -0,0 +1,122 @@
+"""Follows one kind of objects: lists it, then watches for changes."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime as dt
+import logging
+from typing import TYPE_CHECKING, Final, Protocol
+
+from bergamotdoor.objects.messages import Changes, Listing, Outcome
+
+if TYPE_CHECKING:
+    from bergamotdoor.clock import Clock
+    from bergamotdoor.objects.client import ObjectClient
+    from bergamotdoor.objects.messages import Change
+
+#: A waiting watch counts as one call, so a long wait is cheap; the store
+#: takes at most 30 s.
+_WAIT: Final = dt.timedelta(seconds=25)
+_FIRST_BACKOFF: Final = dt.timedelta(milliseconds=100)
+_LAST_BACKOFF: Final = dt.timedelta(milliseconds=800)
+
+_log = logging.getLogger('bergamotdoor.objects')
+
+
+class View(Protocol):
+    """Keeps what is known of a kind."""
+
+    def reset(self, listing: Listing) -> None:
+        """Take the whole kind."""
+
+    def apply(self, changes: tuple[Change, ...]) -> None:
+        """Take changes, in order."""
+
+    def interrupted(self) -> None:
+        """Take that the store can't be reached now."""
+
+
+class Watcher:
+    """Keeps a view of one kind up to date.
+
+    Parameters
+    ----------
+    store
+        Where the objects are.
+    kind
+        Which objects.
+    view
+        Takes what is found.
+    clock
+        For the pauses.
+    gather
+        How long to wait before the next watch. Each change ends the watch
+        and each watch costs a call, so changes that come close together
+        are gathered into one call.
+    """
+
+    def __init__(
+        self,
+        store: ObjectClient,
+        kind: str,
+        view: View,
+        clock: Clock,
+        gather: dt.timedelta,
+    ) -> None:
+        self._store = store
+        self._kind = kind
+        self._view = view
+        self._clock = clock
+        self._gather = gather
+        self._backoff = _FIRST_BACKOFF
+        self._listed = asyncio.Event()
+        #: The highest revision seen.
+        self.revision = 0
+
+    async def wait_listed(self) -> None:
+        """Return once the kind was listed for the first time."""
+        await self._listed.wait()
+
+    async def run(self) -> None:
+        """Follow the kind until cancelled."""
+        while True:
+            await self._follow_listing(await self._store.listing(self._kind))
+
+    async def _follow_listing(self, found: Listing | Outcome) -> None:
+        if isinstance(found, Outcome):
+            await self._rest(found)
+            return
+        self._view.reset(found)
+        self._reached(found.revision)
+        self._listed.set()
+        outcome: Outcome | None = None
+        while outcome is not Outcome.HISTORY_GONE:
+            await self._clock.sleep(self._gather)
+            outcome = await self._follow_changes()
+
+    async def _follow_changes(self) -> Outcome | None:
+        found = await self._store.changes(self._kind, self.revision, _WAIT)
+        if isinstance(found, Changes):
+            self._view.apply(found.changes)
+            self._reached(found.revision)
+            return None
+        if found is Outcome.HISTORY_GONE:
+            _log.info('objects: history of %s is gone, list it', self._kind)
+            return found
+        await self._rest(found)
+        return found
+
+    def _reached(self, revision: int) -> None:
+        self.revision = max(self.revision, revision)
+        self._backoff = _FIRST_BACKOFF
+
+    async def _rest(self, why: Outcome) -> None:
+        self._view.interrupted()
+        _log.warning(
+            'objects: watch of %s interrupted: %s, revision %d',
+            self._kind,
+            why.value,
+            self.revision,
+        )
+        await self._clock.sleep(self._backoff)
+        self._backoff = min(self._backoff * 2, _LAST_BACKOFF)
--- /dev/null
+++ b/bergamotdoor/platform/batch_wire.py
@@ -0,0 +1,102 @@
+"""Reads batch jobs that trainers hand in; writes pages of their results."""
+
+from __future__ import annotations
+
+import base64
+import binascii
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from bergamotdoor.jobs.messages import ItemSpec, JobSpec
+from bergamotdoor.types import (
+    GroupId,
+    ItemId,
+    JobId,
+    ModelId,
+    WeightVersion,
+)
+
+if TYPE_CHECKING:
+    from bergamotdoor.jobs.messages import ItemResult
+
+
+class _Item(msgspec.Struct, frozen=True):
+    id: ItemId
+    path: str
+    headers: dict[str, str] = {}
+    #: In base64.
+    body: str = ''
+    group: GroupId = GroupId('')
+
+
+class _Job(msgspec.Struct, frozen=True):
+    items: tuple[_Item, ...]
+    model: ModelId = ModelId('')
+    min_version: WeightVersion = WeightVersion(0)
+    target_groups: int = 0
+
+
+class _Result(msgspec.Struct, frozen=True):
+    id: ItemId
+    state: str
+    text: str
+    versions: tuple[WeightVersion, ...]
+
+
+class _Page(msgspec.Struct, frozen=True):
+    total: int
+    #: Despite its name the position to go on from, not a token.
+    next_token: int
+    results: tuple[_Result, ...]
+
+
+def parse_job(job: JobId, host: str, path: str, body: bytes) -> JobSpec:
+    """Read a job as it was handed in.
+
+    Raises
+    ------
+    ValueError
+        If it is no batch job.
+    """
+    try:
+        written = msgspec.json.decode(body, type=_Job)
+        items = tuple(_item(item) for item in written.items)
+    except (msgspec.MsgspecError, binascii.Error) as error:
+        raise ValueError(f'batch job {job}: {error}') from error
+    return JobSpec(
+        job,
+        host,
+        path,
+        written.model,
+        written.min_version,
+        items,
+        written.target_groups,
+    )
+
+
+def results_body(
+    total: int, after: int, results: tuple[ItemResult, ...]
+) -> bytes:
+    """Write a page of results."""
+    page = _Page(
+        total,
+        after + len(results),
+        tuple(
+            _Result(
+                result.item, result.state.value, result.text, result.versions
+            )
+            for result in results
+        ),
+    )
+    return msgspec.json.encode(page)
+
+
+def _item(written: _Item) -> ItemSpec:
+    return ItemSpec(
+        written.id,
+        written.path,
+        tuple(written.headers.items()),
+        base64.b64decode(written.body, validate=True),
+        written.group,
+    )
--- /dev/null
+++ b/bergamotdoor/platform/events.py
@@ -0,0 +1,63 @@
+"""Reads the events of an engine's stream."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from bergamotdoor.jobs.transcript import GeneratedEvent
+from bergamotdoor.platform.headers import WEIGHT_VERSION
+from bergamotdoor.types import WeightVersion
+
+_END: Final = b'\n\n'
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class EventReader:
+    """Cuts a stream into events; keeps the begin of the next one.
+
+    An event ends with an empty line. Whatever follows the last one was
+    broken off and is no event.
+    """
+
+    def __init__(self) -> None:
+        self._rest = b''
+
+    def feed(self, piece: bytes) -> Iterator[GeneratedEvent]:
+        """Return the events that are whole with this piece.
+
+        Raises
+        ------
+        ValueError
+            If a number is none, or the text is not UTF-8.
+        """
+        *whole, self._rest = (self._rest + piece).split(_END)
+        return (_event(block.decode()) for block in whole if block)
+
+    def check_end(self) -> None:
+        """Check that the stream did not end within an event.
+
+        Raises
+        ------
+        ValueError
+            If it did.
+        """
+        if self._rest:
+            raise ValueError(f'{len(self._rest)} bytes of an event at the end')
+
+
+def _event(block: str) -> GeneratedEvent:
+    number = -1
+    version: WeightVersion | None = None
+    lines: list[str] = []
+    for line in block.split('\n'):
+        name, _, text = line.partition(':')
+        text = text.removeprefix(' ')
+        if name == 'data':
+            lines.append(text)
+        elif name == 'id':
+            number = int(text)
+        elif name == WEIGHT_VERSION:
+            version = WeightVersion(int(text))
+    return GeneratedEvent(number, '\n'.join(lines), version)
--- /dev/null
+++ b/bergamotdoor/platform/headers.py
@@ -0,0 +1,46 @@
+"""Header fields, paths and object kinds of the platform's protocol."""
+
+from __future__ import annotations
+
+from typing import Final
+
+_PREFIX: Final = 'x-bergamotdoor-'
+
+REQUEST_ID: Final = f'{_PREFIX}request-id'
+#: How long the client still waits, in milliseconds from receipt.
+DEADLINE_MS: Final = f'{_PREFIX}deadline-ms'
+#: Proof that an upstream made the answer.
+STAMP: Final = f'{_PREFIX}server-stamp'
+#: The upstream's incarnation; another one answers 421 and runs nothing.
+EXPECT_INCARNATION: Final = f'{_PREFIX}expect-instance'
+#: The incarnation that answered.
+INCARNATION: Final = f'{_PREFIX}instance-id'
+#: Present where the upstream did not run the request.
+NOT_RUN: Final = f'{_PREFIX}not-executed'
+#: Running requests, waiting requests and slots, with commas between.
+LOAD: Final = f'{_PREFIX}server-load'
+#: How long a call may be kept waiting for news, in milliseconds.
+WAIT_MS: Final = f'{_PREFIX}wait-ms'
+#: The version that generates, also as the first line of an event.
+WEIGHT_VERSION: Final = f'{_PREFIX}weight-versions'
+#: The parts of a prompt; a long one tells how much must be prefilled.
+PROMPT_PARTS: Final = f'{_PREFIX}prompt-prefix'
+#: From 0, the most urgent, to 9.
+PRIORITY: Final = f'{_PREFIX}request-priority'
+LAST_EVENT_ID: Final = 'last-event-id'
+RETRY_AFTER: Final = 'retry-after'
+
+READY_PATH: Final = '/-/readyz'
+RESULTS_PATH: Final = '/-/lots/'
+BODY_PATH: Final = '/-/items/'
+REPORT_PATH: Final = '/-/report'
+ORDER_PATH: Final = '/-/order'
+OBJECTS_PATH: Final = '/-/objects/'
+
+#: Kinds that the operator, the upstreams and the trainers write.
+MANIFEST_KIND: Final = 'config'
+MANIFEST_NAME: Final = 'main'
+UPSTREAM_KIND: Final = 'servers'
+VERSION_KIND: Final = 'versions'
+#: Storage VMs that are to be emptied.
+EVACUATION_KIND: Final = 'retirements'
--- a/bergamotdoor/types.py
+++ b/bergamotdoor/types.py
@@ -37,6 +37,17 @@
 Generation = NewType('Generation', int)
 #: What a caller sends to have a request run at most once.
 IdempotencyKey = NewType('IdempotencyKey', str)
+#: A process of bergamotdoor, named after the VM it runs on.
+NodeId = NewType('NodeId', str)
+#: A model that engines serve and trainers publish versions of.
+ModelId = NewType('ModelId', str)
+#: A batch job: one step's samples, handed in at once.
+JobId = NewType('JobId', str)
+#: One request for tokens of a batch job.
+ItemId = NewType('ItemId', str)
+#: The store's count of changes, over all objects; only grows.
+Revision = NewType('Revision', int)
+
 #: The version that the object API gives a stored object; 0 means absent.
 ObjectVersion = NewType('ObjectVersion', int)
 
