Move items to faster engines behind their last event

Ruled out: fewer items per engine, which would gain 5 % at most. Change: each item's progress is kept; what stalls, or would end sooner elsewhere by 250 ms, goes on at the fastest engine with room by its last event; the fastest engine gets new items first.

--- a/bergamotdoor/gateway/item_run.py
+++ b/bergamotdoor/gateway/item_run.py
@@ -19,11 +19,13 @@
 )
 from bergamotdoor.jobs.board import RunEnd
 from bergamotdoor.jobs.messages import ItemResult, ItemSpec, ItemState, JobSpec
+from bergamotdoor.jobs.progress import Progress
 from bergamotdoor.jobs.transcript import Transcript
 from bergamotdoor.platform import headers as names
 from bergamotdoor.platform.engines import parse_load
 from bergamotdoor.platform.events import EventReader
 from bergamotdoor.types import WeightVersion
+from bergamotdoor.utils import to_ms
 
 if TYPE_CHECKING:
     from bergamotdoor.gateway.context import Context
@@ -44,13 +46,24 @@
     route: Route
     upstream: Upstream
     transcript: Transcript
+    progress: Progress
 
 
 async def run_item(context: Context, run: ItemRun) -> ItemResult | RunEnd:
     """Run an item, or go on with it, at an engine."""
     load = context.loads.of(run.upstream.upstream)
+    began = context.clock.elapsed()
     end = await _run(context, run)
     now = context.clock.elapsed()
+    _log.info(
+        'gateway: item %s of job %s at %s: %s after %d ms, %d in flight',
+        run.spec.item,
+        run.job.job,
+        run.upstream.upstream,
+        end.value if isinstance(end, RunEnd) else end.state.value,
+        to_ms(now - began),
+        load.in_flight,
+    )
     if end is RunEnd.REFUSED:
         load.refused(now)
     elif end is RunEnd.BROKEN or end is RunEnd.FAILED:
@@ -134,6 +147,7 @@
                     context.fleet.saw(
                         run.upstream.upstream, run.job.model, event.version
                     )
+            run.progress.advance(run.transcript.count, context.clock.elapsed())
         reader.check_end()
     except (BodyBrokenError, ValueError) as error:
         await response.body.aclose()  # type: ignore[attr-defined]
--- a/bergamotdoor/gateway/jobs_desk.py
+++ b/bergamotdoor/gateway/jobs_desk.py
@@ -91,10 +91,10 @@
             reply = await self._peers.ask(record.address, message, wait)
             if isinstance(reply, ResultPage):
                 return reply
-        run = await self._take_over(job, record)
-        if isinstance(run, Outcome):
-            return run
-        return await _page(run, after, wait)
+        taken = await self._take_over(job, record)
+        if isinstance(taken, Outcome):
+            return taken
+        return await _page(taken, after, wait)
 
     async def body(self, job: JobId, item: ItemId) -> bytes | Outcome:
         """Return an item's body, ABSENT if it is listed or unknown."""
--- a/bergamotdoor/gateway/owner.py
+++ b/bergamotdoor/gateway/owner.py
@@ -6,15 +6,21 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 from bergamotdoor.calls.manifest import RouteKind, pick_service
 from bergamotdoor.gateway.context import Tasks
 from bergamotdoor.gateway.item_run import ItemRun, run_item
 from bergamotdoor.gateway.job_run import JobRun
+from bergamotdoor.jobs.board import RunEnd
 from bergamotdoor.jobs.messages import ItemResult, JobRecord
-from bergamotdoor.jobs.placement import place_item
+from bergamotdoor.jobs.placement import free_slots, place_item
+from bergamotdoor.jobs.progress import Progress, Speeds, moves
 from bergamotdoor.objects.messages import Outcome
 
 if TYPE_CHECKING:
+    import datetime as dt
+
     from bergamotdoor.calls.manifest import Route
     from bergamotdoor.fleet.upstreams import Upstream
     from bergamotdoor.gateway.context import Context
@@ -22,7 +28,7 @@
     from bergamotdoor.gateway.views import ManifestView
     from bergamotdoor.jobs.board import Slot
     from bergamotdoor.jobs.messages import JobSpec
-    from bergamotdoor.types import JobId
+    from bergamotdoor.types import ItemId, JobId, UpstreamId
 
 #: How often items that wait for a rest to end are looked at.
 _TICK_S: Final = 0.1
@@ -30,9 +36,19 @@
 #: process that could not tell it. A stale list costs a tenth of a call.
 _SWEEP_S: Final = 2
 
+#: A guess until the first stream of a kind was seen.
+TOKENS_PER_EVENT: Final = 58
+
 _log = logging.getLogger('bergamotdoor.gateway')
 
 
+class _Running(msgspec.Struct, frozen=True):
+    """An item that runs now."""
+
+    progress: Progress
+    task: asyncio.Task[None]
+
+
 class JobOwner:
     """Owns jobs, starts their items and lists their results.
 
@@ -54,7 +70,8 @@
         self._manifests = manifests
         self._runs: dict[JobId, JobRun] = {}
         self._tasks = Tasks()
-        self._items: dict[JobId, set[asyncio.Task[None]]] = {}
+        self._items: dict[JobId, dict[ItemId, _Running]] = {}
+        self.speeds = Speeds()
         self._wake = asyncio.Event()
         self.stopping = False
 
@@ -65,9 +82,10 @@
 
     async def stop(self) -> None:
         """Stop all work at once."""
+        self.stopping = True
         for tasks in self._items.values():
-            for task in tuple(tasks):
-                task.cancel()
+            for running in tuple(tasks.values()):
+                running.task.cancel()
         await self._tasks.stop()
 
     def poke(self) -> None:
@@ -104,7 +122,7 @@
             self._context.clock.elapsed(),
         )
         self._runs[found.job] = run
-        self._items[found.job] = set()
+        self._items[found.job] = {}
         if found.status.ended:
             run.end()
         self._tasks.start(run.store_results())
@@ -124,8 +142,8 @@
         if run is None or run.ended:
             return
         run.end()
-        for task in tuple(self._items.get(job, ())):
-            task.cancel()
+        for running in tuple(self._items[job].values()):
+            running.task.cancel()
         _log.info(
             'gateway: job %s ended, %d of %d listed',
             job,
@@ -151,7 +169,51 @@
                 async with asyncio.timeout(_TICK_S if self._busy() else None):
                     await self._wake.wait()
             except TimeoutError:
-                continue
+                self._move_items()
+
+    def _move_items(self) -> None:
+        for run in self._runs.values():
+            if run.active:
+                self._move_items_of(run)
+
+    def _move_items_of(self, run: JobRun) -> None:
+        now = self._context.clock.elapsed()
+        running = self._items[run.spec.job]
+        for one in running.values():
+            self.speeds.learn(one.progress)
+        room = self._room(run, now)
+        progresses = [one.progress for one in running.values()]
+        for move in moves(progresses, room, self.speeds, now):
+            progress = running[move.item].progress
+            _log.info(
+                'gateway: item %s of job %s leaves %s after %d events: %s',
+                move.item,
+                run.spec.job,
+                progress.upstream,
+                progress.events,
+                'stalled' if move.stalled else 'slow',
+            )
+            running[move.item].task.cancel()
+
+    def _room(self, run: JobRun, now: dt.timedelta) -> dict[UpstreamId, int]:
+        loads = self._context.loads
+        return {
+            upstream.upstream: free
+            for upstream in self._fresh_upstreams(run)
+            if (free := free_slots(upstream, loads, now)) > 0
+        }
+
+    def _fresh_upstreams(self, run: JobRun) -> tuple[Upstream, ...]:
+        route = self.route_of(run.spec)
+        if route is None:
+            return ()
+        fleet = self._context.fleet
+        return tuple(
+            upstream
+            for upstream in fleet.of_service(pick_service(route, 0))
+            if fleet.version(upstream.upstream, run.spec.model)
+            >= run.spec.min_version
+        )
 
     def _busy(self) -> bool:
         return any(run.active for run in self._runs.values())
@@ -168,8 +230,7 @@
             self._without_route(run)
             return
         now = self._context.clock.elapsed()
-        service = pick_service(route, 0)
-        upstreams = tuple(self._context.fleet.of_service(service))
+        upstreams = self._fresh_upstreams(run)
         slot = run.board.ready(now)
         while slot is not None:
             upstream = self._place(run, slot, upstreams)
@@ -183,16 +244,11 @@
         self, run: JobRun, slot: Slot, upstreams: tuple[Upstream, ...]
     ) -> Upstream | None:
         context = self._context
-        fresh = [
-            upstream
-            for upstream in upstreams
-            if context.fleet.version(upstream.upstream, run.spec.model)
-            >= run.spec.min_version
-        ]
         group = slot.spec.group
         found = place_item(
-            fresh,
+            upstreams,
             context.loads,
+            self.speeds,
             run.homes.get(group),
             slot.avoid,
             context.clock.elapsed(),
@@ -211,22 +267,36 @@
     def _start_item(
         self, run: JobRun, route: Route, slot: Slot, upstream: Upstream
     ) -> None:
+        transcript = run.transcript(slot)
+        progress = Progress(
+            slot.spec.item,
+            upstream.upstream,
+            self._context.clock.elapsed(),
+            slot.spec.expected_tokens / TOKENS_PER_EVENT,
+            transcript.count,
+            transcript.count,
+        )
         item = ItemRun(
-            run.spec, slot.spec, route, upstream, run.transcript(slot)
+            run.spec, slot.spec, route, upstream, transcript, progress
         )
         # Counted before the task begins, so that the next choice sees it.
         self._context.loads.of(upstream.upstream).in_flight += 1
         task = asyncio.create_task(self._run_item(run, slot, item))
-        tasks = self._items[run.spec.job]
-        tasks.add(task)
-        task.add_done_callback(tasks.discard)
+        running = self._items[run.spec.job]
+        running[slot.spec.item] = _Running(progress, task)
+        task.add_done_callback(lambda _: running.pop(slot.spec.item, None))
 
     async def _run_item(self, run: JobRun, slot: Slot, item: ItemRun) -> None:
         upstream = item.upstream.upstream
         try:
             end = await run_item(self._context, item)
+        except asyncio.CancelledError:
+            if run.ended or self.stopping:
+                raise
+            end = RunEnd.MOVED
         finally:
             self._context.loads.of(upstream).in_flight -= 1
+            self.speeds.learn(item.progress)
         if isinstance(end, ItemResult):
             run.finish(end)
         else:
--- a/bergamotdoor/jobs/board.py
+++ b/bergamotdoor/jobs/board.py
@@ -42,6 +42,8 @@
     FAILED = 'failed'
     #: The item can never be done.
     IMPOSSIBLE = 'impossible'
+    #: Stopped by the owner, to go on at another engine.
+    MOVED = 'moved'
     #: Made under a version that the job does not take.
     TOO_OLD = 'too-old'
 
@@ -131,7 +133,7 @@
         if self._hopeless(slot, end):
             self.finish(ItemResult(item, ItemState.LOST))
             return
-        if end in {RunEnd.FAILED, RunEnd.BROKEN}:
+        if end in {RunEnd.FAILED, RunEnd.BROKEN, RunEnd.MOVED}:
             slot.avoid = frozenset((where,))
         pause_s = _RETRY_PAUSES_S[min(slot.failures, len(_RETRY_PAUSES_S) - 1)]
         if pause_s:
--- a/bergamotdoor/jobs/messages.py
+++ b/bergamotdoor/jobs/messages.py
@@ -26,6 +26,8 @@
     body: bytes
     #: Items of one group share their prompt.
     group: GroupId
+    #: The trainer's guess at the length, in tokens; 0 is none.
+    expected_tokens: int = 0
 
 
 class JobSpec(msgspec.Struct, frozen=True):
--- a/bergamotdoor/jobs/placement.py
+++ b/bergamotdoor/jobs/placement.py
@@ -3,7 +3,8 @@
 Load pattern: a step's items arrive at once and fill the engines; several
 processes place on the same engines. An engine gets no more than its slots,
 as far as is known, since items that wait inside an engine can't be moved.
-A group goes where its prompt is cached as long as there is room.
+A group goes where its prompt is cached as long as there is room; otherwise
+the fastest engine is taken, and among those alike the emptiest.
 """
 
 from __future__ import annotations
@@ -16,12 +17,14 @@
 
     from bergamotdoor.fleet.loads import Loads
     from bergamotdoor.fleet.upstreams import Upstream
+    from bergamotdoor.jobs.progress import Speeds
     from bergamotdoor.types import UpstreamId
 
 
 def place_item(
     candidates: Sequence[Upstream],
     loads: Loads,
+    speeds: Speeds,
     home: UpstreamId | None,
     avoid: frozenset[UpstreamId],
     now: dt.timedelta,
@@ -34,6 +37,8 @@
         Engines whose weights the job takes.
     loads
         How full they are.
+    speeds
+        How fast they are.
     home
         Where the prompt of the item's group is cached.
     avoid
@@ -42,16 +47,25 @@
         The monotonic time.
     """
     able = [one for one in candidates if one.upstream not in avoid]
-    free = [one for one in able or candidates if _has_room(one, loads, now)]
+    free = [
+        one for one in able or candidates if free_slots(one, loads, now) > 0
+    ]
     at_home = next((one for one in free if one.upstream == home), None)
     if at_home is not None:
         return at_home
-    return min(free, key=lambda one: _fullness(one, loads, now), default=None)
+    return min(
+        free,
+        key=lambda one: (
+            speeds.interval_s(one.upstream) * (1 + _fullness(one, loads, now))
+        ),
+        default=None,
+    )
 
 
-def _has_room(upstream: Upstream, loads: Loads, now: dt.timedelta) -> bool:
+def free_slots(upstream: Upstream, loads: Loads, now: dt.timedelta) -> int:
+    """Return how many more items an engine takes now."""
     load = loads.of(upstream.upstream)
-    return not load.resting(now) and load.busy(now) < upstream.slots
+    return 0 if load.resting(now) else upstream.slots - load.busy(now)
 
 
 def _fullness(upstream: Upstream, loads: Loads, now: dt.timedelta) -> float:
--- a/bergamotdoor/jobs/transcript.py
+++ b/bergamotdoor/jobs/transcript.py
@@ -38,6 +38,11 @@
         """Every version that generated an event."""
         return tuple(sorted(self._versions))
 
+    @property
+    def count(self) -> int:
+        """How many events there are."""
+        return len(self._texts)
+
     @property
     def text(self) -> str:
         """The texts of all events."""
--- a/bergamotdoor/objects/client.py
+++ b/bergamotdoor/objects/client.py
@@ -14,6 +14,7 @@
     BodyTooLargeError,
     Client,
     ClientRequest,
+    ClientResponse,
     Headers,
 )
 from bergamotdoor.objects.messages import (
@@ -76,7 +77,7 @@
             timeout=timeout,
         )
         response = await self._client.send(request)
-        if not hasattr(response, 'status'):
+        if not isinstance(response, ClientResponse):
             _log.warning('objects: %s %s: %s', method, path, response.detail)
             return Outcome.UNCLEAR if response.sent else Outcome.NOT_DONE
         try:
--- a/bergamotdoor/objects/watcher.py
+++ b/bergamotdoor/objects/watcher.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Final, Protocol
 
 from bergamotdoor.objects.messages import Changes, Listing, Outcome
+from bergamotdoor.types import Revision
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
@@ -71,7 +72,7 @@
         self._backoff = _FIRST_BACKOFF
         self._listed = asyncio.Event()
         #: The highest revision seen.
-        self.revision = 0
+        self.revision = Revision(0)
 
     async def wait_listed(self) -> None:
         """Return once the kind was listed for the first time."""
@@ -106,7 +107,7 @@
         await self._rest(found)
         return found
 
-    def _reached(self, revision: int) -> None:
+    def _reached(self, revision: Revision) -> None:
         self.revision = max(self.revision, revision)
         self._backoff = _FIRST_BACKOFF
 
--- a/bergamotdoor/platform/batch_wire.py
+++ b/bergamotdoor/platform/batch_wire.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from bergamotdoor.jobs.messages import ItemSpec, JobSpec
+from bergamotdoor.platform.headers import LENGTH_HINT
 from bergamotdoor.types import (
     GroupId,
     ItemId,
@@ -98,5 +99,14 @@
         written.path,
         tuple(written.headers.items()),
         base64.b64decode(written.body, validate=True),
-        written.group,
+        written.group or GroupId(written.id),
+        _hint(written.headers),
     )
+
+
+def _hint(headers: dict[str, str]) -> int:
+    found = next(
+        (text for name, text in headers.items() if name.lower() == LENGTH_HINT),
+        '',
+    )
+    return int(found) if found.isdecimal() else 0
--- a/bergamotdoor/platform/headers.py
+++ b/bergamotdoor/platform/headers.py
@@ -27,6 +27,8 @@
 PROMPT_PARTS: Final = f'{_PREFIX}prompt-prefix'
 #: From 0, the most urgent, to 9.
 PRIORITY: Final = f'{_PREFIX}request-priority'
+#: The client's guess at the number of tokens to be generated.
+LENGTH_HINT: Final = f'{_PREFIX}length-hint'
 LAST_EVENT_ID: Final = 'last-event-id'
 RETRY_AFTER: Final = 'retry-after'
 
