Reach the store through other entries; probe refusing engines with one request

Ruled out: takeover by another entry on each cut, which restarts long items. Change: calls go through another entry when the own way fails or gives no answer in 350 ms; entries register their address; one probe tells whether a refusing engine takes work again; an incarnation that another one answers for is dropped.

--- a/bergamotdoor/agent/daemon.py
+++ b/bergamotdoor/agent/daemon.py
@@ -4,6 +4,7 @@
 
 import datetime as dt
 import logging
+import random
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.agent.evacuation import EvacuationAgent
@@ -13,6 +14,9 @@
 from bergamotdoor.http import HttpClient
 from bergamotdoor.objects.client import DirectCaller, ObjectClient
 from bergamotdoor.objects.watcher import Watcher
+from bergamotdoor.peers.client import PeerClient
+from bergamotdoor.peers.directory import Directory
+from bergamotdoor.peers.relay import PeerRelay, RelayingCaller
 from bergamotdoor.platform import headers as names
 
 if TYPE_CHECKING:
@@ -33,7 +37,15 @@
         self._settings = settings
         self._clock = clock or LoopClock()
         self._client = HttpClient(self._clock)
-        self._store = ObjectClient(DirectCaller(self._client, settings.store))
+        caller = RelayingCaller(
+            DirectCaller(self._client, settings.store),
+            PeerRelay(PeerClient(self._client)),
+            self._clock,
+            random.Random(settings.node),
+        )
+        self._store = ObjectClient(caller)
+        self._directory = Directory(self._store, settings.node, self._clock)
+        caller.directory = self._directory
         self._tasks = Tasks()
 
     async def start(self) -> None:
@@ -44,6 +56,7 @@
             self._follow(names.EVACUATION_KIND, evacuations)
             self._tasks.start(evacuations.run())
             return
+        self._tasks.start(self._directory.run())
         weights = WeightsAgent(
             self._store,
             self._client,
--- a/bergamotdoor/fleet/fleet.py
+++ b/bergamotdoor/fleet/fleet.py
@@ -21,10 +21,14 @@
         self._upstreams: dict[UpstreamId, Upstream] = {}
         #: Absent from the store, kept until then.
         self._lapsed: dict[UpstreamId, dt.timedelta] = {}
+        #: Incarnations that another one answered for.
+        self._replaced: set[UpstreamId] = set()
         self._seen: dict[tuple[UpstreamId, ModelId], WeightVersion] = {}
 
     def put(self, upstream: Upstream) -> None:
         """Take a registration, new or changed."""
+        if upstream.upstream in self._replaced:
+            return
         self._upstreams[upstream.upstream] = upstream
         self._lapsed.pop(upstream.upstream, None)
         for model, version in upstream.versions.items():
@@ -33,12 +37,22 @@
 
     def remove(self, upstream: UpstreamId) -> None:
         """Drop an upstream that is no longer registered."""
+        self._replaced.discard(upstream)
         gone = self._upstreams.pop(upstream, None)
         self._lapsed.pop(upstream, None)
         if gone is not None:
             for model in gone.versions:
                 self._seen.pop((upstream, model), None)
 
+    def replaced(self, upstream: UpstreamId) -> None:
+        """Drop an incarnation whose address has another one by now.
+
+        Its registration stays in the store until it lapses, seconds later;
+        each request that went there meanwhile would be refused.
+        """
+        self.remove(upstream)
+        self._replaced.add(upstream)
+
     def lapse(self, upstream: UpstreamId, until: dt.timedelta) -> None:
         """Keep an upstream whose registration is missing for a while.
 
--- a/bergamotdoor/fleet/loads.py
+++ b/bergamotdoor/fleet/loads.py
@@ -19,6 +19,9 @@
 #: After a refusal the upstream is full or loading weights, which takes
 #: about a second; asking more often costs connections and gains nothing.
 REFUSAL_REST: Final = dt.timedelta(milliseconds=300)
+#: How long one request is alone on its way to an upstream that refused
+#: before: it tells whether the others may follow.
+PROBE_TIME: Final = dt.timedelta(milliseconds=250)
 #: After a broken or failed request; doubled with each one that follows.
 FAILURE_REST: Final = dt.timedelta(milliseconds=500)
 _MOST_DOUBLINGS: Final = 4
@@ -39,6 +42,8 @@
     told_at: dt.timedelta = _ZERO
     rest_until: dt.timedelta = _ZERO
     failures: int = 0
+    #: Refusals since it last took a request.
+    refusals: int = 0
     #: How long its answers take, in seconds; 0 while unmeasured.
     latency_s: float = 0
 
@@ -49,8 +54,25 @@
 
     def refused(self, now: dt.timedelta) -> None:
         """Take a refusal."""
+        self.refusals += 1
         self.rest_until = max(self.rest_until, now + REFUSAL_REST)
 
+    def placed(self, now: dt.timedelta) -> None:
+        """Take that a request goes there.
+
+        Failure: an upstream loads weights and refuses everything for a
+        second. Symptom: sixteen requests go there whenever its rest ends,
+        each with a connection of its own, and come back. One is enough.
+        """
+        if self.refusals:
+            self.rest_until = now + PROBE_TIME
+
+    def accepted(self, now: dt.timedelta) -> None:
+        """Take that it runs a request."""
+        if self.refusals:
+            self.refusals = 0
+            self.rest_until = min(self.rest_until, now)
+
     def failed(self, now: dt.timedelta) -> None:
         """Take a broken or failed request."""
         doublings = min(self.failures, _MOST_DOUBLINGS)
@@ -60,6 +82,7 @@
 
     def answered(self, latency: dt.timedelta) -> None:
         """Take a good answer."""
+        self.refusals = 0
         self.failures = 0
         seconds = latency.total_seconds()
         if self.latency_s:
--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -18,12 +18,14 @@
 from bergamotdoor.gateway.job_store import JobStore
 from bergamotdoor.gateway.jobs_desk import JobsDesk
 from bergamotdoor.gateway.owner import JobOwner
-from bergamotdoor.gateway.peers import PeerClient, serve_peer
 from bergamotdoor.gateway.refusals import plain
 from bergamotdoor.gateway.views import FleetView, ManifestView
 from bergamotdoor.http import HttpClient, HttpServer
 from bergamotdoor.objects.client import DirectCaller, ObjectClient
 from bergamotdoor.objects.watcher import Watcher
+from bergamotdoor.peers.client import PeerClient, serve_peer
+from bergamotdoor.peers.directory import Directory
+from bergamotdoor.peers.relay import PeerRelay, RelayingCaller
 from bergamotdoor.platform import headers as names
 from bergamotdoor.settings.process import HttpLimits
 from bergamotdoor.utils import to_ms
@@ -72,7 +74,23 @@
         self._client = HttpClient(self._clock)
         self._tasks = Tasks()
         self._stopping = False
-        self._context = self._new_context()
+        peers = PeerClient(self._client)
+        direct = DirectCaller(self._client, settings.store)
+        rng = random.Random(settings.node)
+        caller = RelayingCaller(direct, PeerRelay(peers), self._clock, rng)
+        self._context = Context(
+            settings,
+            self._clock,
+            rng,
+            self._client,
+            ObjectClient(caller),
+            Fleet(),
+            Loads(),
+        )
+        self._directory = Directory(
+            self._context.store, settings.node, self._clock
+        )
+        caller.directory = self._directory
         self._manifests = ManifestView(self._manifest_changed)
         self._fleet_view = FleetView(
             self._context.fleet, self._context.loads, self._clock, self._poke
@@ -83,7 +101,8 @@
             self._context,
             store,
             self._owner,
-            PeerClient(self._client),
+            peers,
+            direct,
             self._tasks,
         )
         front = Front(
@@ -109,6 +128,8 @@
         self._watch(names.MANIFEST_KIND, self._manifests, _GATHER_MANIFEST)
         self._watch(names.UPSTREAM_KIND, self._fleet_view, _GATHER_FLEET)
         self._tasks.start(self._resume_jobs())
+        self._tasks.start(self._directory.register(self._context.own_address))
+        self._tasks.start(self._directory.run())
         self._tasks.start(self._expire_upstreams())
 
     async def stop(self) -> None:
@@ -128,19 +149,6 @@
             self._client.close(),
         )
 
-    def _new_context(self) -> Context:
-        settings = self._settings
-        caller = DirectCaller(self._client, settings.store)
-        return Context(
-            settings,
-            self._clock,
-            random.Random(settings.node),
-            self._client,
-            ObjectClient(caller),
-            Fleet(),
-            Loads(),
-        )
-
     def _server(
         self, listen: Address | None, handler: Handler, name: str
     ) -> HttpServer:
--- a/bergamotdoor/gateway/forwarding.py
+++ b/bergamotdoor/gateway/forwarding.py
@@ -29,7 +29,6 @@
 if TYPE_CHECKING:
     from bergamotdoor.fleet.upstreams import Upstream
     from bergamotdoor.gateway.context import Context
-    from bergamotdoor.http.messages import HttpRequest
     from bergamotdoor.types import ServiceId, UpstreamId
 
 #: Answers up to this are read whole before anything is passed on, so that
@@ -70,6 +69,8 @@
     answer: HttpResponse | None = None
     #: Whether another upstream may do better.
     failed: bool = True
+    #: Another incarnation is at its address.
+    replaced: bool = False
 
 
 class Forwarder:
@@ -232,7 +233,9 @@
 ) -> None:
     load = context.loads.of(upstream.upstream)
     now = context.clock.elapsed()
-    if not attempt.failed:
+    if attempt.replaced:
+        context.fleet.replaced(upstream.upstream)
+    elif not attempt.failed:
         load.answered(latency)
     elif attempt.verdict is Verdict.NOT_RUN:
         load.refused(now)
@@ -246,8 +249,12 @@
     """Tell a whole answer of this call from anything else."""
     where = upstream.upstream
     fields = response.headers
-    refused = fields.first(names.NOT_RUN)
-    if refused or response.status == HTTPStatus.MISDIRECTED_REQUEST:
+    if response.status == HTTPStatus.MISDIRECTED_REQUEST:
+        await _discard(response)
+        return Attempt(
+            Verdict.NOT_RUN, 'replaced by another', where, replaced=True
+        )
+    if fields.first(names.NOT_RUN):
         await _discard(response)
         return Attempt(Verdict.NOT_RUN, 'refused by the upstream', where)
     if fields.first(names.REQUEST_ID, call.request_id) != call.request_id:
--- a/bergamotdoor/gateway/item_run.py
+++ b/bergamotdoor/gateway/item_run.py
@@ -66,6 +66,8 @@
     )
     if end is RunEnd.REFUSED:
         load.refused(now)
+    elif end is RunEnd.REPLACED:
+        context.fleet.replaced(run.upstream.upstream)
     elif end is RunEnd.BROKEN or end is RunEnd.FAILED:
         load.failed(now)
     elif isinstance(end, ItemResult):
@@ -96,18 +98,12 @@
     status = response.status
     if status == HTTPStatus.OK:
         return None
-    _log.info(
-        'gateway: item %s at %s: status %d',
-        run.spec.item,
-        run.upstream.upstream,
-        status,
-    )
+    if status == HTTPStatus.MISDIRECTED_REQUEST:
+        return RunEnd.REPLACED
     if status == HTTPStatus.UNPROCESSABLE_ENTITY:
         return RunEnd.IMPOSSIBLE
     if response.headers.first(names.NOT_RUN):
         return RunEnd.REFUSED
-    if status == HTTPStatus.MISDIRECTED_REQUEST:
-        return RunEnd.REFUSED
     if status == HTTPStatus.INTERNAL_SERVER_ERROR:
         return RunEnd.FAILED
     return RunEnd.BROKEN
@@ -120,8 +116,9 @@
     if fields.first(names.REQUEST_ID, run.spec.item) != run.spec.item:
         return RunEnd.BROKEN
     told = parse_load(fields.first(names.LOAD))
+    load = context.loads.of(run.upstream.upstream)
+    load.accepted(context.clock.elapsed())
     if told is not None:
-        load = context.loads.of(run.upstream.upstream)
         load.told(told.running + told.waiting, context.clock.elapsed())
     text = fields.first(names.WEIGHT_VERSION)
     if not text.isdecimal():
--- a/bergamotdoor/gateway/jobs_desk.py
+++ b/bergamotdoor/gateway/jobs_desk.py
@@ -7,7 +7,9 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.gateway.job_run import PAGE_BYTES
-from bergamotdoor.gateway.peer_messages import (
+from bergamotdoor.jobs.ledger import Ledger
+from bergamotdoor.objects.messages import Outcome
+from bergamotdoor.peers.messages import (
     Done,
     ItemBody,
     JobEnded,
@@ -16,18 +18,19 @@
     ReadBody,
     ReadResults,
     ResultPage,
+    StoreCall,
 )
-from bergamotdoor.jobs.ledger import Ledger
-from bergamotdoor.objects.messages import Outcome
+from bergamotdoor.peers.relay import relayed
 
 if TYPE_CHECKING:
     from bergamotdoor.gateway.context import Context, Tasks
     from bergamotdoor.gateway.job_run import JobRun
     from bergamotdoor.gateway.job_store import FoundJob, JobStore, LoadedJob
     from bergamotdoor.gateway.owner import JobOwner
-    from bergamotdoor.gateway.peer_messages import PeerReply, PeerRequest
-    from bergamotdoor.gateway.peers import PeerClient
     from bergamotdoor.jobs.messages import JobRecord, JobSpec
+    from bergamotdoor.objects.client import Caller
+    from bergamotdoor.peers.client import PeerClient
+    from bergamotdoor.peers.messages import PeerReply, PeerRequest
     from bergamotdoor.types import ItemId, JobId
 
 _MS: Final = dt.timedelta(milliseconds=1)
@@ -56,12 +59,14 @@
         store: JobStore,
         owner: JobOwner,
         peers: PeerClient,
+        direct: Caller,
         tasks: Tasks,
     ) -> None:
         self._context = context
         self._store = store
         self._owner = owner
         self._peers = peers
+        self._direct = direct
         self._tasks = tasks
         self._records: dict[JobId, JobRecord] = {}
 
@@ -125,6 +130,8 @@
 
     async def handle(self, message: PeerRequest) -> PeerReply:
         """Answer another entry."""
+        if isinstance(message, StoreCall):
+            return await relayed(self._direct, message)
         if isinstance(message, JobOwned):
             self._remember(message.job, message.record)
             return Done()
--- a/bergamotdoor/gateway/owner.py
+++ b/bergamotdoor/gateway/owner.py
@@ -280,7 +280,9 @@
             run.spec, slot.spec, route, upstream, transcript, progress
         )
         # Counted before the task begins, so that the next choice sees it.
-        self._context.loads.of(upstream.upstream).in_flight += 1
+        load = self._context.loads.of(upstream.upstream)
+        load.in_flight += 1
+        load.placed(self._context.clock.elapsed())
         task = asyncio.create_task(self._run_item(run, slot, item))
         running = self._items[run.spec.job]
         running[slot.spec.item] = _Running(progress, task)
--- a/bergamotdoor/jobs/board.py
+++ b/bergamotdoor/jobs/board.py
@@ -36,6 +36,8 @@
 
     #: The engine did not run it: full, another incarnation, loading.
     REFUSED = 'refused'
+    #: Another incarnation is at its address.
+    REPLACED = 'replaced'
     #: The connection or the stream broke.
     BROKEN = 'broken'
     #: The engine answered that it failed.
--- a/bergamotdoor/gateway/peers.py
+++ b/bergamotdoor/peers/client.py
@@ -9,11 +9,6 @@
 
 import msgspec
 
-from bergamotdoor.gateway.peer_messages import (
-    PEER_PATH,
-    PeerReply,
-    PeerRequest,
-)
 from bergamotdoor.http.messages import (
     BodyBrokenError,
     BodyTooLargeError,
@@ -21,6 +16,11 @@
     ClientResponse,
     HttpResponse,
 )
+from bergamotdoor.peers.messages import (
+    PEER_PATH,
+    PeerReply,
+    PeerRequest,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -33,7 +33,7 @@
 PEER_MARGIN: Final = dt.timedelta(milliseconds=400)
 _MAX_BYTES: Final = 33_554_432
 
-_log = logging.getLogger('bergamotdoor.gateway')
+_log = logging.getLogger('bergamotdoor.peers')
 
 
 class PeerClient:
@@ -60,7 +60,7 @@
         )
         name = type(message).__name__
         if not isinstance(response, ClientResponse):
-            _log.info('gateway: no reply to %s: %s', name, response.detail)
+            _log.info('peers: no reply to %s: %s', name, response.detail)
             return None
         try:
             body = await response.read_body(_MAX_BYTES)
@@ -70,7 +70,7 @@
             BodyTooLargeError,
             msgspec.MsgspecError,
         ) as error:
-            _log.warning('gateway: reply to %s broken: %s', name, error)
+            _log.warning('peers: reply to %s broken: %s', name, error)
             return None
 
 
@@ -83,7 +83,7 @@
     try:
         message = msgspec.msgpack.decode(body, type=PeerRequest)
     except msgspec.MsgspecError as error:
-        _log.warning('gateway: message not understood: %s', error)
+        _log.warning('peers: message not understood: %s', error)
         return HttpResponse(status=int(HTTPStatus.BAD_REQUEST))
     reply = await handle(message)
     return HttpResponse(
--- /dev/null
+++ b/bergamotdoor/peers/directory.py
@@ -0,0 +1,99 @@
+"""Which entries there are, and where they listen for other processes."""
+
+from __future__ import annotations
+
+import datetime as dt
+import logging
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from bergamotdoor.objects.messages import Conflict, Outcome
+from bergamotdoor.settings.document import Address
+from bergamotdoor.types import NodeId
+
+if TYPE_CHECKING:
+    from bergamotdoor.clock import Clock
+    from bergamotdoor.objects.client import ObjectClient
+
+ENTRY_KIND: Final = 'entries'
+#: A stale list costs a tenth of a call, and entries change rarely. A new
+#: entry is needed as a way round soon after its start, not at once.
+_REFRESH: Final = (
+    dt.timedelta(seconds=1),
+    dt.timedelta(seconds=3),
+    dt.timedelta(seconds=15),
+)
+
+_log = logging.getLogger('bergamotdoor.peers')
+
+
+class EntryRecord(msgspec.Struct, frozen=True):
+    """Where an entry listens."""
+
+    address: Address
+
+
+class Directory:
+    """Keeps the addresses of the other entries.
+
+    Parameters
+    ----------
+    store
+        Where entries register.
+    node
+        This process, which is left out.
+    clock
+        For the pauses.
+    """
+
+    def __init__(self, store: ObjectClient, node: NodeId, clock: Clock) -> None:
+        self._store = store
+        self._node = node
+        self._clock = clock
+        self.entries: dict[NodeId, Address] = {}
+
+    async def register(self, address: Address) -> None:
+        """Write where this entry listens; tried until it is known."""
+        spec = msgspec.json.encode(EntryRecord(address))
+        done = False
+        while not done:
+            found = await self._store.create(ENTRY_KIND, self._node, spec)
+            done = not isinstance(found, Outcome)
+            if isinstance(found, Conflict) and found.current is not None:
+                done = await self._correct(found.current.spec, spec)
+            if not done:
+                await self._clock.sleep(_REFRESH[0])
+
+    async def run(self) -> None:
+        """Refresh until cancelled."""
+        tries = 0
+        while True:
+            await self._clock.sleep(_REFRESH[min(tries, len(_REFRESH) - 1)])
+            tries += 1
+            await self.refresh()
+
+    async def refresh(self) -> None:
+        """List the entries; those known stay if that fails."""
+        listing = await self._store.listing(ENTRY_KIND, stale=True)
+        if isinstance(listing, Outcome):
+            return
+        self.entries = {
+            NodeId(stored.name): msgspec.json.decode(
+                stored.spec, type=EntryRecord
+            ).address
+            for stored in listing.objects
+            if stored.name != self._node
+        }
+
+    async def _correct(self, stored: bytes, spec: bytes) -> bool:
+        """Replace the record of an earlier process at another address."""
+        written = msgspec.json.decode(stored, type=EntryRecord)
+        if written == msgspec.json.decode(spec, type=EntryRecord):
+            return True
+        _log.info('peers: %s had another address', self._node)
+        outcome = await self._store.delete(ENTRY_KIND, self._node)
+        if outcome is not Outcome.ABSENT:
+            return False
+        again = await self._store.create(ENTRY_KIND, self._node, spec)
+        return not isinstance(again, (Outcome, Conflict))
--- a/bergamotdoor/gateway/peer_messages.py
+++ b/bergamotdoor/peers/messages.py
@@ -40,7 +40,18 @@
     record: JobRecord
 
 
-PeerRequest: TypeAlias = ReadResults | ReadBody | JobEnded | JobOwned
+class StoreCall(msgspec.Struct, frozen=True, tag=True):
+    """Ask for a call of the store from another VM."""
+
+    method: str
+    path: str
+    body: bytes
+    timeout_ms: int
+
+
+PeerRequest: TypeAlias = (
+    ReadResults | ReadBody | JobEnded | JobOwned | StoreCall
+)
 
 
 class ResultPage(msgspec.Struct, frozen=True, tag=True):
@@ -64,4 +75,13 @@
     """The process that was asked does not run the job."""
 
 
-PeerReply: TypeAlias = ResultPage | ItemBody | Done | NotOwner
+class StoreReply(msgspec.Struct, frozen=True, tag=True):
+    """What came of a call of the store; no status where none came."""
+
+    status: int | None
+    body: bytes
+    #: Whether the call may have been done, or may be done later.
+    unclear: bool = False
+
+
+PeerReply: TypeAlias = ResultPage | ItemBody | Done | NotOwner | StoreReply
