List whole groups, run a trainer's steps at one entry, keep long items for the next owner

Cause: a trainer reads twice a second; a read that brings half a group takes the turn of the one that could bring the last group (0.65 s from the last item to the end of the step). Steps of one trainer ran at whichever entry took them, each with connections of its own. An owner's loss began its long items anew. Change: results are listed group by group; the entry that is first by highest random weight of the trainer's path runs its steps; what long items have is kept every 1.5 s in the status of the job's first part.

--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -102,6 +102,7 @@
             store,
             self._owner,
             peers,
+            self._directory,
             direct,
             self._tasks,
         )
--- a/bergamotdoor/gateway/job_run.py
+++ b/bergamotdoor/gateway/job_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import datetime as dt
 import logging
 from typing import TYPE_CHECKING, Final
 
@@ -12,8 +13,6 @@
 from bergamotdoor.objects.messages import Outcome
 
 if TYPE_CHECKING:
-    import datetime as dt
-
     from bergamotdoor.calls.manifest import Route
     from bergamotdoor.gateway.context import Context
     from bergamotdoor.gateway.job_store import FoundJob, JobStore, LoadedJob
@@ -21,7 +20,7 @@
 
 #: Results that finish within this go into one record: each record costs a
 #: call of the store and reaches readers some milliseconds later.
-GATHER_S: Final = 0.12
+GATHER_S: Final = 0.06
 #: Room in an object of a megabyte, texts escaped.
 RECORD_BYTES: Final = 400_000
 #: A page of results is a megabyte at most.
@@ -29,6 +28,10 @@
 #: Pauses between two tries to store the same record.
 _PAUSES_S: Final = (0.05, 0.1, 0.2, 0.4)
 _NONCE_BITS: Final = 64
+#: How often long items are kept, and from how many events on. One call
+#: every so often saves a second owner as much time.
+_CHECKPOINT_EVERY: Final = dt.timedelta(seconds=1.5)
+_CHECKPOINT_EVENTS: Final = 25
 
 _log = logging.getLogger('bergamotdoor.gateway')
 
@@ -67,7 +70,11 @@
         self.due_at = began + route.due
         self.began = began
         self.board = JobBoard(loaded.spec, loaded.ledger, route.max_attempts)
-        self.transcripts: dict[ItemId, Transcript] = {}
+        self.transcripts: dict[ItemId, Transcript] = {
+            item: Transcript.restored(saved)
+            for item, saved in loaded.partial.items()
+            if item not in loaded.ledger
+        }
         #: Where each group's prompt is cached.
         self.homes: dict[str, UpstreamId] = {}
         self.ended = False
@@ -86,10 +93,11 @@
         return self.transcripts.setdefault(slot.spec.item, Transcript())
 
     def finish(self, result: ItemResult) -> None:
-        """Take an item's text; it is listed once it is stored."""
+        """Take an item's text; it is listed once its group is whole."""
         self.transcripts.pop(result.item, None)
         self.board.finish(result)
-        self._finished.set()
+        if self.board.has_finished:
+            self._finished.set()
 
     def give_back(self, slot: Slot, end: RunEnd, where: UpstreamId) -> None:
         """Take an item that ran without a text."""
@@ -126,6 +134,26 @@
         """Whether every item is listed."""
         return len(self.ledger) >= len(self.spec.items)
 
+    async def checkpoint(self) -> None:
+        """Keep what long items have so far, as long as items run.
+
+        Failure: the owner is killed while a step waits for its longest
+        items. Symptom: they begin anew at the next owner, and the step
+        misses its time. Kept every so often, they go on where they were.
+        """
+        kept = 0
+        while self.active:
+            await self._context.clock.sleep(_CHECKPOINT_EVERY)
+            long = {
+                item: transcript.saved()
+                for item, transcript in self.transcripts.items()
+                if transcript.count >= _CHECKPOINT_EVENTS
+            }
+            count = sum(len(saved.texts) for saved in long.values())
+            if self.active and count - kept >= _CHECKPOINT_EVENTS:
+                kept = count
+                await self._store.keep_partial(self.spec.job, long)
+
     async def store_results(self) -> None:
         """Store results as items finish, until there are no more."""
         while not self.complete:
--- a/bergamotdoor/gateway/job_store.py
+++ b/bergamotdoor/gateway/job_store.py
@@ -5,7 +5,8 @@
 ======================  ==============  ================================
 ``jobs``                job             who runs it (``JobRecord``);
                                         status: whether it is ended
-``job-ID``              ``part-0000``   pieces of its body
+``job-ID``              ``part-0000``   pieces of its body; the status of the
+                                        first: what long items have so far
 ``job-ID``              ``result-0000`` results, one record a number
 ======================  ==============  ================================
 """
@@ -26,13 +27,14 @@
     JobStatus,
     ResultRecord,
 )
+from bergamotdoor.jobs.transcript import SavedTranscript
 from bergamotdoor.objects.messages import (
     Conflict,
     Listing,
     Outcome,
     StoredObject,
 )
-from bergamotdoor.types import JobId, Revision
+from bergamotdoor.types import ItemId, JobId, Revision
 
 if TYPE_CHECKING:
     from bergamotdoor.objects.client import ObjectClient
@@ -64,6 +66,14 @@
 
     spec: JobSpec
     ledger: Ledger
+    #: What items that are not listed had when it was last kept.
+    partial: dict[ItemId, SavedTranscript] = {}
+
+
+class _Partial(msgspec.Struct):
+    """What running items have so far."""
+
+    items: dict[ItemId, SavedTranscript]
 
 
 class _Part(msgspec.Struct):
@@ -184,6 +194,18 @@
         found = await self._store.get(kind, name)
         return found if isinstance(found, Outcome) else _record(found)
 
+    async def keep_partial(
+        self, job: JobId, partial: dict[ItemId, SavedTranscript]
+    ) -> None:
+        """Keep what running items have; a failure costs only time."""
+        outcome = await self._store.put_status(
+            parts_kind(job),
+            f'{_PART}{0:04}',
+            msgspec.json.encode(_Partial(partial)),
+        )
+        if not isinstance(outcome, StoredObject):
+            _log.info('gateway: job %s: running items not kept', job)
+
     async def _create(
         self, kind: str, name: str, body: bytes
     ) -> StoredObject | Conflict | Outcome:
@@ -245,7 +267,13 @@
         return Outcome.ABSENT
     items = tuple(item for part in parts for item in part.items)
     spec = msgspec.structs.replace(parts[0].head, items=items)
-    return LoadedJob(spec, Ledger(_records(listing)))
+    first = listing.objects[0].status or b'null'
+    partial = msgspec.json.decode(first, type=_Partial | None)
+    return LoadedJob(
+        spec,
+        Ledger(_records(listing)),
+        {} if partial is None else partial.items,
+    )
 
 
 def _records(listing: Listing) -> list[ResultRecord]:
--- a/bergamotdoor/gateway/jobs_desk.py
+++ b/bergamotdoor/gateway/jobs_desk.py
@@ -7,9 +7,12 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.gateway.job_run import PAGE_BYTES
+from bergamotdoor.gateway.job_store import FoundJob, LoadedJob
 from bergamotdoor.jobs.ledger import Ledger
+from bergamotdoor.jobs.messages import JobRecord, JobStatus
 from bergamotdoor.objects.messages import Outcome
 from bergamotdoor.peers.messages import (
+    AdoptJob,
     Done,
     ItemBody,
     JobEnded,
@@ -21,15 +24,18 @@
     StoreCall,
 )
 from bergamotdoor.peers.relay import relayed
+from bergamotdoor.types import NodeId
+from bergamotdoor.utils import hrw_order
 
 if TYPE_CHECKING:
     from bergamotdoor.gateway.context import Context, Tasks
     from bergamotdoor.gateway.job_run import JobRun
-    from bergamotdoor.gateway.job_store import FoundJob, JobStore, LoadedJob
+    from bergamotdoor.gateway.job_store import JobStore
     from bergamotdoor.gateway.owner import JobOwner
-    from bergamotdoor.jobs.messages import JobRecord, JobSpec
+    from bergamotdoor.jobs.messages import JobSpec
     from bergamotdoor.objects.client import Caller
     from bergamotdoor.peers.client import PeerClient
+    from bergamotdoor.peers.directory import Directory
     from bergamotdoor.peers.messages import PeerReply, PeerRequest
     from bergamotdoor.types import ItemId, JobId
 
@@ -59,6 +65,7 @@
         store: JobStore,
         owner: JobOwner,
         peers: PeerClient,
+        directory: Directory,
         direct: Caller,
         tasks: Tasks,
     ) -> None:
@@ -66,21 +73,40 @@
         self._store = store
         self._owner = owner
         self._peers = peers
+        self._directory = directory
         self._direct = direct
         self._tasks = tasks
         self._records: dict[JobId, JobRecord] = {}
 
     async def submit(self, spec: JobSpec) -> Outcome | None:
         """Take a job in; None once it is kept for good."""
-        found = await self._store.submit(spec, self._owner.own_record(1, 0))
+        found = await self._store.submit(spec, self._home_record(spec))
         if isinstance(found, Outcome):
             return found
         self._remember(found.job, found.record)
-        if found.record.owner == self._context.settings.node:
-            if self._owner.get(found.job) is None:
-                self._owner.adopt(found, _fresh(spec))
+        if found.record.owner != self._context.settings.node:
+            self._tasks.start(self._hand_over(found, spec))
+        elif self._owner.get(found.job) is None:
+            self._owner.adopt(found, LoadedJob(spec, Ledger()))
         return None
 
+    def _home_record(self, spec: JobSpec) -> JobRecord:
+        """Name the entry that runs the jobs of a trainer.
+
+        One entry for all steps keeps its connections to the engines, and
+        places the items of steps that overlap knowing of both.
+        """
+        own = self._owner.own_record(1, 0)
+        entries = {**self._directory.entries, own.owner: own.address}
+        home = NodeId(hrw_order(spec.host + spec.path, entries)[0])
+        return JobRecord(home, entries[home], 1, 0)
+
+    async def _hand_over(self, found: FoundJob, spec: JobSpec) -> None:
+        message = AdoptJob(found.record, found.revision, spec)
+        reply = await self._peers.ask(found.record.address, message)
+        if not isinstance(reply, Done):
+            await self._take_over(found.job, found.record)
+
     async def read(
         self, job: JobId, after: int, wait: dt.timedelta
     ) -> ResultPage | Outcome:
@@ -135,6 +161,8 @@
         if isinstance(message, JobOwned):
             self._remember(message.job, message.record)
             return Done()
+        if isinstance(message, AdoptJob):
+            return self._adopt_new(message)
         run = self._owner.get(message.job)
         if isinstance(message, JobEnded):
             self._owner.end(message.job)
@@ -148,6 +176,16 @@
             return ItemBody(None if isinstance(found, Outcome) else found)
         return await _page(run, message.after, message.wait_ms * _MS)
 
+    def _adopt_new(self, message: AdoptJob) -> PeerReply:
+        job = message.spec.job
+        self._remember(job, message.record)
+        if self._owner.get(job) is None:
+            found = FoundJob(job, message.record, JobStatus(), message.revision)
+            loaded = LoadedJob(message.spec, Ledger())
+            if self._owner.adopt(found, loaded) is None:
+                return NotOwner()
+        return Done()
+
     async def resume_own(self) -> bool:
         """Go on with the jobs of this node's last process.
 
@@ -249,9 +287,3 @@
         return Outcome.ABSENT
     found = next((one for one in run.spec.items if one.item == item), None)
     return Outcome.ABSENT if found is None else found.body
-
-
-def _fresh(spec: JobSpec) -> LoadedJob:
-    from bergamotdoor.gateway.job_store import LoadedJob
-
-    return LoadedJob(spec, Ledger())
--- a/bergamotdoor/gateway/owner.py
+++ b/bergamotdoor/gateway/owner.py
@@ -126,6 +126,7 @@
         if found.status.ended:
             run.end()
         self._tasks.start(run.store_results())
+        self._tasks.start(run.checkpoint())
         _log.info(
             'gateway: job %s owned, term %d, %d items, %d listed',
             found.job,
--- a/bergamotdoor/http/client.py
+++ b/bergamotdoor/http/client.py
@@ -23,7 +23,7 @@
 
 #: Below the keep-alive of usual HTTP servers, the shortest of which is
 #: five seconds; the side that closes first avoids a lost request.
-IDLE_TIMEOUT: Final = dt.timedelta(seconds=4)
+IDLE_TIMEOUT: Final = dt.timedelta(seconds=25)
 MAX_IDLE_PER_ADDRESS: Final = 32
 
 _NO_TIME: Final = dt.timedelta()
--- a/bergamotdoor/jobs/board.py
+++ b/bergamotdoor/jobs/board.py
@@ -11,6 +11,7 @@
 
 import enum
 import heapq
+from collections import Counter
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -83,16 +84,25 @@
         self._waiting: list[tuple[int, ItemId]] = []
         self._later: list[tuple[dt.timedelta, int, ItemId]] = []
         self._finished: list[ItemResult] = []
+        #: Results of groups that are not whole yet.
+        self._partial: dict[GroupId, list[ItemResult]] = {}
+        self._open_in_group: Counter[GroupId] = Counter()
         for order, item in enumerate(spec.items):
             if item.item not in ledger:
                 self._slots[item.item] = Slot(item, order)
                 self._waiting.append((order, item.item))
+                self._open_in_group[item.group] += 1
         #: Items that have no result yet.
         self.open_items = len(self._slots)
 
     @property
     def has_finished(self) -> bool:
-        """Whether results wait to be stored."""
+        """Whether results wait to be stored.
+
+        Those of a group that is not whole don't: a trainer has no use for
+        them, and reading them would take the turn of a read that could
+        bring it a whole group half a second sooner.
+        """
         return bool(self._finished)
 
     def ready(self, now: dt.timedelta) -> Slot | None:
@@ -120,9 +130,8 @@
         slot = self._slots[result.item]
         slot.running = max(slot.running - 1, 0)
         if slot.result is None:
-            slot.result = result
-            self.open_items -= 1
-            self._finished.append(result)
+            self._partial.setdefault(slot.spec.group, []).append(result)
+            self._close(slot, result)
 
     def give_back(
         self, item: ItemId, end: RunEnd, where: UpstreamId, now: dt.timedelta
@@ -167,8 +176,7 @@
         """Take a result that another process stored."""
         slot = self._slots.get(result.item)
         if slot is not None and slot.result is None:
-            slot.result = result
-            self.open_items -= 1
+            self._close(slot, result)
 
     def body_of(self, item: ItemId) -> bytes | None:
         """Return the body of an item that is still open."""
@@ -179,6 +187,14 @@
         """Return the items that run now."""
         return (slot for slot in self._slots.values() if slot.running)
 
+    def _close(self, slot: Slot, result: ItemResult) -> None:
+        slot.result = result
+        self.open_items -= 1
+        group = slot.spec.group
+        self._open_in_group[group] -= 1
+        if not self._open_in_group[group]:
+            self._finished.extend(self._partial.pop(group, ()))
+
     def _hopeless(self, slot: Slot, end: RunEnd) -> bool:
         if end is RunEnd.IMPOSSIBLE:
             return True
--- a/bergamotdoor/jobs/transcript.py
+++ b/bergamotdoor/jobs/transcript.py
@@ -18,6 +18,14 @@
     version: WeightVersion | None = None
 
 
+class SavedTranscript(msgspec.Struct, frozen=True):
+    """A transcript as it is kept for the next owner."""
+
+    texts: tuple[str, ...]
+    versions: tuple[WeightVersion, ...]
+    last_number: int
+
+
 class Transcript:
     """Events of one item in order, over all runs that made them.
 
@@ -33,6 +41,22 @@
         #: The number of the last whole event, None before the first.
         self.last_number: int | None = None
 
+    @classmethod
+    def restored(cls, saved: SavedTranscript) -> Transcript:
+        """Go on with what an earlier owner kept."""
+        transcript = cls()
+        transcript._texts = list(saved.texts)
+        transcript._versions = set(saved.versions)
+        transcript.last_number = saved.last_number
+        return transcript
+
+    def saved(self) -> SavedTranscript:
+        """Return what there is; only of a transcript that has events."""
+        assert self.last_number is not None
+        return SavedTranscript(
+            tuple(self._texts), self.versions, self.last_number
+        )
+
     @property
     def versions(self) -> tuple[WeightVersion, ...]:
         """Every version that generated an event."""
--- a/bergamotdoor/peers/messages.py
+++ b/bergamotdoor/peers/messages.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from bergamotdoor.jobs.messages import ItemResult, JobRecord
-from bergamotdoor.types import ItemId, JobId
+from bergamotdoor.jobs.messages import ItemResult, JobRecord, JobSpec
+from bergamotdoor.types import ItemId, JobId, Revision
 
 PEER_PATH: Final = '/peer'
 
@@ -40,6 +40,14 @@
     record: JobRecord
 
 
+class AdoptJob(msgspec.Struct, frozen=True, tag=True):
+    """Ask an entry to run a job whose record names it as the owner."""
+
+    record: JobRecord
+    revision: Revision
+    spec: JobSpec
+
+
 class StoreCall(msgspec.Struct, frozen=True, tag=True):
     """Ask for a call of the store from another VM."""
 
@@ -50,7 +58,7 @@
 
 
 PeerRequest: TypeAlias = (
-    ReadResults | ReadBody | JobEnded | JobOwned | StoreCall
+    ReadResults | ReadBody | JobEnded | JobOwned | AdoptJob | StoreCall
 )
 
 
