Name one home entry for each model

Cause: a job's path holds its own name, so the home was another entry for each step, with 72 new connections each. Change: the model names the home.

--- a/bergamotdoor/gateway/jobs_desk.py
+++ b/bergamotdoor/gateway/jobs_desk.py
@@ -98,7 +98,7 @@
         """
         own = self._owner.own_record(1, 0)
         entries = {**self._directory.entries, own.owner: own.address}
-        home = NodeId(hrw_order(spec.host + spec.path, entries)[0])
+        home = NodeId(hrw_order(spec.model, entries)[0])
         return JobRecord(home, entries[home], 1, 0)
 
     async def _hand_over(self, found: FoundJob, spec: JobSpec) -> None:
