--- a/bergamotdoor/jobs/board.py
+++ b/bergamotdoor/jobs/board.py
@@ -25,7 +25,7 @@
 
     from bergamotdoor.jobs.ledger import Ledger
     from bergamotdoor.jobs.messages import JobSpec
-    from bergamotdoor.types import ItemId
+    from bergamotdoor.types import GroupId, ItemId
 
 #: An engine that fails on an item is not asked at once again: a failure
 #: that comes back in milliseconds would use up all attempts in one fault.
