--- a/bergamotdoor/agent/daemon.py
+++ b/bergamotdoor/agent/daemon.py
@@ -4,20 +4,17 @@
 
 import datetime as dt
 import logging
-import random
 from typing import TYPE_CHECKING, Final
 
+from bergamotdoor.agent.engine import EngineClient
 from bergamotdoor.agent.evacuation import EvacuationAgent
 from bergamotdoor.agent.weights import WeightsAgent
 from bergamotdoor.clock import Clock, LoopClock
-from bergamotdoor.gateway.context import Tasks
 from bergamotdoor.http import HttpClient
-from bergamotdoor.objects.client import DirectCaller, ObjectClient
 from bergamotdoor.objects.watcher import Watcher
-from bergamotdoor.peers.client import PeerClient
-from bergamotdoor.peers.directory import Directory
-from bergamotdoor.peers.relay import PeerRelay, RelayingCaller
+from bergamotdoor.peers.access import StoreAccess
 from bergamotdoor.platform import headers as names
+from bergamotdoor.tasks import Tasks
 
 if TYPE_CHECKING:
     from bergamotdoor.platform.settings import NodeSettings
@@ -37,30 +34,23 @@
         self._settings = settings
         self._clock = clock or LoopClock()
         self._client = HttpClient(self._clock)
-        caller = RelayingCaller(
-            DirectCaller(self._client, settings.store),
-            PeerRelay(PeerClient(self._client)),
-            self._clock,
-            random.Random(settings.node),
-        )
-        self._store = ObjectClient(caller)
-        self._directory = Directory(self._store, settings.node, self._clock)
-        caller.directory = self._directory
+        self._access = StoreAccess(settings, self._client, self._clock)
         self._tasks = Tasks()
 
     async def start(self) -> None:
         """Begin to work."""
         _log.info('agent: %s starts', self._settings.node)
         if self._settings.engine is None:
-            evacuations = EvacuationAgent(self._store, self._settings.node)
+            evacuations = EvacuationAgent(
+                self._access.store, self._settings.node
+            )
             self._follow(names.EVACUATION_KIND, evacuations)
             self._tasks.start(evacuations.run())
             return
-        self._tasks.start(self._directory.run())
+        self._tasks.start(self._access.directory.run())
         weights = WeightsAgent(
-            self._store,
-            self._client,
-            self._settings.engine,
+            self._access.store,
+            EngineClient(self._client, self._settings.engine),
             self._settings.node,
             self._clock,
         )
@@ -74,5 +64,5 @@
         await self._client.close()
 
     def _follow(self, kind: str, view: EvacuationAgent | WeightsAgent) -> None:
-        watcher = Watcher(self._store, kind, view, self._clock, _GATHER)
+        watcher = Watcher(self._access.store, kind, view, self._clock, _GATHER)
         self._tasks.start(watcher.run())
--- a/bergamotdoor/agent/weights.py
+++ b/bergamotdoor/agent/weights.py
@@ -5,48 +5,33 @@
 import asyncio
 import datetime as dt
 import logging
-from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 
-from bergamotdoor.fleet.orders import EngineReport, LoadMode, LoadOrder
+from bergamotdoor.fleet.orders import LoadMode, LoadOrder
 from bergamotdoor.fleet.swap import turn_delay
-from bergamotdoor.http.messages import (
-    BodyBrokenError,
-    BodyTooLargeError,
-    ClientRequest,
-    ClientResponse,
-    Headers,
-)
 from bergamotdoor.objects.messages import Listing, Outcome
 from bergamotdoor.platform import headers as names
-from bergamotdoor.platform.engines import (
-    order_body,
-    parse_report,
-    parse_upstream,
-    parse_version,
-)
+from bergamotdoor.platform.engines import parse_upstream, parse_version
 from bergamotdoor.types import FencingToken, ModelId, WeightVersion
 
 if TYPE_CHECKING:
+    from bergamotdoor.agent.engine import EngineClient
     from bergamotdoor.clock import Clock
+    from bergamotdoor.fleet.orders import EngineReport
     from bergamotdoor.fleet.upstreams import Upstream
-    from bergamotdoor.http.messages import Client
     from bergamotdoor.objects.client import ObjectClient
     from bergamotdoor.objects.messages import Change
-    from bergamotdoor.settings.document import Address
     from bergamotdoor.types import NodeId
 
-#: The engine is on this VM and answers in a millisecond.
-_CALL_TIMEOUT: Final = dt.timedelta(seconds=1)
-_POLL: Final = dt.timedelta(milliseconds=150)
+_POLL_MS: Final = 150
+_POLL: Final = dt.timedelta(milliseconds=_POLL_MS)
 #: A load takes 0.9 s, and longer beside others. An order whose effect does
 #: not show by then was lost, or waits somewhere: it is given once more, and
 #: the count of accepted orders keeps the first from taking effect as well.
-_ORDER_PATIENCE: Final = dt.timedelta(milliseconds=700)
-_MAX_REPORT_BYTES: Final = 1_048_576
-_JSON: Final = ('content-type', 'application/json')
+_ORDER_PATIENCE_MS: Final = 700
+_ORDER_PATIENCE: Final = dt.timedelta(milliseconds=_ORDER_PATIENCE_MS)
 
 _log = logging.getLogger('bergamotdoor.agent')
 
@@ -64,13 +49,11 @@
     def __init__(
         self,
         store: ObjectClient,
-        client: Client,
-        engine: Address,
+        engine: EngineClient,
         node: NodeId,
         clock: Clock,
     ) -> None:
         self._store = store
-        self._client = client
         self._engine = engine
         self._node = node
         self._clock = clock
@@ -117,30 +100,27 @@
         self._token = FencingToken(max(self._token, revision))
 
     async def _take_turn(self) -> None:
-        report = await self._report()
+        report = await self._engine.report()
         if report is None or not self._behind(report):
             return
         listing = await self._store.listing(names.UPSTREAM_KIND, stale=True)
         if isinstance(listing, Outcome):
             return
-        delay = turn_delay(_engines(listing), self._engine)
+        delay = turn_delay(_engines(listing), self._engine.address)
         await self._clock.sleep(delay)
 
     async def _catch_up(self) -> None:
-        ordered_at: dt.timedelta | None = None
+        """Give orders until the engine has every published version."""
+        next_order_at = self._clock.elapsed()
         while True:
-            report = await self._report()
-            if report is not None:
-                behind = self._behind(report)
-                if not behind:
-                    return
-                now = self._clock.elapsed()
-                waited = ordered_at is None or (
-                    now - ordered_at > _ORDER_PATIENCE
-                )
-                if waited and not report.loading:
-                    ordered_at = now
-                    await self._order(behind[0], report)
+            report = await self._engine.report()
+            behind = [] if report is None else self._behind(report)
+            if report is not None and not behind:
+                return
+            now = self._clock.elapsed()
+            if report is not None and now >= next_order_at:
+                next_order_at = now + _ORDER_PATIENCE
+                await self._order(behind[0], report)
             await self._clock.sleep(_POLL)
 
     def _behind(self, report: EngineReport) -> list[ModelId]:
@@ -151,6 +131,8 @@
         ]
 
     async def _order(self, model: ModelId, report: EngineReport) -> None:
+        if report.loading:
+            return
         order = LoadOrder(
             model=model,
             version=self._published[model],
@@ -159,49 +141,15 @@
             fencing_token=self._token,
             accepted_orders=report.accepted_orders,
         )
-        status = await self._call('POST', names.ORDER_PATH, order_body(order))
+        status = await self._engine.give(order)
         _log.info(
             'agent: order: %s to version %d, token %d, after %d orders: %s',
             model,
             order.version,
             order.fencing_token,
             order.accepted_orders,
-            'no answer' if status is None else status[0],
-        )
-
-    async def _report(self) -> EngineReport | None:
-        answer = await self._call('GET', names.REPORT_PATH, b'')
-        if answer is None or answer[0] != HTTPStatus.OK:
-            return None
-        try:
-            return parse_report(answer[1])
-        except msgspec.MsgspecError as error:
-            _log.error('agent: report not understood: %s', error)
-            return None
-
-    async def _call(
-        self, method: str, path: str, body: bytes
-    ) -> tuple[int, bytes] | None:
-        response = await self._client.send(
-            ClientRequest(
-                address=self._engine,
-                method=method,
-                target=path,
-                headers=Headers.of([_JSON]),
-                body=body,
-                timeout=_CALL_TIMEOUT,
-                close_ends_body=True,
-            )
+            'no answer' if status is None else status,
         )
-        if not isinstance(response, ClientResponse):
-            _log.warning('agent: %s %s: %s', method, path, response.detail)
-            return None
-        try:
-            whole = await response.read_body(_MAX_REPORT_BYTES)
-        except (BodyBrokenError, BodyTooLargeError) as error:
-            _log.warning('agent: %s %s: %s', method, path, error)
-            return None
-        return response.status, whole
 
 
 def _engines(listing: Listing) -> list[Upstream]:
--- a/bergamotdoor/calls/manifest.py
+++ b/bergamotdoor/calls/manifest.py
@@ -16,6 +16,8 @@
 #: Before any manifest is known: what the platform's clients may send.
 _HEADER_BYTES: Final = 32_768
 _BODY_BYTES: Final = 33_554_432
+_HEADER_S: Final = 10
+_IDLE_S: Final = 75
 
 
 class RouteKind(enum.Enum):
@@ -66,8 +68,8 @@
 
     max_header_bytes: int = _HEADER_BYTES
     max_body_bytes: int = _BODY_BYTES
-    header_timeout: dt.timedelta = dt.timedelta(seconds=10)
-    idle_timeout: dt.timedelta = dt.timedelta(seconds=75)
+    header_timeout: dt.timedelta = dt.timedelta(seconds=_HEADER_S)
+    idle_timeout: dt.timedelta = dt.timedelta(seconds=_IDLE_S)
 
 
 class ServiceRules(msgspec.Struct, frozen=True):
--- a/bergamotdoor/fleet/loads.py
+++ b/bergamotdoor/fleet/loads.py
@@ -11,19 +11,20 @@
 import datetime as dt
 from typing import TYPE_CHECKING, Final
 
-import msgspec
-
 if TYPE_CHECKING:
     from bergamotdoor.types import UpstreamId
 
 #: After a refusal the upstream is full or loading weights, which takes
 #: about a second; asking more often costs connections and gains nothing.
-REFUSAL_REST: Final = dt.timedelta(milliseconds=300)
+_REFUSAL_REST_MS: Final = 300
+REFUSAL_REST: Final = dt.timedelta(milliseconds=_REFUSAL_REST_MS)
 #: How long one request is alone on its way to an upstream that refused
 #: before: it tells whether the others may follow.
-PROBE_TIME: Final = dt.timedelta(milliseconds=250)
+_PROBE_TIME_MS: Final = 250
+PROBE_TIME: Final = dt.timedelta(milliseconds=_PROBE_TIME_MS)
 #: After a broken or failed request; doubled with each one that follows.
-FAILURE_REST: Final = dt.timedelta(milliseconds=500)
+_FAILURE_REST_MS: Final = 500
+FAILURE_REST: Final = dt.timedelta(milliseconds=_FAILURE_REST_MS)
 _MOST_DOUBLINGS: Final = 4
 #: What an upstream told of its load is worth nothing after this.
 _TOLD_AGE: Final = dt.timedelta(seconds=2)
@@ -33,29 +34,31 @@
 _ZERO: Final = dt.timedelta()
 
 
-class UpstreamLoad(msgspec.Struct):
+class UpstreamLoad:
     """What is known of one upstream now."""
 
-    in_flight: int = 0
-    #: Requests of other processes that it told of.
-    others: int = 0
-    told_at: dt.timedelta = _ZERO
-    rest_until: dt.timedelta = _ZERO
-    failures: int = 0
-    #: Refusals since it last took a request.
-    refusals: int = 0
-    #: How long its answers take, in seconds; 0 while unmeasured.
-    latency_s: float = 0
+    def __init__(self) -> None:
+        self.in_flight = 0
+        #: How long its answers take, in seconds; 0 while unmeasured.
+        self.latency_s = float()
+        #: Requests of other processes that it told of.
+        self._others = 0
+        self._told_at = _ZERO
+        self._rest_until = _ZERO
+        #: Failures since the last good answer.
+        self._failures = 0
+        #: Refusals since it last took a request.
+        self._refusals = 0
 
     def told(self, busy: int, now: dt.timedelta) -> None:
         """Take how many requests it says to have, running and waiting."""
-        self.others = max(busy - self.in_flight, 0)
-        self.told_at = now
+        self._others = max(busy - self.in_flight, 0)
+        self._told_at = now
 
     def refused(self, now: dt.timedelta) -> None:
         """Take a refusal."""
-        self.refusals += 1
-        self.rest_until = max(self.rest_until, now + REFUSAL_REST)
+        self._refusals += 1
+        self._rest_until = max(self._rest_until, now + REFUSAL_REST)
 
     def placed(self, now: dt.timedelta) -> None:
         """Take that a request goes there.
@@ -64,26 +67,30 @@
         second. Symptom: sixteen requests go there whenever its rest ends,
         each with a connection of its own, and come back. One is enough.
         """
-        if self.refusals:
-            self.rest_until = now + PROBE_TIME
+        if self._refusals:
+            self._rest_until = now + PROBE_TIME
 
     def accepted(self, now: dt.timedelta) -> None:
         """Take that it runs a request."""
-        if self.refusals:
-            self.refusals = 0
-            self.rest_until = min(self.rest_until, now)
+        if self._refusals:
+            self._refusals = 0
+            self._rest_until = min(self._rest_until, now)
 
     def failed(self, now: dt.timedelta) -> None:
         """Take a broken or failed request."""
-        doublings = min(self.failures, _MOST_DOUBLINGS)
-        self.failures += 1
+        doublings = min(self._failures, _MOST_DOUBLINGS)
+        self._failures += 1
         rest = FAILURE_REST * (1 << doublings)
-        self.rest_until = max(self.rest_until, now + rest)
+        self._rest_until = max(self._rest_until, now + rest)
+
+    def succeeded(self) -> None:
+        """Take that a request was served to its end."""
+        self._refusals = 0
+        self._failures = 0
 
     def answered(self, latency: dt.timedelta) -> None:
-        """Take a good answer."""
-        self.refusals = 0
-        self.failures = 0
+        """Take a good answer, and how long it took."""
+        self.succeeded()
         seconds = latency.total_seconds()
         if self.latency_s:
             self.latency_s += _SMOOTHING * (seconds - self.latency_s)
@@ -92,12 +99,13 @@
 
     def resting(self, now: dt.timedelta) -> bool:
         """Return whether it should be left alone."""
-        return now < self.rest_until
+        return now < self._rest_until
 
     def busy(self, now: dt.timedelta) -> int:
         """Return how many requests it probably has."""
-        fresh = now - self.told_at < _TOLD_AGE
-        return self.in_flight + (self.others if fresh else 0)
+        if now - self._told_at < _TOLD_AGE:
+            return self.in_flight + self._others
+        return self.in_flight
 
 
 class Loads:
--- a/bergamotdoor/fleet/swap.py
+++ b/bergamotdoor/fleet/swap.py
@@ -21,7 +21,8 @@
 #: Engines that load together without slowing each other down.
 AT_ONCE: Final = 2
 #: How long a load takes.
-LOAD_TIME: Final = dt.timedelta(milliseconds=950)
+_LOAD_TIME_MS: Final = 950
+LOAD_TIME: Final = dt.timedelta(milliseconds=_LOAD_TIME_MS)
 
 
 def turn_delay(
--- /dev/null
+++ b/bergamotdoor/gateway/batch_front.py
@@ -0,0 +1,124 @@
+"""The trainers' interface: batch jobs, their results and bodies."""
+
+from __future__ import annotations
+
+import logging
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Final
+from urllib.parse import parse_qs, unquote
+
+from bergamotdoor import utils
+from bergamotdoor.gateway.refusals import plain, refusal
+from bergamotdoor.http.messages import Headers, HttpResponse
+from bergamotdoor.objects.messages import Outcome
+from bergamotdoor.platform import headers as names
+from bergamotdoor.platform.batch_wire import parse_job, results_body
+from bergamotdoor.types import ItemId, JobId
+from bergamotdoor.verdict import Verdict
+
+if TYPE_CHECKING:
+    from bergamotdoor.gateway.jobs_desk import JobsDesk
+    from bergamotdoor.gateway.jobs_intake import JobsIntake
+    from bergamotdoor.http.messages import HttpRequest
+
+#: The most that a reader is kept waiting for a result.
+_MOST_WAIT_MS: Final = 1000
+#: When to come back while the store can't be reached: outages last for
+#: seconds, and a step has a few to spare.
+_STORE_RETRY_S: Final = 0.5
+_JSON: Final = ('content-type', 'application/json')
+
+_log = logging.getLogger('bergamotdoor.gateway')
+
+
+class BatchFront:
+    """Answers trainers."""
+
+    def __init__(self, intake: JobsIntake, desk: JobsDesk) -> None:
+        self._intake = intake
+        self._desk = desk
+
+    async def handle(self, request: HttpRequest) -> HttpResponse | None:
+        """Answer a request about a job; None if it is about something else."""
+        path, _, query = request.target.partition('?')
+        if path.startswith(names.RESULTS_PATH):
+            job = JobId(unquote(path.removeprefix(names.RESULTS_PATH)))
+            if request.method == 'DELETE':
+                return await self._end(job)
+            return await self._listed(job, query, request.headers)
+        if path.startswith(names.BODY_PATH):
+            job = JobId(unquote(path.removeprefix(names.BODY_PATH)))
+            return await self._body(job, query)
+        return None
+
+    async def submit(
+        self, request: HttpRequest, host: str, body: bytes
+    ) -> HttpResponse:
+        """Take a job in."""
+        job = JobId(request.headers.first(names.REQUEST_ID))
+        path = request.target.partition('?')[0]
+        try:
+            spec = parse_job(job, host, path, body)
+        except ValueError as error:
+            return plain(HTTPStatus.BAD_REQUEST, str(error), job)
+        outcome = await self._intake.submit(spec)
+        _log.info(
+            'gateway: job %s submitted, %d items, version %d and newer: %s',
+            job,
+            len(spec.items),
+            spec.min_version,
+            'kept' if outcome is None else outcome.value,
+        )
+        if outcome is None:
+            return plain(HTTPStatus.ACCEPTED, 'kept', job)
+        if outcome is Outcome.UNCLEAR:
+            return refusal(Verdict.MAY_HAVE_RUN, 'perhaps kept', job)
+        return _store_away(job)
+
+    async def _listed(
+        self, job: JobId, query: str, headers: Headers
+    ) -> HttpResponse:
+        after = number_of(parse_qs(query).get('after', ['0'])[0])
+        wait_ms = min(number_of(headers.first(names.WAIT_MS)), _MOST_WAIT_MS)
+        found = await self._desk.read(job, after, utils.from_ms(wait_ms))
+        if isinstance(found, Outcome):
+            return _missing(job, found)
+        return HttpResponse(
+            status=int(HTTPStatus.OK),
+            headers=Headers.of([_JSON]),
+            body=results_body(found.total, after, found.results),
+        )
+
+    async def _body(self, job: JobId, query: str) -> HttpResponse:
+        item = ItemId(parse_qs(query).get('id', [''])[0])
+        found = await self._desk.body(job, item)
+        if isinstance(found, Outcome):
+            return _missing(job, found)
+        return HttpResponse(status=int(HTTPStatus.OK), body=found)
+
+    async def _end(self, job: JobId) -> HttpResponse:
+        outcome = await self._intake.end(job)
+        _log.info(
+            'gateway: job %s: end asked for: %s',
+            job,
+            'kept' if outcome is None else outcome.value,
+        )
+        if outcome is None:
+            return plain(HTTPStatus.OK, 'ended', job)
+        return _missing(job, outcome)
+
+
+def _missing(job: JobId, outcome: Outcome) -> HttpResponse:
+    if outcome is Outcome.ABSENT:
+        _log.info('gateway: job %s: there is no such job or item', job)
+        return plain(HTTPStatus.NOT_FOUND, 'not found')
+    return _store_away(job)
+
+
+def _store_away(job: JobId) -> HttpResponse:
+    return refusal(Verdict.NOT_RUN, 'the store is away', job, _STORE_RETRY_S)
+
+
+def number_of(text: str) -> int:
+    """Return a number that a client sent; 0 if it is none."""
+    return int(text) if text.isdecimal() else 0
--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -1,56 +1,49 @@
-"""Joins the parts of an entry process together."""
+"""One entry process: its servers, watches and their order of life."""
 
 from __future__ import annotations
 
 import asyncio
 import datetime as dt
 import logging
-import random
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.clock import Clock, LoopClock
-from bergamotdoor.fleet.fleet import Fleet
-from bergamotdoor.fleet.loads import Loads
-from bergamotdoor.gateway.context import Context, Tasks
-from bergamotdoor.gateway.forwarding import Forwarder
-from bergamotdoor.gateway.front import Front
-from bergamotdoor.gateway.job_store import JobStore
-from bergamotdoor.gateway.jobs_desk import JobsDesk
-from bergamotdoor.gateway.owner import JobOwner
+from bergamotdoor.gateway.context import Context
+from bergamotdoor.gateway.limits import INNER_LIMITS, caller_limits
 from bergamotdoor.gateway.refusals import plain
 from bergamotdoor.gateway.views import FleetView, ManifestView
+from bergamotdoor.gateway.wiring import JobParts
 from bergamotdoor.http import HttpClient, HttpServer
-from bergamotdoor.objects.client import DirectCaller, ObjectClient
-from bergamotdoor.objects.watcher import Watcher
-from bergamotdoor.peers.client import PeerClient, serve_peer
-from bergamotdoor.peers.directory import Directory
-from bergamotdoor.peers.relay import PeerRelay, RelayingCaller
+from bergamotdoor.objects import View, Watcher
+from bergamotdoor.peers import StoreAccess, serve_peer
 from bergamotdoor.platform import headers as names
-from bergamotdoor.settings.process import HttpLimits
-from bergamotdoor.utils import to_ms
+from bergamotdoor.tasks import Tasks
 
 if TYPE_CHECKING:
     from bergamotdoor.http.messages import Handler, HttpRequest, HttpResponse
-    from bergamotdoor.objects.watcher import View
     from bergamotdoor.platform.settings import NodeSettings
     from bergamotdoor.settings.document import Address
 
 #: Changes of upstreams are gathered for this long. New work must stop two
 #: seconds after an upstream said that it leaves.
-_GATHER_FLEET: Final = dt.timedelta(milliseconds=400)
+_GATHER_FLEET_MS: Final = 400
+_GATHER_FLEET: Final = dt.timedelta(milliseconds=_GATHER_FLEET_MS)
 #: A manifest must be in force within two seconds, and callers notice the
 #: first entry that has it.
-_GATHER_MANIFEST: Final = dt.timedelta(milliseconds=20)
+_GATHER_MANIFEST_MS: Final = 20
+_GATHER_MANIFEST: Final = dt.timedelta(milliseconds=_GATHER_MANIFEST_MS)
 #: The balancer asks once a second and gives up after two refusals. Until
 #: then new callers still come.
-_LAME_DUCK: Final = dt.timedelta(seconds=2.2)
+_LAME_DUCK_S: Final = 2.2
+_LAME_DUCK: Final = dt.timedelta(seconds=_LAME_DUCK_S)
 #: Kept of the grace for the last writes.
-_STOP_MARGIN: Final = dt.timedelta(seconds=1.5)
-_RESUME_PAUSE: Final = dt.timedelta(milliseconds=300)
-_EXPIRY_TICK: Final = dt.timedelta(milliseconds=500)
-#: Other entries and the balancer: small, trusted, and kept open.
-_INNER_LIMITS: Final = HttpLimits()
+_STOP_MARGIN_S: Final = 1.5
+_STOP_MARGIN: Final = dt.timedelta(seconds=_STOP_MARGIN_S)
+_RESUME_PAUSE_MS: Final = 300
+_RESUME_PAUSE: Final = dt.timedelta(milliseconds=_RESUME_PAUSE_MS)
+_EXPIRY_TICK_MS: Final = 500
+_EXPIRY_TICK: Final = dt.timedelta(milliseconds=_EXPIRY_TICK_MS)
 
 _log = logging.getLogger('bergamotdoor.gateway')
 
@@ -74,111 +67,95 @@
         self._client = HttpClient(self._clock)
         self._tasks = Tasks()
         self._stopping = False
-        peers = PeerClient(self._client)
-        direct = DirectCaller(self._client, settings.store)
-        rng = random.Random(settings.node)
-        caller = RelayingCaller(direct, PeerRelay(peers), self._clock, rng)
-        self._context = Context(
-            settings,
-            self._clock,
-            rng,
-            self._client,
-            ObjectClient(caller),
-            Fleet(),
-            Loads(),
-        )
-        self._directory = Directory(
-            self._context.store, settings.node, self._clock
+        self._access = StoreAccess(settings, self._client, self._clock)
+        self._context = Context.fresh(
+            settings, self._access, self._client, self._clock
         )
-        caller.directory = self._directory
         self._manifests = ManifestView(self._manifest_changed)
-        self._fleet_view = FleetView(
-            self._context.fleet, self._context.loads, self._clock, self._poke
-        )
-        store = JobStore(self._context.store)
-        self._owner = JobOwner(self._context, store, self._manifests)
-        self._desk = JobsDesk(
-            self._context,
-            store,
-            self._owner,
-            peers,
-            self._directory,
-            direct,
-            self._tasks,
-        )
-        front = Front(
-            self._context,
-            self._manifests,
-            Forwarder(self._context),
-            self._desk,
-        )
-        self._callers = self._server(settings.callers, front.handle, 'callers')
-        self._readiness = self._server(
-            settings.readiness, self._ready, 'readiness'
-        )
-        self._peers = self._server(
-            self._context.own_address, self._peer, 'peers'
+        self._parts = JobParts(
+            self._context, self._access, self._manifests, self._tasks
         )
+        self._servers = _Servers(self, self._clock)
 
     async def start(self) -> None:
         """Serve; not ready before manifest and upstreams are known."""
         _log.info('gateway: %s starts', self._settings.node)
-        for server in (self._readiness, self._peers, self._callers):
-            await server.start()
-        self._owner.start()
+        await self._servers.start()
+        self._parts.owner.start()
+        fleet = FleetView(
+            self._context.fleet,
+            self._context.loads,
+            self._clock,
+            self._parts.owner.poke,
+        )
         self._watch(names.MANIFEST_KIND, self._manifests, _GATHER_MANIFEST)
-        self._watch(names.UPSTREAM_KIND, self._fleet_view, _GATHER_FLEET)
+        self._watch(names.UPSTREAM_KIND, fleet, _GATHER_FLEET)
         self._tasks.start(self._resume_jobs())
-        self._tasks.start(self._directory.register(self._context.own_address))
-        self._tasks.start(self._directory.run())
         self._tasks.start(self._expire_upstreams())
+        self._start_directory()
 
     async def stop(self) -> None:
         """Leave the balancer's rotation, finish what is open, end."""
         _log.info('gateway: %s stops', self._settings.node)
         self._stopping = True
-        self._callers.end_connections()
+        self._servers.callers.end_connections()
         await self._clock.sleep(_LAME_DUCK)
-        await self._callers.stop(
-            self._settings.grace - _LAME_DUCK - _STOP_MARGIN
-        )
-        await self._owner.stop()
+        left = self._settings.grace - _LAME_DUCK - _STOP_MARGIN
+        await self._servers.callers.stop(left)
+        await self._parts.owner.stop()
         await self._tasks.stop()
-        await asyncio.gather(
-            self._readiness.stop(dt.timedelta()),
-            self._peers.stop(dt.timedelta()),
-            self._client.close(),
-        )
+        await self._servers.stop_inner()
+        await self._client.close()
+
+    async def callers(self, request: HttpRequest) -> HttpResponse:
+        """Answer a caller."""
+        return await self._parts.front.handle(request)
 
-    def _server(
-        self, listen: Address | None, handler: Handler, name: str
-    ) -> HttpServer:
-        if listen is None:
+    async def readiness(self, request: HttpRequest) -> HttpResponse:
+        """Tell the balancer whether to send callers here."""
+        known = self._manifests.manifest is not None
+        if known and len(self._context.fleet) and not self._stopping:
+            return plain(HTTPStatus.OK, 'ready')
+        return plain(HTTPStatus.SERVICE_UNAVAILABLE, 'not ready')
+
+    async def other_entries(self, request: HttpRequest) -> HttpResponse:
+        """Answer another process of the system."""
+        return await serve_peer(request, self._parts.peer_service.handle)
+
+    def address_of(self, name: str) -> Address:
+        """Return where one of the servers listens.
+
+        Raises
+        ------
+        ValueError
+            If the settings name no address for it.
+        """
+        found = {
+            'callers': self._settings.callers,
+            'readiness': self._settings.readiness,
+            'other_entries': self._context.own_address,
+        }[name]
+        if found is None:
             raise ValueError(f'settings: no address for {name}')
-        return HttpServer(listen, handler, _INNER_LIMITS, self._clock, name)
+        return found
 
     def _watch(self, kind: str, view: View, gather: dt.timedelta) -> None:
         watcher = Watcher(self._context.store, kind, view, self._clock, gather)
         self._tasks.start(watcher.run())
 
+    def _start_directory(self) -> None:
+        directory = self._access.directory
+        self._tasks.start(directory.register(self._context.own_address))
+        self._tasks.start(directory.run())
+
     def _manifest_changed(self) -> None:
         manifest = self._manifests.manifest
         if manifest is not None:
-            limits = manifest.limits
-            self._callers.use_limits(
-                HttpLimits(
-                    max_header_bytes=limits.max_header_bytes,
-                    header_timeout_ms=to_ms(limits.header_timeout),
-                    idle_timeout_ms=to_ms(limits.idle_timeout),
-                )
-            )
-        self._poke()
-
-    def _poke(self) -> None:
-        self._owner.poke()
+            self._servers.callers.use_limits(caller_limits(manifest.limits))
+        self._parts.owner.poke()
 
     async def _resume_jobs(self) -> None:
-        while not await self._desk.resume_own():
+        while not await self._parts.resume():
             await self._clock.sleep(_RESUME_PAUSE)
 
     async def _expire_upstreams(self) -> None:
@@ -186,11 +163,33 @@
             await self._clock.sleep(_EXPIRY_TICK)
             self._context.fleet.expire(self._clock.elapsed())
 
-    async def _ready(self, request: HttpRequest) -> HttpResponse:
-        known = self._manifests.manifest is not None
-        if known and len(self._context.fleet) and not self._stopping:
-            return plain(HTTPStatus.OK, 'ready')
-        return plain(HTTPStatus.SERVICE_UNAVAILABLE, 'not ready')
 
-    async def _peer(self, request: HttpRequest) -> HttpResponse:
-        return await serve_peer(request, self._desk.handle)
+class _Servers:
+    """The addresses that an entry listens on."""
+
+    def __init__(self, daemon: GatewayDaemon, clock: Clock) -> None:
+        self.callers = _server(daemon, daemon.callers, clock)
+        self._inner = (
+            _server(daemon, daemon.readiness, clock),
+            _server(daemon, daemon.other_entries, clock),
+        )
+
+    async def start(self) -> None:
+        """Listen, for callers last."""
+        for server in (*self._inner, self.callers):
+            await server.start()
+
+    async def stop_inner(self) -> None:
+        """Stop answering the balancer and the other entries."""
+        await asyncio.gather(
+            *(server.stop(dt.timedelta()) for server in self._inner)
+        )
+
+
+def _server(
+    daemon: GatewayDaemon, handler: Handler, clock: Clock
+) -> HttpServer:
+    name = handler.__name__
+    return HttpServer(
+        daemon.address_of(name), handler, INNER_LIMITS, clock, name
+    )
--- /dev/null
+++ b/bergamotdoor/gateway/dispatcher.py
@@ -0,0 +1,166 @@
+"""Starts the items of batch jobs at engines, and moves them between."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, Final
+
+from bergamotdoor.calls.manifest import pick_service
+from bergamotdoor.gateway.item_request import ItemRun
+from bergamotdoor.gateway.item_run import run_item
+from bergamotdoor.gateway.job_run import RunningItem
+from bergamotdoor.jobs import (
+    ItemResult,
+    Progress,
+    RunEnd,
+    free_slots,
+    moves,
+    place_item,
+)
+
+if TYPE_CHECKING:
+    import datetime as dt
+    from collections.abc import Callable
+
+    from bergamotdoor.calls.manifest import Route
+    from bergamotdoor.fleet.upstreams import Upstream
+    from bergamotdoor.gateway.context import Context
+    from bergamotdoor.gateway.job_run import JobRun
+    from bergamotdoor.jobs.board import Slot
+    from bergamotdoor.jobs.progress import Move
+    from bergamotdoor.types import UpstreamId
+
+#: A guess until the first stream of a kind was seen.
+TOKENS_PER_EVENT: Final = 58
+
+_log = logging.getLogger('bergamotdoor.gateway')
+
+
+class Dispatcher:
+    """Carries out where items run.
+
+    Parameters
+    ----------
+    context
+        Services of the process.
+    poke
+        Called when an item ended: there is room, or an item waits again.
+    """
+
+    def __init__(self, context: Context, poke: Callable[[], None]) -> None:
+        self._context = context
+        self._poke = poke
+
+    def start_items(self, run: JobRun, route: Route) -> None:
+        """Start as many items as the engines have room for."""
+        now = self._context.clock.elapsed()
+        upstreams = self._engines(run, route)
+        slot = run.board.ready(now)
+        while slot is not None:
+            upstream = self._place(run, slot, upstreams, now)
+            if upstream is None:
+                return
+            run.board.start(slot)
+            self._start_item(run, route, slot, upstream)
+            slot = run.board.ready(now)
+
+    def move_items(self, run: JobRun, route: Route) -> None:
+        """Stop items that should go on at another engine."""
+        now = self._context.clock.elapsed()
+        progresses = [item.progress for item in run.running.values()]
+        for progress in progresses:
+            self._context.speeds.learn(progress)
+        loads = self._context.loads
+        room: dict[UpstreamId, int] = {}
+        for upstream in self._engines(run, route):
+            free = free_slots(upstream, loads, now)
+            if free > 0:
+                room[upstream.upstream] = free
+        for move in moves(progresses, room, self._context.speeds, now):
+            self._move(run, move)
+
+    def _engines(self, run: JobRun, route: Route) -> tuple[Upstream, ...]:
+        """Return the engines whose weights the job takes."""
+        fleet = self._context.fleet
+        return tuple(
+            upstream
+            for upstream in fleet.of_service(pick_service(route, 0))
+            if fleet.version(upstream.upstream, run.spec.model)
+            >= run.spec.min_version
+        )
+
+    def _place(
+        self,
+        run: JobRun,
+        slot: Slot,
+        upstreams: tuple[Upstream, ...],
+        now: dt.timedelta,
+    ) -> Upstream | None:
+        group = slot.spec.group
+        found = place_item(
+            upstreams,
+            self._context.loads,
+            self._context.speeds,
+            run.homes.get(group),
+            slot.avoid,
+            now,
+        )
+        if found is not None:
+            run.homes[group] = found.upstream
+        return found
+
+    def _start_item(
+        self, run: JobRun, route: Route, slot: Slot, upstream: Upstream
+    ) -> None:
+        now = self._context.clock.elapsed()
+        transcript = run.transcript(slot)
+        progress = Progress(
+            slot.spec.item,
+            upstream.upstream,
+            now,
+            slot.spec.expected_tokens / TOKENS_PER_EVENT,
+            transcript.count,
+        )
+        item = ItemRun(
+            run.spec, slot.spec, route, upstream, transcript, progress
+        )
+        # Counted before the task begins, so that the next choice sees it.
+        load = self._context.loads.of(upstream.upstream)
+        load.in_flight += 1
+        load.placed(now)
+        task = asyncio.create_task(self._run_item(run, slot, item))
+        run.running[slot.spec.item] = RunningItem(progress, task)
+
+    async def _run_item(self, run: JobRun, slot: Slot, item: ItemRun) -> None:
+        upstream = item.upstream.upstream
+        try:
+            end = await run_item(self._context, item)
+        except asyncio.CancelledError:
+            if run.ended:
+                raise
+            end = RunEnd.MOVED
+        finally:
+            self._leave(run, item)
+        if isinstance(end, ItemResult):
+            run.finish(end)
+        else:
+            run.give_back(slot, end, upstream)
+        self._poke()
+
+    def _leave(self, run: JobRun, item: ItemRun) -> None:
+        run.running.pop(item.spec.item, None)
+        self._context.loads.of(item.upstream.upstream).in_flight -= 1
+        self._context.speeds.learn(item.progress)
+
+    def _move(self, run: JobRun, move: Move) -> None:
+        item = run.running[move.item]
+        _log.info(
+            'gateway: item %s of job %s leaves %s after %d events: %s',
+            move.item,
+            run.spec.job,
+            item.progress.upstream,
+            item.progress.events,
+            'stalled' if move.stalled else 'slow',
+        )
+        item.task.cancel()
--- /dev/null
+++ b/bergamotdoor/gateway/item_request.py
@@ -0,0 +1,53 @@
+"""What is sent to an engine to run an item."""
+
+from __future__ import annotations
+
+import datetime as dt
+from typing import Final
+
+import msgspec
+
+from bergamotdoor.calls.manifest import Route
+from bergamotdoor.fleet.upstreams import Upstream
+from bergamotdoor.http.messages import ClientRequest, Headers
+from bergamotdoor.jobs.messages import ItemSpec, JobSpec
+from bergamotdoor.jobs.progress import Progress
+from bergamotdoor.jobs.transcript import Transcript
+from bergamotdoor.platform import headers as names
+
+#: The longest pause between two pieces of a stream, and the longest wait
+#: for its first. Engines under load pause for a few hundred milliseconds;
+#: one that stays silent for longer hangs, and its items are needed by then.
+SILENCE: Final = dt.timedelta(seconds=2)
+
+
+class ItemRun(msgspec.Struct, frozen=True):
+    """An item, where to run it, and what it has so far."""
+
+    job: JobSpec
+    spec: ItemSpec
+    route: Route
+    upstream: Upstream
+    transcript: Transcript
+    progress: Progress
+
+
+def item_request(run: ItemRun) -> ClientRequest:
+    """Return the request that begins an item, or goes on with it."""
+    fields = [
+        *run.spec.headers,
+        ('host', run.job.host),
+        (names.REQUEST_ID, run.spec.item),
+        (names.EXPECT_INCARNATION, run.upstream.upstream),
+    ]
+    if run.transcript.last_number is not None:
+        fields.append((names.LAST_EVENT_ID, str(run.transcript.last_number)))
+    return ClientRequest(
+        address=run.upstream.address,
+        method='POST',
+        target=run.spec.path,
+        headers=Headers.of(fields),
+        body=run.spec.body,
+        timeout=SILENCE,
+        close_ends_body=True,
+    )
--- a/bergamotdoor/gateway/item_run.py
+++ b/bergamotdoor/gateway/item_run.py
@@ -2,53 +2,30 @@
 
 from __future__ import annotations
 
-import datetime as dt
 import logging
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Final
-
-import msgspec
-
-from bergamotdoor.calls.manifest import Route
-from bergamotdoor.fleet.upstreams import Upstream
-from bergamotdoor.http.messages import (
-    BodyBrokenError,
-    ClientRequest,
-    ClientResponse,
-    Headers,
-)
+from typing import TYPE_CHECKING
+
+from bergamotdoor import utils
+from bergamotdoor.gateway.item_request import item_request
+from bergamotdoor.http.messages import BodyBrokenError, ClientResponse
 from bergamotdoor.jobs.board import RunEnd
-from bergamotdoor.jobs.messages import ItemResult, ItemSpec, ItemState, JobSpec
-from bergamotdoor.jobs.progress import Progress
-from bergamotdoor.jobs.transcript import Transcript
+from bergamotdoor.jobs.messages import ItemResult, ItemState
 from bergamotdoor.platform import headers as names
 from bergamotdoor.platform.engines import parse_load
 from bergamotdoor.platform.events import EventReader
 from bergamotdoor.types import WeightVersion
-from bergamotdoor.utils import to_ms
 
 if TYPE_CHECKING:
-    from bergamotdoor.gateway.context import Context
+    from collections.abc import Iterator
 
-#: The longest pause between two pieces of a stream, and the longest wait
-#: for its first. Engines under load pause for a few hundred milliseconds;
-#: one that stays silent for longer hangs, and its items are needed by then.
-SILENCE: Final = dt.timedelta(seconds=2)
+    from bergamotdoor.gateway.context import Context
+    from bergamotdoor.gateway.item_request import ItemRun
+    from bergamotdoor.jobs.transcript import GeneratedEvent
 
 _log = logging.getLogger('bergamotdoor.gateway')
 
 
-class ItemRun(msgspec.Struct, frozen=True):
-    """An item, where to run it, and what it has so far."""
-
-    job: JobSpec
-    spec: ItemSpec
-    route: Route
-    upstream: Upstream
-    transcript: Transcript
-    progress: Progress
-
-
 async def run_item(context: Context, run: ItemRun) -> ItemResult | RunEnd:
     """Run an item, or go on with it, at an engine."""
     load = context.loads.of(run.upstream.upstream)
@@ -61,22 +38,29 @@
         run.job.job,
         run.upstream.upstream,
         end.value if isinstance(end, RunEnd) else end.state.value,
-        to_ms(now - began),
+        utils.to_ms(now - began),
         load.in_flight,
     )
-    if end is RunEnd.REFUSED:
+    _learn(context, run, end)
+    return end
+
+
+def _learn(context: Context, run: ItemRun, end: ItemResult | RunEnd) -> None:
+    upstream = run.upstream.upstream
+    load = context.loads.of(upstream)
+    now = context.clock.elapsed()
+    if isinstance(end, ItemResult):
+        load.succeeded()
+    elif end is RunEnd.REFUSED:
         load.refused(now)
     elif end is RunEnd.REPLACED:
-        context.fleet.replaced(run.upstream.upstream)
-    elif end is RunEnd.BROKEN or end is RunEnd.FAILED:
+        context.fleet.replaced(upstream)
+    elif end in {RunEnd.BROKEN, RunEnd.FAILED}:
         load.failed(now)
-    elif isinstance(end, ItemResult):
-        load.failures = 0
-    return end
 
 
 async def _run(context: Context, run: ItemRun) -> ItemResult | RunEnd:
-    response = await context.client.send(_request(run))
+    response = await context.client.send(item_request(run))
     if not isinstance(response, ClientResponse):
         _log.info(
             'gateway: item %s at %s: %s',
@@ -137,14 +121,7 @@
     reader = EventReader()
     try:
         async for piece in response.body:
-            for event in reader.feed(piece):
-                if not run.transcript.add(event):
-                    raise BodyBrokenError(f'event {event.number} out of order')
-                if event.version is not None:
-                    context.fleet.saw(
-                        run.upstream.upstream, run.job.model, event.version
-                    )
-            run.progress.advance(run.transcript.count, context.clock.elapsed())
+            _take(context, run, reader.feed(piece))
         reader.check_end()
     except (BodyBrokenError, ValueError) as error:
         await response.body.aclose()  # type: ignore[attr-defined]
@@ -165,21 +142,14 @@
     )
 
 
-def _request(run: ItemRun) -> ClientRequest:
-    fields = [
-        *run.spec.headers,
-        ('host', run.job.host),
-        (names.REQUEST_ID, run.spec.item),
-        (names.EXPECT_INCARNATION, run.upstream.upstream),
-    ]
-    if run.transcript.last_number is not None:
-        fields.append((names.LAST_EVENT_ID, str(run.transcript.last_number)))
-    return ClientRequest(
-        address=run.upstream.address,
-        method='POST',
-        target=run.spec.path,
-        headers=Headers.of(fields),
-        body=run.spec.body,
-        timeout=SILENCE,
-        close_ends_body=True,
-    )
+def _take(
+    context: Context, run: ItemRun, events: Iterator[GeneratedEvent]
+) -> None:
+    for event in events:
+        if not run.transcript.add(event):
+            raise BodyBrokenError(f'event {event.number} out of order')
+        if event.version is not None:
+            context.fleet.saw(
+                run.upstream.upstream, run.job.model, event.version
+            )
+    run.progress.advance(run.transcript.count, context.clock.elapsed())
--- /dev/null
+++ b/bergamotdoor/gateway/job_finder.py
@@ -0,0 +1,129 @@
+"""Finds the process that runs a job, or makes this one run it.
+
+The owner is asked first: it knows each result milliseconds after it was
+stored. If it can't be reached, the entry that needs it takes the job over.
+A second owner costs engine time and nothing else, since positions are
+given by the store.
+"""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Final
+
+from bergamotdoor.objects.messages import Outcome
+
+if TYPE_CHECKING:
+    from bergamotdoor.gateway.job_run import JobRun
+    from bergamotdoor.gateway.job_store import FoundJob, JobStore
+    from bergamotdoor.gateway.owner import JobOwner
+    from bergamotdoor.jobs.messages import JobRecord
+    from bergamotdoor.types import JobId, NodeId
+
+#: Owners of jobs that are remembered; each takes some 300 bytes.
+_MOST_OWNERS: Final = 2048
+
+_log = logging.getLogger('bergamotdoor.gateway')
+
+
+class JobFinder:
+    """Knows who owns which job, and takes over what nobody runs.
+
+    Parameters
+    ----------
+    store
+        Where jobs are kept.
+    owner
+        Runs this process's jobs.
+    node
+        This process.
+    """
+
+    def __init__(self, store: JobStore, owner: JobOwner, node: NodeId) -> None:
+        self._store = store
+        self._owner = owner
+        self._node = node
+        self._records: dict[JobId, JobRecord] = {}
+
+    def is_own(self, record: JobRecord) -> bool:
+        """Return whether a record names this process."""
+        return record.owner == self._node
+
+    def remember(self, job: JobId, record: JobRecord) -> None:
+        """Take who owns a job; an older record is of no interest."""
+        known = self._records.pop(job, None)
+        if known is not None and known.term > record.term:
+            record = known
+        self._records[job] = record
+        if len(self._records) > _MOST_OWNERS:
+            self._records.pop(next(iter(self._records)))
+
+    async def record(self, job: JobId) -> JobRecord | Outcome:
+        """Return who owns a job; ABSENT if there is no such job."""
+        known = self._records.get(job)
+        if known is not None:
+            return known
+        found = await self._find(job)
+        return found if isinstance(found, Outcome) else found.record
+
+    async def resume(self, job: JobId) -> JobRun | Outcome:
+        """Go on with a job of this node's last process."""
+        found = await self._find(job)
+        if isinstance(found, Outcome):
+            return found
+        if self.is_own(found.record):
+            return await self.adopt(found)
+        return Outcome.NOT_DONE
+
+    async def take_over(
+        self, job: JobId, silent: JobRecord
+    ) -> JobRun | Outcome:
+        """Run a job whose owner does not answer.
+
+        Parameters
+        ----------
+        job
+            Which one.
+        silent
+            The record whose owner was asked.
+        """
+        found = await self._find(job)
+        if isinstance(found, Outcome):
+            return found
+        if self.is_own(found.record) or found.status.ended:
+            return await self.adopt(found)
+        if found.record.term > silent.term:
+            # Another process was faster: the next read goes there.
+            return Outcome.NOT_DONE
+        return await self._claim(found)
+
+    async def adopt(self, found: FoundJob) -> JobRun | Outcome:
+        """Load a job and run it, or serve it if it is ended."""
+        known = self._owner.get(found.job)
+        if known is not None and not known.ended:
+            return known
+        loaded = await self._store.load(found.job)
+        if isinstance(loaded, Outcome):
+            return Outcome.NOT_DONE
+        return self._owner.adopt(found, loaded)
+
+    async def _claim(self, found: FoundJob) -> JobRun | Outcome:
+        _log.warning(
+            'gateway: job %s: owner %s does not answer, taking over',
+            found.job,
+            found.record.owner,
+        )
+        own = self._owner.own_record(found.record.term + 1, found.record.parts)
+        claimed = await self._store.claim(found, own)
+        if isinstance(claimed, Outcome):
+            return claimed
+        self.remember(claimed.job, claimed.record)
+        if not self.is_own(claimed.record):
+            return Outcome.NOT_DONE
+        return await self.adopt(claimed)
+
+    async def _find(self, job: JobId) -> FoundJob | Outcome:
+        found = await self._store.find(job)
+        if not isinstance(found, Outcome):
+            self.remember(job, found.record)
+        return found
--- a/bergamotdoor/gateway/job_run.py
+++ b/bergamotdoor/gateway/job_run.py
@@ -4,36 +4,34 @@
 
 import asyncio
 import datetime as dt
-import logging
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 from bergamotdoor.jobs.board import JobBoard, RunEnd, Slot
-from bergamotdoor.jobs.messages import ItemResult, ResultRecord
+from bergamotdoor.jobs.progress import Progress
 from bergamotdoor.jobs.transcript import Transcript
-from bergamotdoor.objects.messages import Outcome
 
 if TYPE_CHECKING:
-    from bergamotdoor.calls.manifest import Route
     from bergamotdoor.gateway.context import Context
     from bergamotdoor.gateway.job_store import FoundJob, JobStore, LoadedJob
+    from bergamotdoor.jobs.messages import ItemResult
     from bergamotdoor.types import ItemId, UpstreamId
 
-#: Results that finish within this go into one record: each record costs a
-#: call of the store and reaches readers some milliseconds later.
-GATHER_S: Final = 0.06
-#: Room in an object of a megabyte, texts escaped.
-RECORD_BYTES: Final = 400_000
 #: A page of results is a megabyte at most.
 PAGE_BYTES: Final = 700_000
-#: Pauses between two tries to store the same record.
-_PAUSES_S: Final = (0.05, 0.1, 0.2, 0.4)
-_NONCE_BITS: Final = 64
 #: How often long items are kept, and from how many events on. One call
 #: every so often saves a second owner as much time.
-_CHECKPOINT_EVERY: Final = dt.timedelta(seconds=1.5)
+_CHECKPOINT_EVERY_S: Final = 1.5
+_CHECKPOINT_EVERY: Final = dt.timedelta(seconds=_CHECKPOINT_EVERY_S)
 _CHECKPOINT_EVENTS: Final = 25
 
-_log = logging.getLogger('bergamotdoor.gateway')
+
+class RunningItem(msgspec.Struct, frozen=True):
+    """An item that runs now."""
+
+    progress: Progress
+    task: asyncio.Task[None]
 
 
 class JobRun:
@@ -49,10 +47,8 @@
         The job's record.
     loaded
         Its body and the results so far.
-    route
-        By whose rules it runs.
-    began
-        When this process took it.
+    due_at
+        When its results are wanted; earlier ones go first.
     """
 
     def __init__(
@@ -61,16 +57,16 @@
         store: JobStore,
         found: FoundJob,
         loaded: LoadedJob,
-        route: Route,
-        began: dt.timedelta,
+        due_at: dt.timedelta,
     ) -> None:
         self.found = found
         self.spec = loaded.spec
         self.ledger = loaded.ledger
-        self.due_at = began + route.due
-        self.began = began
-        self.board = JobBoard(loaded.spec, loaded.ledger, route.max_attempts)
-        self.transcripts: dict[ItemId, Transcript] = {
+        self.due_at = due_at
+        self.began = context.clock.elapsed()
+        self.board = JobBoard(loaded.spec, loaded.ledger)
+        self.running: dict[ItemId, RunningItem] = {}
+        self._transcripts: dict[ItemId, Transcript] = {
             item: Transcript.restored(saved)
             for item, saved in loaded.partial.items()
             if item not in loaded.ledger
@@ -80,9 +76,20 @@
         self.ended = False
         self._context = context
         self._store = store
-        self._finished = asyncio.Event()
+        #: When its route was last known.
+        self._routed_at = self.began
+        #: Set once results can be listed, or the job is over.
+        self.finished = asyncio.Event()
         self._grown = asyncio.Event()
 
+    def has_route(self, now: dt.timedelta) -> None:
+        """Take that its route is known."""
+        self._routed_at = now
+
+    def without_route(self, now: dt.timedelta) -> dt.timedelta:
+        """Return for how long its route has not been known."""
+        return now - self._routed_at
+
     @property
     def active(self) -> bool:
         """Whether items may still be started."""
@@ -90,35 +97,40 @@
 
     def transcript(self, slot: Slot) -> Transcript:
         """Return what an item has so far."""
-        return self.transcripts.setdefault(slot.spec.item, Transcript())
+        return self._transcripts.setdefault(slot.spec.item, Transcript())
 
     def finish(self, result: ItemResult) -> None:
         """Take an item's text; it is listed once its group is whole."""
-        self.transcripts.pop(result.item, None)
+        self._transcripts.pop(result.item, None)
         self.board.finish(result)
         if self.board.has_finished:
-            self._finished.set()
+            self.finished.set()
 
     def give_back(self, slot: Slot, end: RunEnd, where: UpstreamId) -> None:
         """Take an item that ran without a text."""
         item = slot.spec.item
         if end in {RunEnd.TOO_OLD, RunEnd.FAILED}:
             # Another engine may begin anew; what was made does not fit.
-            self.transcripts.pop(item, None)
+            self._transcripts.pop(item, None)
         now = self._context.clock.elapsed()
         self.board.give_back(item, end, where, now)
         if self.board.has_finished:
-            self._finished.set()
+            self.finished.set()
 
-    def wake_writer(self) -> None:
-        """Have finished results stored."""
-        self._finished.set()
+    def give_up(self) -> None:
+        """List every item that has no result as lost."""
+        self.board.give_up()
+        for item in self.running.values():
+            item.task.cancel()
+        self.finished.set()
 
     def end(self) -> None:
-        """Start no more items; what is finished is still listed."""
+        """Stop all items; what is listed stays listed."""
         self.ended = True
-        self._finished.set()
-        self._announce()
+        for item in tuple(self.running.values()):
+            item.task.cancel()
+        self.finished.set()
+        self.announce()
 
     async def wait_beyond(self, after: int, timeout_s: float) -> None:
         """Return once there is a result at a position, or it is over."""
@@ -146,7 +158,7 @@
             await self._context.clock.sleep(_CHECKPOINT_EVERY)
             long = {
                 item: transcript.saved()
-                for item, transcript in self.transcripts.items()
+                for item, transcript in self._transcripts.items()
                 if transcript.count >= _CHECKPOINT_EVENTS
             }
             count = sum(len(saved.texts) for saved in long.values())
@@ -154,58 +166,7 @@
                 kept = count
                 await self._store.keep_partial(self.spec.job, long)
 
-    async def store_results(self) -> None:
-        """Store results as items finish, until there are no more."""
-        while not self.complete:
-            await self._finished.wait()
-            if self.ended:
-                return
-            if self.board.open_items:
-                await asyncio.sleep(GATHER_S)
-            self._finished.clear()
-            await self._store_finished()
-
-    async def _store_finished(self) -> None:
-        while self.board.has_finished:
-            batch = self.board.take_finished(RECORD_BYTES)
-            await self._append(batch)
-
-    async def _append(self, batch: tuple[ItemResult, ...]) -> None:
-        """List a batch behind whatever is listed already.
-
-        A record whose fate is unclear is tried again unchanged: under
-        another number, or with other results, an item could come to stand
-        at two positions once the first call takes effect.
-        """
-        while batch:
-            writer = f'{self._context.rng.getrandbits(_NONCE_BITS):x}'
-            record = ResultRecord(writer, batch)
-            listed = await self._settled(record)
-            self.ledger.append(listed)
-            for result in listed.results:
-                self.board.stored(result)
-            self._announce()
-            if listed.writer == writer:
-                return
-            _log.info(
-                'gateway: job %s: another process listed %d results',
-                self.spec.job,
-                len(listed.results),
-            )
-            batch = tuple(self.ledger.unlisted(batch))
-
-    async def _settled(self, record: ResultRecord) -> ResultRecord:
-        tries = 0
-        while True:
-            found = await self._store.append(
-                self.spec.job, self.ledger.next_number, record
-            )
-            if not isinstance(found, Outcome):
-                return found
-            pause_s = _PAUSES_S[min(tries, len(_PAUSES_S) - 1)]
-            tries += 1
-            await asyncio.sleep(pause_s)
-
-    def _announce(self) -> None:
+    def announce(self) -> None:
+        """Wake the readers: there are more results, or it is over."""
         self._grown.set()
         self._grown = asyncio.Event()
--- a/bergamotdoor/gateway/job_store.py
+++ b/bergamotdoor/gateway/job_store.py
@@ -5,9 +5,9 @@
 ======================  ==============  ================================
 ``jobs``                job             who runs it (``JobRecord``);
                                         status: whether it is ended
-``job-ID``              ``part-0000``   pieces of its body; the status of the
+``job-ID``              ``part-000000`` pieces of its body; the status of the
                                         first: what long items have so far
-``job-ID``              ``result-0000`` results, one record a number
+``job-ID``              ``result-000000`` results, one record a number
 ======================  ==============  ================================
 """
 
@@ -42,6 +42,10 @@
 JOB_KIND: Final = 'jobs'
 _PART: Final = 'part-'
 _RESULT: Final = 'result-'
+#: Sorts behind every part and before every result.
+_PAST_PARTS: Final = 'part-~'
+#: Names of one length sort as their numbers do.
+_DIGITS: Final = 6
 #: An object may take a megabyte; JSON writes bodies in base64.
 PART_BYTES: Final = 600_000
 #: How often a call whose outcome is unclear is repeated before its caller
@@ -99,7 +103,7 @@
         parts = list(split(spec))
         for number, part in enumerate(parts):
             outcome = await self._create(
-                parts_kind(spec.job), f'{_PART}{number:04}', part
+                parts_kind(spec.job), part_name(number), part
             )
             if outcome is Outcome.NOT_DONE or outcome is Outcome.UNCLEAR:
                 # Without its record the job does not exist: parts alone
@@ -163,7 +167,7 @@
 
     async def results(self, job: JobId) -> Ledger | Outcome:
         """Return a job's results."""
-        listing = await self._store.listing(parts_kind(job), after=_PART + '~')
+        listing = await self._store.listing(parts_kind(job), after=_PAST_PARTS)
         if isinstance(listing, Outcome):
             return listing
         return Ledger(_records(listing))
@@ -181,7 +185,7 @@
             again under the same number: the first call may still be done.
         """
         kind = parts_kind(job)
-        name = f'{_RESULT}{number:06}'
+        name = _RESULT + str(number).zfill(_DIGITS)
         outcome = await self._store.create(
             kind, name, msgspec.json.encode(record)
         )
@@ -200,7 +204,7 @@
         """Keep what running items have; a failure costs only time."""
         outcome = await self._store.put_status(
             parts_kind(job),
-            f'{_PART}{0:04}',
+            part_name(0),
             msgspec.json.encode(_Partial(partial)),
         )
         if not isinstance(outcome, StoredObject):
@@ -224,6 +228,11 @@
         return Outcome.UNCLEAR
 
 
+def part_name(number: int) -> str:
+    """Return the name of a piece of a job's body."""
+    return _PART + str(number).zfill(_DIGITS)
+
+
 def parts_kind(job: JobId) -> str:
     """Return the kind of a job's parts and results."""
     return f'job-{job}'
--- /dev/null
+++ b/bergamotdoor/gateway/limits.py
@@ -0,0 +1,23 @@
+"""Bounds on what clients may send."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+from bergamotdoor import utils
+from bergamotdoor.settings.process import HttpLimits
+
+if TYPE_CHECKING:
+    from bergamotdoor.calls.manifest import CallerLimits
+
+#: Other entries and the balancer: small, trusted, and kept open.
+INNER_LIMITS: Final = HttpLimits()
+
+
+def caller_limits(limits: CallerLimits) -> HttpLimits:
+    """Return the bounds that the manifest sets for callers."""
+    return HttpLimits(
+        max_header_bytes=limits.max_header_bytes,
+        header_timeout_ms=utils.to_ms(limits.header_timeout),
+        idle_timeout_ms=utils.to_ms(limits.idle_timeout),
+    )
--- /dev/null
+++ b/bergamotdoor/gateway/peer_service.py
@@ -0,0 +1,83 @@
+"""Answers the other entries."""
+
+from __future__ import annotations
+
+import datetime as dt
+from typing import TYPE_CHECKING, Final
+
+from bergamotdoor.gateway.job_store import FoundJob, LoadedJob
+from bergamotdoor.gateway.jobs_desk import body_of, page_of
+from bergamotdoor.jobs.ledger import Ledger
+from bergamotdoor.jobs.messages import JobStatus
+from bergamotdoor.objects.messages import Outcome
+from bergamotdoor.peers.messages import (
+    AdoptJob,
+    Done,
+    ItemBody,
+    JobEnded,
+    NotOwner,
+    ReadBody,
+    ReadResults,
+    StoreCall,
+)
+from bergamotdoor.peers.relay import relayed
+
+if TYPE_CHECKING:
+    from bergamotdoor.gateway.job_finder import JobFinder
+    from bergamotdoor.gateway.owner import JobOwner
+    from bergamotdoor.objects.client import Caller
+    from bergamotdoor.peers.messages import PeerReply, PeerRequest
+
+_MS: Final = dt.timedelta(milliseconds=1)
+
+
+class PeerService:
+    """Handles messages of other processes.
+
+    Parameters
+    ----------
+    owner
+        Runs this process's jobs.
+    finder
+        Knows the owners.
+    direct
+        The store, reached from this VM only.
+    """
+
+    def __init__(
+        self, owner: JobOwner, finder: JobFinder, direct: Caller
+    ) -> None:
+        self._owner = owner
+        self._finder = finder
+        self._direct = direct
+
+    async def handle(self, message: PeerRequest) -> PeerReply:
+        """Answer one message."""
+        if isinstance(message, StoreCall):
+            return await relayed(self._direct, message)
+        if isinstance(message, AdoptJob):
+            return self._adopt(message)
+        if isinstance(message, JobEnded):
+            self._owner.end(message.job)
+            return Done()
+        return await self._read(message)
+
+    async def _read(self, message: ReadResults | ReadBody) -> PeerReply:
+        run = self._owner.get(message.job)
+        if run is None:
+            found = await self._finder.resume(message.job)
+            if isinstance(found, Outcome):
+                return NotOwner()
+            run = found
+        if isinstance(message, ReadBody):
+            body = body_of(run, message.item)
+            return ItemBody(None if isinstance(body, Outcome) else body)
+        return await page_of(run, message.after, message.wait_ms * _MS)
+
+    def _adopt(self, message: AdoptJob) -> PeerReply:
+        job = message.spec.job
+        self._finder.remember(job, message.record)
+        if self._owner.get(job) is None:
+            found = FoundJob(job, message.record, JobStatus(), message.revision)
+            self._owner.adopt(found, LoadedJob(message.spec, Ledger()))
+        return Done()
--- /dev/null
+++ b/bergamotdoor/gateway/result_writer.py
@@ -0,0 +1,105 @@
+"""Stores the results of a job that this process runs."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING, Final
+
+from bergamotdoor.jobs.messages import ItemResult, ResultRecord
+from bergamotdoor.objects.messages import Outcome
+
+if TYPE_CHECKING:
+    import random
+
+    from bergamotdoor.gateway.job_run import JobRun
+    from bergamotdoor.gateway.job_store import JobStore
+
+#: Results that finish within this go into one record: each record costs a
+#: call of the store and reaches readers some milliseconds later.
+GATHER_S: Final = 0.06
+#: Room in an object of a megabyte, texts escaped.
+RECORD_BYTES: Final = 400_000
+#: Pauses between two tries to store the same record.
+_PAUSES_S: Final = (0.05, 0.1, 0.2, 0.4)
+_NONCE_BITS: Final = 64
+
+_log = logging.getLogger('bergamotdoor.gateway')
+
+
+class ResultWriter:
+    """Gives results their positions.
+
+    Parameters
+    ----------
+    run
+        Whose results.
+    store
+        Where to.
+    rng
+        Tells this process's records from others'.
+    """
+
+    def __init__(
+        self, run: JobRun, store: JobStore, rng: random.Random
+    ) -> None:
+        self._run = run
+        self._store = store
+        self._rng = rng
+
+    async def run(self) -> None:
+        """Store results as groups become whole, until all are listed."""
+        run = self._run
+        while not run.complete:
+            await run.finished.wait()
+            if run.ended:
+                return
+            if run.board.open_items:
+                await asyncio.sleep(GATHER_S)
+            run.finished.clear()
+            await self._store_finished()
+
+    async def _store_finished(self) -> None:
+        run = self._run
+        while run.board.has_finished:
+            batch = run.board.take_finished(RECORD_BYTES)
+            await self._append(batch)
+
+    async def _append(self, batch: tuple[ItemResult, ...]) -> None:
+        """List a batch behind whatever is listed already.
+
+        A record whose fate is unclear is tried again unchanged: under
+        another number, or with other results, an item could come to stand
+        at two positions once the first call takes effect.
+        """
+        run = self._run
+        while batch:
+            nonce = self._rng.getrandbits(_NONCE_BITS)
+            writer = str(nonce)
+            record = ResultRecord(writer, batch)
+            listed = await self._settled(record)
+            run.ledger.append(listed)
+            for result in listed.results:
+                run.board.stored(result)
+            run.announce()
+            if listed.writer == writer:
+                return
+            _log.info(
+                'gateway: job %s: another process listed %d results',
+                run.spec.job,
+                len(listed.results),
+            )
+            batch = tuple(run.ledger.unlisted(batch))
+
+    async def _settled(self, record: ResultRecord) -> ResultRecord:
+        run = self._run
+        tries = 0
+        while True:
+            found = await self._store.append(
+                run.spec.job, run.ledger.next_number, record
+            )
+            if not isinstance(found, Outcome):
+                return found
+            pause_s = _PAUSES_S[min(tries, len(_PAUSES_S) - 1)]
+            tries += 1
+            await asyncio.sleep(pause_s)
--- a/bergamotdoor/gateway/views.py
+++ b/bergamotdoor/gateway/views.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from bergamotdoor.calls.manifest import RouteKind
 from bergamotdoor.platform.engines import parse_upstream
 from bergamotdoor.platform.headers import MANIFEST_NAME
 from bergamotdoor.platform.manifest import parse_manifest
@@ -16,15 +17,17 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from bergamotdoor.calls.manifest import Manifest
+    from bergamotdoor.calls.manifest import Manifest, Route
     from bergamotdoor.clock import Clock
     from bergamotdoor.fleet.fleet import Fleet
     from bergamotdoor.fleet.loads import Loads
+    from bergamotdoor.jobs.messages import JobSpec
     from bergamotdoor.objects.messages import Change, Listing, StoredObject
 
 #: After the store's return, living upstreams register again within two
 #: seconds.
-_REGISTER_AGAIN: Final = dt.timedelta(seconds=2.5)
+_REGISTER_AGAIN_S: Final = 2.5
+_REGISTER_AGAIN: Final = dt.timedelta(seconds=_REGISTER_AGAIN_S)
 
 _log = logging.getLogger('bergamotdoor.gateway')
 
@@ -42,6 +45,15 @@
         self.manifest: Manifest | None = None
         self._on_change = on_change
 
+    def batch_route(self, spec: JobSpec) -> Route | None:
+        """Return the route of a batch job by the manifest in force."""
+        if self.manifest is None:
+            return None
+        route = self.manifest.match(spec.host, spec.path)
+        if route is None or route.kind is not RouteKind.BATCH:
+            return None
+        return route
+
     def reset(self, listing: Listing) -> None:
         """Take the listed manifest."""
         for stored in listing.objects:
@@ -105,7 +117,7 @@
         """Take all registrations."""
         for stored in listing.objects:
             self._put(stored)
-        present = [UpstreamId(stored.name) for stored in listing.objects]
+        present = [UpstreamId(listed.name) for listed in listing.objects]
         for missing in self._fleet.keep_only(present):
             self._remove(missing)
         self._on_change()
--- /dev/null
+++ b/bergamotdoor/gateway/wiring.py
@@ -0,0 +1,69 @@
+"""Builds the parts of an entry process and connects them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bergamotdoor.gateway.batch_front import BatchFront
+from bergamotdoor.gateway.forwarding import Forwarder
+from bergamotdoor.gateway.front import Front
+from bergamotdoor.gateway.job_finder import JobFinder
+from bergamotdoor.gateway.job_store import JobStore
+from bergamotdoor.gateway.jobs_desk import JobsDesk
+from bergamotdoor.gateway.jobs_intake import JobsIntake, OtherEntries
+from bergamotdoor.gateway.owner import JobOwner
+from bergamotdoor.gateway.peer_service import PeerService
+
+if TYPE_CHECKING:
+    from bergamotdoor.gateway.context import Context
+    from bergamotdoor.gateway.views import ManifestView
+    from bergamotdoor.peers.access import StoreAccess
+    from bergamotdoor.tasks import Tasks
+
+
+class JobParts:
+    """What an entry has for batch jobs, and for callers."""
+
+    def __init__(
+        self,
+        context: Context,
+        access: StoreAccess,
+        manifests: ManifestView,
+        tasks: Tasks,
+    ) -> None:
+        self.store = JobStore(context.store)
+        self.owner = JobOwner(context, self.store, manifests)
+        self.finder = JobFinder(self.store, self.owner, context.settings.node)
+        self.peer_service = PeerService(self.owner, self.finder, access.direct)
+        others = OtherEntries(
+            self.finder,
+            access.peers,
+            access.directory,
+            tasks,
+            context.clock,
+        )
+        self.front = Front(
+            context,
+            manifests,
+            Forwarder(context),
+            BatchFront(
+                JobsIntake(self.store, self.owner, self.finder, others),
+                JobsDesk(self.owner, self.finder, access.peers),
+            ),
+        )
+
+    async def resume(self) -> bool:
+        """Go on with the jobs of this node's last process.
+
+        Returns
+        -------
+        bool
+            Whether the store told which these are.
+        """
+        jobs = await self.store.all_jobs(stale=False)
+        if not isinstance(jobs, tuple):
+            return False
+        for found in jobs:
+            if self.finder.is_own(found.record) and not found.status.ended:
+                await self.finder.adopt(found)
+        return True
--- a/bergamotdoor/jobs/__init__.py
+++ b/bergamotdoor/jobs/__init__.py
@@ -1,3 +1,25 @@
-"""Decisions about batch jobs: order of work, numbered results."""
+"""Decisions about batch jobs: order of work, placement, results."""
 
 from __future__ import annotations
+
+from bergamotdoor.jobs.board import JobBoard, RunEnd
+from bergamotdoor.jobs.ledger import Ledger
+from bergamotdoor.jobs.messages import ItemResult, ItemState, JobSpec
+from bergamotdoor.jobs.placement import free_slots, place_item
+from bergamotdoor.jobs.progress import Progress, Speeds, moves
+from bergamotdoor.jobs.transcript import Transcript
+
+__all__ = (
+    'ItemResult',
+    'ItemState',
+    'JobBoard',
+    'JobSpec',
+    'Ledger',
+    'Progress',
+    'RunEnd',
+    'Speeds',
+    'Transcript',
+    'free_slots',
+    'moves',
+    'place_item',
+)
--- a/bergamotdoor/jobs/board.py
+++ b/bergamotdoor/jobs/board.py
@@ -72,14 +72,11 @@
         The job.
     ledger
         Results that are stored already; their items do not run again.
-    max_failures
-        After how many failed runs an item is given up.
     """
 
-    def __init__(
-        self, spec: JobSpec, ledger: Ledger, max_failures: int
-    ) -> None:
-        self._max_failures = max_failures
+    def __init__(self, spec: JobSpec, ledger: Ledger) -> None:
+        #: After how many failed runs an item is given up; by its route.
+        self.max_failures = 1
         self._slots: dict[ItemId, Slot] = {}
         self._waiting: list[tuple[int, ItemId]] = []
         self._later: list[tuple[dt.timedelta, int, ItemId]] = []
@@ -200,7 +197,7 @@
             return True
         if end is RunEnd.FAILED:
             slot.failures += 1
-        return slot.failures >= self._max_failures
+        return slot.failures >= self.max_failures
 
     def _wake(self, now: dt.timedelta) -> None:
         while self._later and self._later[0][0] <= now:
--- a/bergamotdoor/jobs/progress.py
+++ b/bergamotdoor/jobs/progress.py
@@ -22,14 +22,18 @@
 
 #: Events come every 40 ms; an engine that shows none for this long loads
 #: weights, which takes three times as long, or hangs.
-STALL: Final = dt.timedelta(milliseconds=350)
+_STALL_MS: Final = 350
+STALL: Final = dt.timedelta(milliseconds=_STALL_MS)
 #: The first event waits for the prompt to be read, and maybe for a slot.
-FIRST_STALL: Final = dt.timedelta(milliseconds=700)
+_FIRST_STALL_MS: Final = 700
+FIRST_STALL: Final = dt.timedelta(milliseconds=_FIRST_STALL_MS)
 #: A move costs a connection and a prompt of some thousand tokens, about
 #: 30 ms; below this the gain is not worth the unrest.
-LEAST_GAIN: Final = dt.timedelta(milliseconds=250)
+_LEAST_GAIN_MS: Final = 250
+LEAST_GAIN: Final = dt.timedelta(milliseconds=_LEAST_GAIN_MS)
 #: Between two moves of an item.
-LEAST_STAY: Final = dt.timedelta(milliseconds=500)
+_LEAST_STAY_MS: Final = 500
+LEAST_STAY: Final = dt.timedelta(milliseconds=_LEAST_STAY_MS)
 #: How much longer an item is expected to become that has outgrown its hint,
 #: as a share of what it has. The hints are often far off.
 _OVERTIME: Final = 0.5
@@ -38,18 +42,36 @@
 _USUAL_S: Final = 0.04
 
 
-class Progress(msgspec.Struct):
-    """One run of an item at one engine."""
+class Progress:
+    """One run of an item at one engine.
 
-    item: ItemId
-    upstream: UpstreamId
-    started_at: dt.timedelta
-    #: How many events the item is expected to have in all.
-    expected_events: float
-    #: Events before this run, and by now.
-    first_event: int = 0
-    events: int = 0
-    last_event_at: dt.timedelta | None = None
+    Parameters
+    ----------
+    item, upstream
+        What runs where.
+    started_at
+        When the run began.
+    expected_events
+        How many events the item is expected to have in all.
+    first_event
+        How many it had before this run.
+    """
+
+    def __init__(
+        self,
+        item: ItemId,
+        upstream: UpstreamId,
+        started_at: dt.timedelta,
+        expected_events: float,
+        first_event: int = 0,
+    ) -> None:
+        self.item = item
+        self.upstream = upstream
+        self.started_at = started_at
+        self.first_event = first_event
+        self.events = first_event
+        self.last_event_at: dt.timedelta | None = None
+        self._expected_events = expected_events
 
     def advance(self, events: int, now: dt.timedelta) -> None:
         """Take that so many events are there."""
@@ -65,7 +87,7 @@
     @property
     def remaining(self) -> float:
         """How many events are probably missing."""
-        return max(self.expected_events - self.events, self.events * _OVERTIME)
+        return max(self._expected_events - self.events, self.events * _OVERTIME)
 
 
 class Speeds:
@@ -123,16 +145,14 @@
         for name, free in room.items()
         for _ in range(free)
     )
-    for progress in sorted(running, key=_remaining, reverse=True):
+    settled = (one for one in running if now - one.started_at > LEAST_STAY)
+    for progress in sorted(settled, key=_remaining, reverse=True):
         if not places:
             return
-        if now - progress.started_at < LEAST_STAY:
-            continue
         interval_s, best = places[0]
-        if best == progress.upstream:
-            continue
         stalled = progress.stalled(now)
-        if stalled or _gain(progress, speeds, interval_s) > LEAST_GAIN:
+        gains = _gain(progress, speeds, interval_s) > LEAST_GAIN
+        if best != progress.upstream and (stalled or gains):
             places.pop(0)
             yield Move(progress.item, stalled)
 
--- a/bergamotdoor/objects/__init__.py
+++ b/bergamotdoor/objects/__init__.py
@@ -1,3 +1,8 @@
 """Client of the platform's object store, and watchers of its kinds."""
 
 from __future__ import annotations
+
+from bergamotdoor.objects.client import DirectCaller, ObjectClient
+from bergamotdoor.objects.watcher import View, Watcher
+
+__all__ = ('DirectCaller', 'ObjectClient', 'View', 'Watcher')
--- a/bergamotdoor/objects/client.py
+++ b/bergamotdoor/objects/client.py
@@ -24,7 +24,7 @@
     Outcome,
     StoredObject,
 )
-from bergamotdoor.platform import store_wire
+from bergamotdoor.platform import store_paths, store_wire
 
 if TYPE_CHECKING:
     from bergamotdoor.settings.document import Address
@@ -35,6 +35,7 @@
 CALL_TIMEOUT: Final = dt.timedelta(seconds=1)
 #: An object is a megabyte at most, a page of a listing little more.
 _MAX_BODY_BYTES: Final = 16_777_216
+_SHOWN_BYTES: Final = 80
 _WATCH_MARGIN: Final = dt.timedelta(seconds=2)
 _MS: Final = dt.timedelta(milliseconds=1)
 
@@ -96,7 +97,7 @@
 
     async def get(self, kind: str, name: str) -> StoredObject | Outcome:
         """Return an object, ABSENT, or why it is not known."""
-        path = store_wire.object_path(kind, name)
+        path = store_paths.object_path(kind, name)
         answer = await self._call('GET', path)
         if isinstance(answer, Outcome):
             return answer
@@ -119,7 +120,7 @@
         objects: list[StoredObject] = []
         more = True
         while more:
-            path = store_wire.list_path(kind, after, stale)
+            path = store_paths.list_path(kind, after, stale)
             answer = await self._call('GET', path)
             if answer is Outcome.ABSENT:
                 return Outcome.NOT_DONE
@@ -136,7 +137,7 @@
     ) -> StoredObject | Conflict | Outcome:
         """Create an object unless one of the name exists."""
         body = store_wire.object_body(name, spec, None)
-        return await self._write('POST', store_wire.kind_path(kind), body)
+        return await self._write('POST', store_paths.kind_path(kind), body)
 
     async def replace(
         self, kind: str, name: str, spec: bytes, revision: Revision
@@ -144,7 +145,7 @@
         """Replace an object's spec if it is still at `revision`."""
         body = store_wire.object_body(name, spec, revision)
         return await self._write(
-            'PUT', store_wire.object_path(kind, name), body
+            'PUT', store_paths.object_path(kind, name), body
         )
 
     async def put_status(
@@ -153,19 +154,19 @@
         """Replace an object's status, whatever its revision."""
         body = store_wire.status_body(name, status)
         return await self._write(
-            'PUT', store_wire.status_path(kind, name), body
+            'PUT', store_paths.status_path(kind, name), body
         )
 
     async def delete(self, kind: str, name: str) -> Outcome:
         """Remove an object; ABSENT once it is gone."""
-        answer = await self._call('DELETE', store_wire.object_path(kind, name))
+        answer = await self._call('DELETE', store_paths.object_path(kind, name))
         return answer if isinstance(answer, Outcome) else Outcome.ABSENT
 
     async def changes(
         self, kind: str, since: Revision, wait: dt.timedelta
     ) -> Changes | Outcome:
         """Wait for changes since a revision; none came if it is empty."""
-        path = store_wire.watch_path(kind, since, wait // _MS)
+        path = store_paths.watch_path(kind, since, wait // _MS)
         answer = await self._call('GET', path, wait + _WATCH_MARGIN)
         if isinstance(answer, Outcome):
             return answer
@@ -198,7 +199,9 @@
     try:
         return store_wire.parse_object(body)
     except msgspec.MsgspecError:
-        _log.warning('objects: a conflict without the object: %r', body[:80])
+        _log.warning(
+            'objects: a conflict without the object: %r', body[:_SHOWN_BYTES]
+        )
         return None
 
 
--- a/bergamotdoor/objects/watcher.py
+++ b/bergamotdoor/objects/watcher.py
@@ -17,9 +17,11 @@
 
 #: A waiting watch counts as one call, so a long wait is cheap; the store
 #: takes at most 30 s.
-_WAIT: Final = dt.timedelta(seconds=25)
+_WAIT_S: Final = 25
+_WAIT: Final = dt.timedelta(seconds=_WAIT_S)
 _FIRST_BACKOFF: Final = dt.timedelta(milliseconds=100)
-_LAST_BACKOFF: Final = dt.timedelta(milliseconds=800)
+_LAST_BACKOFF_MS: Final = 800
+_LAST_BACKOFF: Final = dt.timedelta(milliseconds=_LAST_BACKOFF_MS)
 
 _log = logging.getLogger('bergamotdoor.objects')
 
--- /dev/null
+++ b/bergamotdoor/peers/access.py
@@ -0,0 +1,43 @@
+"""How a process reaches the store."""
+
+from __future__ import annotations
+
+import random
+from typing import TYPE_CHECKING
+
+from bergamotdoor.objects.client import DirectCaller, ObjectClient
+from bergamotdoor.peers.client import PeerClient
+from bergamotdoor.peers.directory import Directory
+from bergamotdoor.peers.relay import PeerRelay, RelayingCaller
+
+if TYPE_CHECKING:
+    from bergamotdoor.clock import Clock
+    from bergamotdoor.http.messages import Client
+    from bergamotdoor.platform.settings import NodeSettings
+
+
+class StoreAccess:
+    """The ways to the store, and the other entries on them.
+
+    Parameters
+    ----------
+    settings
+        Where the store is, and which process this is.
+    client
+        Sends requests.
+    clock
+        The time.
+    """
+
+    def __init__(
+        self, settings: NodeSettings, client: Client, clock: Clock
+    ) -> None:
+        self.rng = random.Random(settings.node)
+        self.peers = PeerClient(client)
+        self.direct = DirectCaller(client, settings.store)
+        caller = RelayingCaller(
+            self.direct, PeerRelay(self.peers), clock, self.rng
+        )
+        self.store = ObjectClient(caller)
+        self.directory = Directory(self.store, settings.node, clock)
+        caller.directory = self.directory
--- a/bergamotdoor/peers/client.py
+++ b/bergamotdoor/peers/client.py
@@ -30,7 +30,9 @@
 
 #: What an entry needs beyond the wait that was asked for; a healthy one
 #: answers in milliseconds.
-PEER_MARGIN: Final = dt.timedelta(milliseconds=400)
+_PEER_MARGIN_MS: Final = 400
+PEER_MARGIN: Final = dt.timedelta(milliseconds=_PEER_MARGIN_MS)
+_NO_WAIT: Final = dt.timedelta()
 _MAX_BYTES: Final = 33_554_432
 
 _log = logging.getLogger('bergamotdoor.peers')
@@ -46,7 +48,7 @@
         self,
         address: Address,
         message: PeerRequest,
-        wait: dt.timedelta = dt.timedelta(),
+        wait: dt.timedelta = _NO_WAIT,
     ) -> PeerReply | None:
         """Return the reply, None if there is none in time."""
         response = await self._client.send(
--- a/bergamotdoor/peers/directory.py
+++ b/bergamotdoor/peers/directory.py
@@ -19,11 +19,7 @@
 ENTRY_KIND: Final = 'entries'
 #: A stale list costs a tenth of a call, and entries change rarely. A new
 #: entry is needed as a way round soon after its start, not at once.
-_REFRESH: Final = (
-    dt.timedelta(seconds=1),
-    dt.timedelta(seconds=3),
-    dt.timedelta(seconds=15),
-)
+_REFRESH_S: Final = (1, 3, 15)
 
 _log = logging.getLogger('bergamotdoor.peers')
 
@@ -63,13 +59,13 @@
             if isinstance(found, Conflict) and found.current is not None:
                 done = await self._correct(found.current.spec, spec)
             if not done:
-                await self._clock.sleep(_REFRESH[0])
+                await self._clock.sleep(_pause(0))
 
     async def run(self) -> None:
         """Refresh until cancelled."""
         tries = 0
         while True:
-            await self._clock.sleep(_REFRESH[min(tries, len(_REFRESH) - 1)])
+            await self._clock.sleep(_pause(tries))
             tries += 1
             await self.refresh()
 
@@ -97,3 +93,7 @@
             return False
         again = await self._store.create(ENTRY_KIND, self._node, spec)
         return not isinstance(again, (Outcome, Conflict))
+
+
+def _pause(tries: int) -> dt.timedelta:
+    return dt.timedelta(seconds=_REFRESH_S[min(tries, len(_REFRESH_S) - 1)])
--- a/bergamotdoor/peers/messages.py
+++ b/bergamotdoor/peers/messages.py
@@ -33,13 +33,6 @@
     job: JobId
 
 
-class JobOwned(msgspec.Struct, frozen=True, tag=True):
-    """Tell who owns a job, so that others need not ask the store."""
-
-    job: JobId
-    record: JobRecord
-
-
 class AdoptJob(msgspec.Struct, frozen=True, tag=True):
     """Ask an entry to run a job whose record names it as the owner."""
 
@@ -58,7 +51,7 @@
 
 
 PeerRequest: TypeAlias = (
-    ReadResults | ReadBody | JobEnded | JobOwned | AdoptJob | StoreCall
+    ReadResults | ReadBody | JobEnded | AdoptJob | StoreCall
 )
 
 
--- a/bergamotdoor/peers/relay.py
+++ b/bergamotdoor/peers/relay.py
@@ -30,7 +30,8 @@
 
 #: Well above the store's answers when it is slow for everyone, so that a
 #: slow store is not asked twice; far below the call's timeout.
-_PATIENCE: Final = dt.timedelta(milliseconds=350)
+_PATIENCE_MS: Final = 350
+_PATIENCE: Final = dt.timedelta(milliseconds=_PATIENCE_MS)
 #: How long the other way is taken before the own one is tried again.
 _DETOUR: Final = dt.timedelta(seconds=1)
 #: How many entries are asked; each may be cut off as well.
--- a/bergamotdoor/platform/engines.py
+++ b/bergamotdoor/platform/engines.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from bergamotdoor import utils
 from bergamotdoor.fleet.orders import EngineReport, LoadOrder
 from bergamotdoor.fleet.upstreams import Upstream
 from bergamotdoor.platform.settings import parse_address
@@ -16,7 +17,6 @@
     WeightVersion,
     ZoneId,
 )
-from bergamotdoor.utils import from_ms
 
 _DRAINING: Final = 'draining'
 _LOAD_FIELDS: Final = 3
@@ -76,7 +76,7 @@
         zone=written.zone,
         slots=max(written.slots, 1),
         draining=written.state == _DRAINING,
-        cold=from_ms(written.cold_left_ms),
+        cold=utils.from_ms(written.cold_left_ms),
         versions={model.name: model.version for model in written.models},
     )
 
--- a/bergamotdoor/platform/events.py
+++ b/bergamotdoor/platform/events.py
@@ -32,8 +32,9 @@
         ValueError
             If a number is none, or the text is not UTF-8.
         """
-        *whole, self._rest = (self._rest + piece).split(_END)
-        return (_event(block.decode()) for block in whole if block)
+        blocks = (self._rest + piece).split(_END)
+        self._rest = blocks.pop()
+        return (_event(block.decode()) for block in blocks if block)
 
     def check_end(self) -> None:
         """Check that the stream did not end within an event.
--- a/bergamotdoor/platform/manifest.py
+++ b/bergamotdoor/platform/manifest.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import datetime as dt
+from types import MappingProxyType
 from typing import Final
 
 import msgspec
 
+from bergamotdoor import utils
 from bergamotdoor.calls.manifest import (
     CallerLimits,
     Manifest,
@@ -16,15 +18,16 @@
     Share,
 )
 from bergamotdoor.types import Generation, ServiceId
-from bergamotdoor.utils import from_ms
 
 #: The wire's ``safe`` may be repeated and ``rollout`` is a batch job; any
 #: other kind may run once at most.
-_KINDS: Final = {
-    'safe': RouteKind.IDEMPOTENT,
-    'stream': RouteKind.STREAM,
-    'rollout': RouteKind.BATCH,
-}
+_KINDS: Final = MappingProxyType(
+    {
+        'safe': RouteKind.IDEMPOTENT,
+        'stream': RouteKind.STREAM,
+        'rollout': RouteKind.BATCH,
+    }
+)
 #: Where a route has no bound of its own: far beyond any client's.
 _NO_TIMEOUT_MS: Final = 600_000
 
@@ -100,11 +103,11 @@
         path_prefix=written.path_prefix,
         kind=_KINDS.get(written.kind, RouteKind.ONCE),
         shares=shares or (Share(written.service, 1),),
-        timeout=from_ms(written.timeout_ms),
-        objective=from_ms(written.goal_ms),
+        timeout=utils.from_ms(written.timeout_ms),
+        objective=utils.from_ms(written.goal_ms),
         max_attempts=max(written.max_attempts, 1),
         resumable=written.can_resume,
-        due=from_ms(written.due_ms),
+        due=utils.from_ms(written.due_ms),
         give_up=_seconds(written.max_wait_s),
         single_version=written.single_version,
     )
@@ -120,6 +123,6 @@
     return CallerLimits(
         written.max_header_bytes or usual.max_header_bytes,
         written.max_body_bytes or usual.max_body_bytes,
-        from_ms(header_ms) if header_ms else usual.header_timeout,
-        from_ms(idle_ms) if idle_ms else usual.idle_timeout,
+        utils.from_ms(header_ms) if header_ms else usual.header_timeout,
+        utils.from_ms(idle_ms) if idle_ms else usual.idle_timeout,
     )
--- a/bergamotdoor/platform/store_wire.py
+++ b/bergamotdoor/platform/store_wire.py
@@ -1,9 +1,8 @@
-"""Paths and bodies of the platform's object store."""
+"""Bodies of the platform's object store."""
 
 from __future__ import annotations
 
 from typing import Final
-from urllib.parse import quote, urlencode
 
 import msgspec
 
@@ -13,7 +12,6 @@
     Listing,
     StoredObject,
 )
-from bergamotdoor.platform.headers import OBJECTS_PATH
 from bergamotdoor.types import Revision
 
 _NULL: Final = b'null'
@@ -54,39 +52,6 @@
     more: bool
 
 
-def kind_path(kind: str) -> str:
-    """Return the path of a kind, to create objects."""
-    return OBJECTS_PATH + quote(kind, safe='')
-
-
-def object_path(kind: str, name: str, revision: Revision | None = None) -> str:
-    """Return the path of an object, on condition of its revision."""
-    path = f'{kind_path(kind)}/{quote(name, safe="")}'
-    return path if revision is None else f'{path}?rev={revision}'
-
-
-def status_path(kind: str, name: str) -> str:
-    """Return the path that replaces an object's status."""
-    return f'{object_path(kind, name)}/status'
-
-
-def list_path(kind: str, after: str, stale: bool) -> str:
-    """Return the path of a page; a stale one costs a tenth."""
-    query = {}
-    if after:
-        query['after'] = after
-    if stale:
-        query['allow_stale'] = '1'
-    path = kind_path(kind)
-    return f'{path}?{urlencode(query)}' if query else path
-
-
-def watch_path(kind: str, since: Revision, wait_ms: int) -> str:
-    """Return the path that waits for changes."""
-    query = urlencode({'watch': since, 'wait_ms': wait_ms})
-    return f'{kind_path(kind)}?{query}'
-
-
 def object_body(name: str, spec: bytes, revision: Revision | None) -> bytes:
     """Write an object to create, or to replace at a revision."""
     metadata: dict[str, object] = {'name': name, 'finalizers': []}
