Give an item one position whatever a second owner lists

A second owner that had finished an item itself, while the first one listed it, listed it again when its group was whole; the ledger's assertion then failed at every reader. Ruled out: a late creation under another number (the record's writer tells), and lists that are cut (the load pages through). A process draws its random numbers anew at each start, or it would take its predecessor's records for its own. Failures of the store other than refusals are unclear.

--- a/bergamotdoor/gateway/batch_front.py
+++ b/bergamotdoor/gateway/batch_front.py
@@ -112,6 +112,7 @@
     if outcome is Outcome.ABSENT:
         _log.info('gateway: job %s: there is no such job or item', job)
         return plain(HTTPStatus.NOT_FOUND, 'not found')
+    _log.info('gateway: job %s: not known now: %s', job, outcome.value)
     return _store_away(job)
 
 
--- a/bergamotdoor/gateway/result_writer.py
+++ b/bergamotdoor/gateway/result_writer.py
@@ -73,6 +73,8 @@
         at two positions once the first call takes effect.
         """
         run = self._run
+        # Another owner may have listed some since they finished here.
+        batch = tuple(run.ledger.unlisted(batch))
         while batch:
             nonce = self._rng.getrandbits(_NONCE_BITS)
             writer = str(nonce)
--- a/bergamotdoor/jobs/progress.py
+++ b/bergamotdoor/jobs/progress.py
@@ -140,12 +140,14 @@
     now
         The monotonic time.
     """
+    settled = [one for one in running if now - one.started_at > LEAST_STAY]
+    halted = {one.upstream for one in settled if one.stalled(now)}
     places = sorted(
         (speeds.interval_s(name), name)
         for name, free in room.items()
+        if name not in halted
         for _ in range(free)
     )
-    settled = (one for one in running if now - one.started_at > LEAST_STAY)
     for progress in sorted(settled, key=_remaining, reverse=True):
         if not places:
             return
--- a/bergamotdoor/jobs/transcript.py
+++ b/bergamotdoor/jobs/transcript.py
@@ -8,7 +8,6 @@
 
 from bergamotdoor.types import WeightVersion
 
-
 #: Engines number events from one, or from zero.
 _FIRST_NUMBERS: Final = frozenset((0, 1))
 
--- a/bergamotdoor/objects/client.py
+++ b/bergamotdoor/objects/client.py
@@ -38,6 +38,9 @@
 _SHOWN_BYTES: Final = 80
 _WATCH_MARGIN: Final = dt.timedelta(seconds=2)
 _MS: Final = dt.timedelta(milliseconds=1)
+_REFUSALS: Final = frozenset(
+    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
+)
 
 _log = logging.getLogger('bergamotdoor.objects')
 
@@ -211,5 +214,10 @@
     if answer.status == HTTPStatus.GONE:
         return Outcome.HISTORY_GONE
     _log.warning('objects: %s %s: status %d', method, path, answer.status)
-    # A refusal, by rate or by an outage, promises that nothing was done.
-    return Outcome.NOT_DONE
+    # A refusal, by rate or by an outage, promises that nothing was done;
+    # any other failure of the store leaves that open.
+    if answer.status in _REFUSALS:
+        return Outcome.NOT_DONE
+    if answer.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+        return Outcome.NOT_DONE
+    return Outcome.UNCLEAR
--- a/bergamotdoor/peers/access.py
+++ b/bergamotdoor/peers/access.py
@@ -32,7 +32,9 @@
     def __init__(
         self, settings: NodeSettings, client: Client, clock: Clock
     ) -> None:
-        self.rng = random.Random(settings.node)
+        # Drawn anew at each start: records are told apart by it, and a
+        # restarted process must not take its predecessor's for its own.
+        self.rng = random.Random()
         self.peers = PeerClient(client)
         self.direct = DirectCaller(client, settings.store)
         caller = RelayingCaller(
--- /dev/null
+++ b/features/gateway_jobs.feature
@@ -0,0 +1,105 @@
+Feature: batch jobs at the entries
+
+  Scenario: a job's results can be read at every entry
+    Given a site that runs a job of groups 3,5 and 2,2
+    Then both entries list the same 4 results, whole and by version 1
+    And the bodies of listed items are gone
+    And the job submitted again is accepted and runs nothing twice
+
+  Scenario: results are listed group by group
+    A trainer uses whole groups only. A read that returns half a group takes
+    the turn of the next one, and the step waits half a second longer.
+
+    Given a site that runs a job of groups 2,30 and 3,4
+    Then the first page holds both items of the second group only
+
+  Scenario: a job is refused at once while the store is away
+    The store refuses every call. The trainer gets 503 with a time to come
+    back, nothing of the job runs, and it is accepted once the store is back.
+
+    Given a site whose store refuses calls when a job comes
+    Then the job is refused within 1 s and nothing of it ran
+    And the job is accepted and runs when the store is back
+
+  Scenario: a job whose creation got no answer is taken in, or not refused
+    The store does the creation and its answer is lost. A 503 would promise
+    that nothing runs; the entry reads the job back instead.
+
+    Given a site whose store loses the answers when a job comes
+    Then the job is accepted and every item is listed once
+
+  Scenario: the owner is killed in the middle of a step
+    The entry that runs the steps of a trainer dies. The next read finds it
+    gone and takes the job over; long items go on where they were kept.
+
+    Given a site whose owner is killed 2.2 s after a job of groups 90,3 and 4,2
+    Then the other entry lists all 4 results, each once and whole
+    And the long item was not generated from its beginning again
+
+  Scenario: two owners cannot give one position to different results
+    An owner is cut off from the others and from the store, and goes on. A
+    second one takes over and lists results. When the first one reaches the
+    store again its records come second, and it takes over the others'.
+
+    Given a site whose owner is taken over while it still runs
+    Then both entries list the same results in the same order
+    And each item is listed once
+
+  Scenario: a record that was stored late does not double an item
+    The store gets a record, answers nothing, and stores it two seconds
+    later. The owner tries the same record under the same number.
+
+    Given a site whose store delays two writes of results
+    Then both entries list the same results in the same order
+    And each item is listed once
+
+  Scenario: an ended job runs no further
+    Given a site whose job is ended at the other entry after 0.5 s
+    Then no engine works on its items half a second later
+    And the end is confirmed again, and what was listed stays listed
+
+  Scenario: an entry that was cut from the store lists results all the same
+    The owner alone is turned away by the store. Its calls go through the
+    other entry.
+
+    Given a site whose owner is turned away by the store
+    Then both entries list the same results in the same order
+
+  Scenario: a job that nobody knows is not found, and unknown in an outage
+    Given a site with a job that was never handed in
+    Then its results are answered with 404, and in the outage with 503
+
+  Scenario Outline: items that cannot be done are lost, not run for ever
+    Given a site whose engines are <mode> for a job of groups 2,2
+    Then the job's items are listed as lost after at most <runs> runs each
+
+    Examples:
+      | mode       | runs |
+      | impossible | 1    |
+      | failing    | 3    |
+
+  Scenario: a stream that breaks goes on at another engine
+    An engine breaks off in the middle of an event. The item goes on behind
+    the last whole event, and no event is missing or doubled.
+
+    Given a site whose first engine breaks off after 5 events
+    Then every item of the job is listed whole
+    And a run began behind event 5
+
+  Scenario: an engine that stands still loses its items to another
+    Given a site whose first engine stands still after 0.5 s
+    Then every item of the job is listed whole within 4 s
+
+  Scenario: only engines with the weights that a job wants get its items
+    One engine is behind by a version that the job does not take. What it
+    would generate could not be used.
+
+    Given a site whose first engine has old weights
+    Then the first engine gets none of the job's items
+    And every result names the newer version only
+
+  Scenario: a text over two versions names both
+    Weights change in the middle of a stream, and the engine goes on.
+
+    Given a site whose engines change weights in the middle of an item
+    Then the item's result names both versions
--- a/features/machines/engine.py
+++ b/features/machines/engine.py
@@ -5,11 +5,11 @@
 import asyncio
 import datetime as dt
 import json
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from bergamotdoor.http.messages import Headers, HttpRequest, HttpResponse
 from bergamotdoor.http.server import HttpServer
-from features.machines.store import LIMITS, Lost
+from features.machines.store import LIMITS, Lost, cut_off
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -19,6 +19,13 @@
 EVENT_S = 0.04
 
 
+class Seen(NamedTuple):
+    """A request that was begun."""
+
+    request: str
+    headers: dict[str, str]
+
+
 class Upstream:
     """Runs requests, and remembers what it was sent."""
 
@@ -28,15 +35,13 @@
         self.name = name
         self.service = service
         self.address = address
-        self.seen: list[tuple[str, dict[str, str]]] = []
+        self.seen: list[Seen] = []
         #: Requests that run now.
         self.running: set[str] = set()
         #: 'good', 'full', 'broken', 'failing', 'dark' or 'impossible'.
         self.mode = 'good'
         self.work_s = 0.03
-        self._server = HttpServer(
-            address, self.handle, LIMITS, clock, name
-        )
+        self._server = HttpServer(address, self.handle, LIMITS, clock, name)
 
     async def start(self) -> None:
         await self._server.start()
@@ -73,16 +78,14 @@
         if expected != self.name:
             return HttpResponse(
                 status=421,
-                headers=Headers.of(
-                    [('X-Bergamotdoor-Instance-Id', self.name)]
-                ),
+                headers=Headers.of([('X-Bergamotdoor-Instance-Id', self.name)]),
             )
         if self.mode == 'full':
             return HttpResponse(
                 status=503,
                 headers=Headers.of([('X-Bergamotdoor-Not-Executed', '1')]),
             )
-        self.seen.append((request_id, headers))
+        self.seen.append(Seen(request_id, headers))
         if self.mode == 'dark':
             await asyncio.Event().wait()
         self.running.add(request_id)
@@ -100,7 +103,7 @@
     ) -> HttpResponse:
         await asyncio.sleep(self.work_s)
         if self.mode == 'broken':
-            raise Lost
+            return cut_off()
         status = 500 if self.mode == 'failing' else 200
         return HttpResponse(
             status=status,
@@ -149,7 +152,7 @@
         if self.late_orders:
             self.late_orders -= 1
             asyncio.get_running_loop().call_later(3, self._accept, order)
-            raise Lost
+            return cut_off()
         return HttpResponse(status=self._accept(order))
 
     def _accept(self, order: dict[str, Any]) -> int:
--- a/features/machines/site.py
+++ b/features/machines/site.py
@@ -177,12 +177,9 @@
         for agent in self.agents.values():
             await agent.stop()
         await self.client.close()
-        for machine in (
-            self.store,
-            *self.engines.values(),
-            *self.services.values(),
-        ):
-            await machine.stop()
+        await self.store.stop()
+        for upstream in (*self.engines.values(), *self.services.values()):
+            await upstream.stop()
 
     # what clients do
 
@@ -294,5 +291,3 @@
     outcome = run_virtual(run())
     assert not failures, failures
     return outcome
-
-
--- a/features/machines/store.py
+++ b/features/machines/store.py
@@ -5,21 +5,52 @@
 import asyncio
 import datetime as dt
 import json
-from typing import Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 from urllib.parse import parse_qs, unquote
 
-from bergamotdoor.http.messages import HttpRequest, HttpResponse
+from bergamotdoor.http.messages import Headers, HttpRequest, HttpResponse
 from bergamotdoor.http.server import HttpServer
-from bergamotdoor.settings.document import Address
 from bergamotdoor.settings.process import HttpLimits
 
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from bergamotdoor.settings.document import Address
+
+Body = dict[str, Any]
+Kind = dict[str, Body]
+
+
+class _Written(NamedTuple):
+    """One change of an object."""
+
+    revision: int
+    kind: str
+    removed: bool
+    stored: Body
+
+
 LIMITS = HttpLimits(max_header_bytes=32_768)
 ANSWER_S = 0.004
 PAGE = 50
 
 
 class Lost(Exception):
-    """The answer of a call that was done does not come."""
+    """The connection ends before a whole answer."""
+
+
+def cut_off() -> HttpResponse:
+    """An answer that ends with its connection before it is whole."""
+
+    async def nothing() -> AsyncIterator[bytes]:
+        yield b'{'
+        raise Lost
+
+    return HttpResponse(
+        status=200,
+        headers=Headers.of([('content-length', '100')]),
+        body=nothing(),
+    )
 
 
 class Store:
@@ -27,8 +58,8 @@
 
     def __init__(self, address: Address, clock: Any) -> None:
         self.address = address
-        self.objects: dict[str, dict[str, dict[str, Any]]] = {}
-        self.history: list[tuple[int, str, bool, dict[str, Any]]] = []
+        self.objects: dict[str, Kind] = {}
+        self.history: list[_Written] = []
         self.forgotten = 0
         self.revision = 7
         self.calls: list[str] = []
@@ -112,10 +143,12 @@
         if len(parts) > 1:
             stored = known.get(parts[1])
             return answer(404) if stored is None else answer(200, stored)
-        if 'watch' in asked:
+        since = asked.get('watch')
+        if since is not None:
             wait_s = int(asked['wait_ms']) / 1000
-            return await self._watch(parts[0], int(asked['watch']), wait_s)
-        names = sorted(name for name in known if name > asked.get('after', ''))
+            return await self._watch(parts[0], int(since), wait_s)
+        after = str(asked.get('after') or '')
+        names = sorted(name for name in known if name > after)
         items = [known[name] for name in names[:PAGE]]
         page = {
             'items': items,
@@ -124,13 +157,15 @@
         }
         return answer(200, page)
 
-    async def _watch(self, kind: str, since: int, wait_s: float) -> Any:
+    async def _watch(
+        self, kind: str, since: int, wait_s: float
+    ) -> HttpResponse:
         if since < self.forgotten:
             return answer(410)
         until = asyncio.get_running_loop().time() + wait_s
         cut = asyncio.create_task(self._cut.wait())
         try:
-            while not (found := self._since(kind, since)):
+            while not self._since(kind, since):
                 left = until - asyncio.get_running_loop().time()
                 if left <= 0:
                     break
@@ -142,9 +177,10 @@
                 )
                 news.cancel()
                 if cut.done():
-                    raise Lost
+                    return cut_off()
         finally:
             cut.cancel()
+        found = self._since(kind, since)
         return answer(200, {'events': found, 'as_of': self.revision})
 
     def _since(self, kind: str, since: int) -> list[dict[str, Any]]:
@@ -164,14 +200,16 @@
             asyncio.get_running_loop().call_later(
                 2, self._apply, method, parts, body
             )
-            raise Lost
+            return cut_off()
         done = self._apply(method, parts, body)
         if self.lose_answers:
             self.lose_answers -= 1
-            raise Lost
+            return cut_off()
         return done
 
-    def _apply(self, method: str, parts: list[str], body: bytes) -> Any:
+    def _apply(
+        self, method: str, parts: list[str], body: bytes
+    ) -> HttpResponse:
         kind = parts[0]
         known = self.objects.setdefault(kind, {})
         sent = json.loads(body) if body else {}
@@ -189,13 +227,18 @@
         if len(parts) > 2:
             stored['status'] = sent['status']
             return answer(200, self.put(kind, name, stored['spec']))
-        rev = sent['metadata'].get('rev')
-        if rev is not None and rev != stored['metadata']['rev']:
+        return self._replace(kind, stored, sent)
+
+    def _replace(self, kind: str, stored: Body, sent: Body) -> HttpResponse:
+        current = stored['metadata']
+        if sent['metadata'].get('rev', current['rev']) != current['rev']:
             return answer(409, stored)
-        return answer(200, self.put(kind, name, sent['spec']))
+        return answer(200, self.put(kind, current['name'], sent['spec']))
 
     def _note(self, kind: str, removed: bool, stored: dict[str, Any]) -> None:
-        self.history.append((self.revision, kind, removed, dict(stored)))
+        self.history.append(
+            _Written(self.revision, kind, removed, dict(stored))
+        )
         self._changed.set()
         self._changed = asyncio.Event()
 
--- /dev/null
+++ b/features/steps/jobs_positions_steps.py
@@ -0,0 +1,197 @@
+"""Steps for bergamotdoor.jobs.ledger and the writer of results."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime as dt
+import random
+from typing import TYPE_CHECKING, Any
+
+import hypothesis
+from behave import given, then, when
+
+from bergamotdoor.gateway.job_run import JobRun
+from bergamotdoor.gateway.job_store import FoundJob, LoadedJob
+from bergamotdoor.gateway.result_writer import ResultWriter
+from bergamotdoor.jobs.ledger import Ledger
+from bergamotdoor.jobs.messages import (
+    ItemResult,
+    ItemSpec,
+    ItemState,
+    JobRecord,
+    JobSpec,
+    JobStatus,
+    ResultRecord,
+)
+from bergamotdoor.objects.messages import Outcome
+from bergamotdoor.types import (
+    GroupId,
+    ItemId,
+    JobId,
+    ModelId,
+    NodeId,
+    Revision,
+    WeightVersion,
+)
+from features.machines.site import at
+from features.support import run_virtual, virtual_clock
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+GROUPS = 3
+MEMBERS = 3
+FATES = ('done', 'lost', 'refused', 'late')
+
+
+class Shelf:
+    """Keeps records by number, as the store does, with its faults."""
+
+    def __init__(self, fates: Iterator[str]) -> None:
+        self.records: dict[int, ResultRecord] = {}
+        self.fates = fates
+
+    async def append(
+        self, _: JobId, number: int, record: ResultRecord
+    ) -> ResultRecord | Outcome:
+        await asyncio.sleep(0.004)
+        fate = next(self.fates, 'done')
+        if fate == 'refused':
+            return Outcome.NOT_DONE
+        if fate == 'late':
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.7, self.records.setdefault, number, record)
+            return Outcome.UNCLEAR
+        found = self.records.setdefault(number, record)
+        return Outcome.UNCLEAR if fate == 'lost' else found
+
+    def items(self) -> list[ItemId]:
+        return [
+            result.item
+            for number in sorted(self.records)
+            for result in self.records[number].results
+        ]
+
+
+class Owner:
+    """A process that runs the job and lists its results."""
+
+    def __init__(self, shelf: Shelf, seed: int) -> None:
+        self.clock = virtual_clock()
+        context: Any = type(
+            'Context', (), {'clock': self.clock, 'rng': random.Random(seed)}
+        )()
+        record = JobRecord(NodeId('e'), at(1), 1, 1)
+        found = FoundJob(JobId('j'), record, JobStatus(), Revision(1))
+        store: Any = shelf
+        loaded = LoadedJob(spec_of(), Ledger())
+        due_at = dt.timedelta(seconds=9)
+        self.run = JobRun(context, store, found, loaded, due_at)
+        self.writer = ResultWriter(self.run, store, context.rng)
+
+    async def finish_all(self, order: list[int], pauses: list[int]) -> None:
+        for number, pause in zip(order, pauses, strict=True):
+            await asyncio.sleep(pause / 50)
+            item = self.run.spec.items[number].item
+            if self.run.board.body_of(item) is not None:
+                self.run.finish(result_of(item))
+
+
+def spec_of() -> JobSpec:
+    items = tuple(
+        ItemSpec(
+            ItemId(f'{group}.{member}'),
+            '/',
+            (),
+            b'1',
+            GroupId(str(group)),
+        )
+        for group in range(GROUPS)
+        for member in range(MEMBERS)
+    )
+    return JobSpec(JobId('j'), 'h', '/', ModelId('m'), WeightVersion(1), items)
+
+
+def result_of(item: str) -> ItemResult:
+    return ItemResult(
+        ItemId(item), ItemState.COMPLETED, item, (WeightVersion(1),)
+    )
+
+
+COUNT = GROUPS * MEMBERS
+
+
+@then('in no history of two owners an item has two positions')
+def one_position(_: Any) -> None:
+    orders = hypothesis.strategies.permutations(range(COUNT))
+    pauses = hypothesis.strategies.lists(
+        hypothesis.strategies.integers(0, 20), min_size=COUNT, max_size=COUNT
+    )
+    plans = hypothesis.strategies.tuples(orders, pauses)
+
+    @hypothesis.settings(
+        derandomize=True, max_examples=300, deadline=None, database=None
+    )
+    @hypothesis.given(
+        plans,
+        plans,
+        hypothesis.strategies.lists(
+            hypothesis.strategies.sampled_from(FATES), max_size=30
+        ),
+    )
+    def check(first: Any, second: Any, fates: list[str]) -> None:
+        run_virtual(race(first, second, fates))
+
+    check()
+
+
+async def race(first: Any, second: Any, fates: list[str]) -> None:
+    shelf = Shelf(iter(fates))
+    owners = [Owner(shelf, 1), Owner(shelf, 2)]
+    writers = [asyncio.create_task(owner.writer.run()) for owner in owners]
+    await asyncio.gather(
+        owners[0].finish_all(*first), owners[1].finish_all(*second)
+    )
+    async with asyncio.timeout(30):
+        await asyncio.gather(*writers)
+    items = shelf.items()
+    assert len(items) == len(set(items)) == COUNT, items
+    pages = [owner.run.ledger.page(0, 10**9) for owner in owners]
+    assert pages[0] == pages[1], pages
+    assert [result.item for result in pages[0]] == items
+
+
+@then('both owners see the same results at the same positions')
+def same_positions(_: Any) -> None:
+    """Checked with each history above."""
+
+
+@given('a job whose owner has finished an item that another process lists')
+def listed_elsewhere(context: Any) -> None:
+    context.shelf = Shelf(iter(()))
+    context.shelf.records[0] = ResultRecord('other', (result_of('0.0'),))
+
+
+@when("the rest of the item's group finishes at the owner")
+def rest_finishes(context: Any) -> None:
+    async def scene() -> None:
+        owner = Owner(context.shelf, 1)
+        task = asyncio.create_task(owner.writer.run())
+        for member in range(MEMBERS):
+            owner.run.finish(result_of(f'1.{member}'))
+        owner.run.finish(result_of('0.0'))
+        await asyncio.sleep(0.2)
+        owner.run.finish(result_of('0.1'))
+        owner.run.finish(result_of('0.2'))
+        await asyncio.sleep(0.5)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    run_virtual(scene())
+
+
+@then('the item has one position in the store')
+def once_in_store(context: Any) -> None:
+    items = context.shelf.items()
+    assert items.count(ItemId('0.0')) == 1, items
+    assert len(items) == 2 * MEMBERS, items
