Pass streams on, and go on with them at another upstream

Cause: the contract's stream routes were answered only when the whole stream had come, and a kept connection that an upstream had dropped made it look broken.

--- /dev/null
+++ b/bergamotdoor/gateway/call_request.py
@@ -0,0 +1,36 @@
+"""What an upstream gets of a call."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from bergamotdoor import utils
+from bergamotdoor.calls.manifest import RouteKind
+from bergamotdoor.http.messages import ClientRequest
+from bergamotdoor.platform import headers as names
+
+if TYPE_CHECKING:
+    import datetime as dt
+
+    from bergamotdoor.fleet.upstreams import Upstream
+    from bergamotdoor.gateway.call import Call
+
+
+def call_request(
+    call: Call, upstream: Upstream, left: dt.timedelta
+) -> ClientRequest:
+    """Return the request that an upstream gets."""
+    passed = call.headers.without((names.DEADLINE_MS, names.EXPECT_INCARNATION))
+    return ClientRequest(
+        address=upstream.address,
+        method=call.method,
+        target=call.target,
+        headers=passed.plus(
+            (names.DEADLINE_MS, str(max(utils.to_ms(left), 1))),
+            (names.EXPECT_INCARNATION, upstream.upstream),
+        ),
+        body=call.body,
+        timeout=left,
+        idempotent=call.route.kind is RouteKind.IDEMPOTENT,
+        close_ends_body=True,
+    )
--- a/bergamotdoor/gateway/forwarding.py
+++ b/bergamotdoor/gateway/forwarding.py
@@ -10,7 +10,8 @@
 from bergamotdoor import utils
 from bergamotdoor.calls.manifest import RouteKind, pick_service
 from bergamotdoor.fleet.choice import fastest
-from bergamotdoor.gateway.attempt import Attempt, Call, send_call
+from bergamotdoor.gateway.attempt import send_call
+from bergamotdoor.gateway.call import Attempt, Call
 from bergamotdoor.gateway.refusals import refusal
 from bergamotdoor.verdict import Verdict
 
@@ -109,8 +110,9 @@
     def _may_begin(self) -> bool:
         if self._tries >= _MOST_TRIES or self._left() <= _NO_TIME:
             return False
-        repeatable = self._call.route.kind is RouteKind.IDEMPOTENT
-        if not repeatable and (self._ran or self._running):
+        if self._running and self._call.route.kind is RouteKind.STREAM:
+            return False
+        if not self._call.repeatable and (self._ran or self._running):
             return False
         begun = self._ran + len(self._running)
         return begun < self._call.route.max_attempts
--- a/bergamotdoor/gateway/front.py
+++ b/bergamotdoor/gateway/front.py
@@ -8,8 +8,8 @@
 
 from bergamotdoor import utils
 from bergamotdoor.calls.manifest import RouteKind
-from bergamotdoor.gateway.attempt import Call
 from bergamotdoor.gateway.batch_front import number_of
+from bergamotdoor.gateway.call import Call
 from bergamotdoor.gateway.refusals import plain, refusal
 from bergamotdoor.platform import headers as names
 from bergamotdoor.verdict import Verdict
--- a/bergamotdoor/gateway/item_run.py
+++ b/bergamotdoor/gateway/item_run.py
@@ -8,6 +8,7 @@
 
 from bergamotdoor import utils
 from bergamotdoor.gateway.item_request import item_request
+from bergamotdoor.gateway.sending import send
 from bergamotdoor.http.messages import BodyBrokenError, ClientResponse
 from bergamotdoor.jobs.board import RunEnd
 from bergamotdoor.jobs.messages import ItemResult, ItemState
@@ -60,7 +61,7 @@
 
 
 async def _run(context: Context, run: ItemRun) -> ItemResult | RunEnd:
-    response = await context.client.send(item_request(run))
+    response = await send(context.client, item_request(run))
     if not isinstance(response, ClientResponse):
         _log.info(
             'gateway: item %s at %s: %s',
--- a/bergamotdoor/http/client.py
+++ b/bergamotdoor/http/client.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Final
 
 import h11
+import msgspec
 
 from bergamotdoor.http._bodies import close_body
 from bergamotdoor.http._call import Call
@@ -76,13 +77,17 @@
             return await _not_sent(request, error)
         deadline = _deadline(request.timeout)
         stream = self._pooled(request)
+        reused = stream is not None
         if stream is None:
             try:
                 async with asyncio.timeout_at(deadline):
                     stream = await connect(request.address)
             except OSError as error:
                 return await _not_sent(request, error)
-        return await self._exchange(request, head, stream, deadline)
+        found = await self._exchange(request, head, stream, deadline)
+        if isinstance(found, ClientFailure):
+            return msgspec.structs.replace(found, reused=reused)
+        return found
 
     async def close(self) -> None:
         """Close every pooled connection; none is pooled from now on."""
--- a/bergamotdoor/http/messages.py
+++ b/bergamotdoor/http/messages.py
@@ -144,10 +144,15 @@
 
 
 class ClientFailure(msgspec.Struct, frozen=True):
-    """No response came; ``sent`` says whether any byte may have left."""
+    """No response came; ``sent`` says whether any byte may have left.
+
+    ``reused`` says that the connection was an idle one: it may have been
+    closed by the other side before the request came there.
+    """
 
     sent: bool
     detail: str
+    reused: bool = False
 
 
 async def read_all(body: AsyncIterator[bytes], limit_bytes: int) -> bytes:
--- a/bergamotdoor/jobs/__init__.py
+++ b/bergamotdoor/jobs/__init__.py
@@ -7,9 +7,10 @@
 from bergamotdoor.jobs.messages import ItemResult, ItemState, JobSpec
 from bergamotdoor.jobs.placement import free_slots, place_item
 from bergamotdoor.jobs.progress import Progress, Speeds, moves
-from bergamotdoor.jobs.transcript import Transcript
+from bergamotdoor.jobs.transcript import GeneratedEvent, Transcript
 
 __all__ = (
+    'GeneratedEvent',
     'ItemResult',
     'ItemState',
     'JobBoard',
--- a/bergamotdoor/jobs/transcript.py
+++ b/bergamotdoor/jobs/transcript.py
@@ -21,6 +21,8 @@
     number: int
     text: str
     version: WeightVersion | None = None
+    #: Its bytes, with the empty line at the end.
+    raw: bytes = b''
 
 
 class SavedTranscript(msgspec.Struct, frozen=True):
--- a/bergamotdoor/platform/events.py
+++ b/bergamotdoor/platform/events.py
@@ -34,7 +34,7 @@
         """
         blocks = (self._rest + piece).split(_END)
         self._rest = blocks.pop()
-        return (_event(block.decode()) for block in blocks if block)
+        return (_event(block) for block in blocks if block)
 
     def check_end(self) -> None:
         """Check that the stream did not end within an event.
@@ -48,11 +48,11 @@
             raise ValueError(f'{len(self._rest)} bytes of an event at the end')
 
 
-def _event(block: str) -> GeneratedEvent:
+def _event(block: bytes) -> GeneratedEvent:
     number = -1
     version: WeightVersion | None = None
     lines: list[str] = []
-    for line in block.split('\n'):
+    for line in block.decode().split('\n'):
         name, _, text = line.partition(':')
         text = text.removeprefix(' ')
         if name == 'data':
@@ -61,4 +61,4 @@
             number = int(text)
         elif name == WEIGHT_VERSION:
             version = WeightVersion(int(text))
-    return GeneratedEvent(number, '\n'.join(lines), version)
+    return GeneratedEvent(number, '\n'.join(lines), version, block + _END)
--- /dev/null
+++ b/features/agent_weights.feature
@@ -0,0 +1,45 @@
+Feature: new weights at an engine
+
+  Scenario: a published version is ordered once
+    Given an engine and its agent
+    When version 2 is published
+    Then the engine has version 2 within 2 s after 1 order
+    And the order names its holder, a fencing token and the count of orders
+
+  Scenario: an order that got no answer is given again and done once
+    The engine answers nothing and would carry the order out three seconds
+    later, after the one that came next. The count of accepted orders that
+    the first one expects does not hold any more by then.
+
+    Given an engine and its agent
+    When version 2 is published and the first order comes late
+    Then the engine has version 2 within 3 s after 1 order
+    And no older order takes effect later
+
+  Scenario: fencing tokens grow, also over a restart of the agent
+    Two models share an engine in the field, and a version of the one may be
+    older than the last order about the other. A token that went back would
+    let a late order pass for a new one.
+
+    Given an engine and its agent
+    When version 2 is published, the agent restarts and version 3 is published
+    Then the tokens of the orders grow
+
+  Scenario: an agent that was away orders the newest version only
+    Given an engine whose agent starts after versions 2 to 5 were published
+    Then the engine has version 5 within 2 s after 1 order
+
+  Scenario: engines take turns, two at a time
+    Given 5 engines of a service in a list
+    Then their turns to load begin 0, 0, 950, 950 and 1900 ms after the news
+
+  Scenario: an agent that cannot reach the store hears of versions through an entry
+    Given an engine whose agent loses its way to the store
+    When version 2 is published
+    Then the engine has version 2 within 12 s after 1 order
+
+  Scenario: a storage machine may be taken away as soon as that is asked
+    It keeps nothing that must last.
+
+    Given a storage machine that is to be emptied
+    Then its evacuation is completed within 1 s
--- /dev/null
+++ b/features/steps/agent_weights_steps.py
@@ -0,0 +1,189 @@
+"""Steps for the agents, in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime as dt
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from behave import given, then, when
+
+from bergamotdoor.agent.daemon import AgentDaemon
+from bergamotdoor.fleet.swap import turn_delay
+from bergamotdoor.fleet.upstreams import Upstream
+from bergamotdoor.types import ServiceId, UpstreamId, ZoneId
+from features.machines.site import Site, at, play
+
+if TYPE_CHECKING:
+    from features.machines.engine import Engine
+
+
+async def an_agent(site: Site) -> Engine:
+    await site.start(engines=1, services=0, entries=1)
+    engine = site.engines['engine-0']
+    await site.add_agent('side-0', engine)
+    await asyncio.sleep(2)
+    return engine
+
+
+def publish(site: Site, version: int) -> None:
+    site.store.put('versions', 'm', {'model': 'm', 'version': version})
+
+
+async def until_version(site: Site, engine: Engine, version: int) -> float:
+    began = site.clock.elapsed()
+    while engine.version < version:
+        await asyncio.sleep(0.05)
+        assert site.clock.elapsed() - began < dt.timedelta(seconds=20)
+    return (site.clock.elapsed() - began).total_seconds()
+
+
+@given('an engine and its agent')
+def engine_and_agent(context: Any) -> None:
+    context.prepare = an_agent
+
+
+@given('an engine whose agent loses its way to the store')
+def cut_agent(context: Any) -> None:
+    async def prepare(site: Site) -> Engine:
+        engine = await an_agent(site)
+        agent = site.agents['side-0']
+        agent._access.direct.address = at(8999)
+        site.store.cut_watches()
+        return engine
+
+    context.prepare = prepare
+
+
+@when('version 2 is published')
+def published(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        engine = await context.prepare(site)
+        publish(site, 2)
+        context.took_s = await until_version(site, engine, 2)
+        context.engine = engine
+
+    play(scene)
+
+
+@when('version 2 is published and the first order comes late')
+def late_order(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        engine = await context.prepare(site)
+        engine.late_orders = 1
+        publish(site, 2)
+        context.took_s = await until_version(site, engine, 2)
+        context.engine = engine
+        context.orders = len(engine.orders)
+        await asyncio.sleep(6)
+        context.orders_later = len(engine.orders)
+
+    play(scene)
+
+
+@when('version 2 is published, the agent restarts and version 3 is published')
+def restarts(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        engine = await context.prepare(site)
+        publish(site, 2)
+        await until_version(site, engine, 2)
+        await site.agents['side-0'].stop()
+        await site.add_agent('side-0', engine)
+        publish(site, 3)
+        await until_version(site, engine, 3)
+        context.engine = engine
+
+    play(scene)
+
+
+@given('an engine whose agent starts after versions 2 to 5 were published')
+def starts_late(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start(engines=1, services=0, entries=1)
+        for version in range(2, 6):
+            publish(site, version)
+        engine = site.engines['engine-0']
+        await site.add_agent('side-0', engine)
+        context.took_s = await until_version(site, engine, 5)
+        context.engine = engine
+
+    play(scene)
+
+
+@then(
+    'the engine has version {version:d} within {most:d} s after {count:d} order'
+)
+def has_version(context: Any, version: int, most: int, count: int) -> None:
+    assert context.took_s <= most, context.took_s
+    assert context.engine.version == version
+    assert len(context.engine.orders) == count, context.engine.orders
+
+
+@then('the order names its holder, a fencing token and the count of orders')
+def order_names(context: Any) -> None:
+    order = context.engine.orders[0]
+    assert order['holder'] == 'side-0', order
+    assert order['fence'] > 0, order
+    assert order['expected'] == 0, order
+    assert order['mode'] == 'retain', order
+
+
+@then('no older order takes effect later')
+def nothing_later(context: Any) -> None:
+    assert context.orders == context.orders_later == 1
+
+
+@then('the tokens of the orders grow')
+def tokens_grow(context: Any) -> None:
+    tokens = [order['fence'] for order in context.engine.orders]
+    assert len(tokens) == 2, tokens
+    assert tokens[0] < tokens[1], tokens
+
+
+@given('5 engines of a service in a list')
+def five(context: Any) -> None:
+    context.listed = [
+        Upstream(
+            upstream=UpstreamId(f'i{number}'),
+            service=ServiceId('lm'),
+            address=at(8100 + number),
+            zone=ZoneId('here'),
+            slots=4,
+        )
+        for number in range(5)
+    ]
+
+
+@then('their turns to load begin 0, 0, 950, 950 and 1900 ms after the news')
+def turns(context: Any) -> None:
+    delays = [
+        turn_delay(context.listed, one.address) // dt.timedelta(milliseconds=1)
+        for one in context.listed
+    ]
+    assert delays == [0, 0, 950, 950, 1900], delays
+
+
+@given('a storage machine that is to be emptied')
+def to_be_emptied(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start(engines=0, services=0, entries=0)
+        settings = msgspec.structs.replace(
+            site.settings('storage-0', 9600), engine=None
+        )
+        agent = AgentDaemon(settings, site.clock)
+        await agent.start()
+        await asyncio.sleep(1)
+        site.store.put('retirements', 'storage-0', {'duration_s': 10})
+        await asyncio.sleep(1)
+        context.status = site.store.objects['retirements']['storage-0'][
+            'status'
+        ]
+        await agent.stop()
+
+    play(scene)
+
+
+@then('its evacuation is completed within 1 s')
+def completed(context: Any) -> None:
+    assert context.status == {'state': 'completed'}, context.status
