Show metrics and state, and log to standard output

Cause: when a caller complains there are only logs and metrics; the new processes served none of the latter, and logs went to standard error. Change: counters and latency histograms as text at 9464/metrics, the state of an entry at /state; all daemons log to standard output.

--- a/bergamotdoor/gateway/context.py
+++ b/bergamotdoor/gateway/context.py
@@ -13,6 +13,7 @@
 from bergamotdoor.http.messages import Client
 from bergamotdoor.jobs.progress import Speeds
 from bergamotdoor.objects.client import ObjectClient
+from bergamotdoor.observe.metrics import Metrics
 from bergamotdoor.platform.settings import NodeSettings
 from bergamotdoor.settings.document import Address
 
@@ -32,6 +33,7 @@
     fleet: Fleet
     loads: Loads
     speeds: Speeds
+    metrics: Metrics
 
     @classmethod
     def fresh(
@@ -51,6 +53,7 @@
             Fleet(),
             Loads(),
             Speeds(),
+            Metrics(),
         )
 
     @property
--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import datetime as dt
 import logging
 from http import HTTPStatus
@@ -10,29 +9,22 @@
 
 from bergamotdoor.clock import Clock, LoopClock
 from bergamotdoor.gateway.context import Context
-from bergamotdoor.gateway.limits import INNER_LIMITS, caller_limits
+from bergamotdoor.gateway.following import follow_platform
+from bergamotdoor.gateway.inspection import GatewayInspector
+from bergamotdoor.gateway.limits import caller_limits
 from bergamotdoor.gateway.refusals import plain
-from bergamotdoor.gateway.views import FleetView, ManifestView
+from bergamotdoor.gateway.servers import Servers
+from bergamotdoor.gateway.views import ManifestView
 from bergamotdoor.gateway.wiring import JobParts
-from bergamotdoor.http import HttpClient, HttpServer
-from bergamotdoor.objects import View, Watcher
+from bergamotdoor.http import HttpClient
 from bergamotdoor.peers import StoreAccess, serve_peer
-from bergamotdoor.platform import headers as names
 from bergamotdoor.tasks import Tasks
 
 if TYPE_CHECKING:
-    from bergamotdoor.http.messages import Handler, HttpRequest, HttpResponse
+    from bergamotdoor.http.messages import HttpRequest, HttpResponse
     from bergamotdoor.platform.settings import NodeSettings
     from bergamotdoor.settings.document import Address
 
-#: Changes of upstreams are gathered for this long. New work must stop two
-#: seconds after an upstream said that it leaves.
-_GATHER_FLEET_MS: Final = 400
-_GATHER_FLEET: Final = dt.timedelta(milliseconds=_GATHER_FLEET_MS)
-#: A manifest must be in force within two seconds, and callers notice the
-#: first entry that has it.
-_GATHER_MANIFEST_MS: Final = 20
-_GATHER_MANIFEST: Final = dt.timedelta(milliseconds=_GATHER_MANIFEST_MS)
 #: The balancer asks once a second and gives up after two refusals. Until
 #: then new callers still come.
 _LAME_DUCK_S: Final = 2.2
@@ -75,21 +67,19 @@
         self._parts = JobParts(
             self._context, self._access, self._manifests, self._tasks
         )
-        self._servers = _Servers(self, self._clock)
+        self._inspector = GatewayInspector(
+            self._context, self._manifests, self._parts.owner
+        )
+        self._servers = Servers(self, self._clock)
 
     async def start(self) -> None:
         """Serve; not ready before manifest and upstreams are known."""
         _log.info('gateway: %s starts', self._settings.node)
         await self._servers.start()
         self._parts.owner.start()
-        fleet = FleetView(
-            self._context.fleet,
-            self._context.loads,
-            self._clock,
-            self._parts.owner.poke,
+        follow_platform(
+            self._context, self._manifests, self._parts.owner, self._tasks
         )
-        self._watch(names.MANIFEST_KIND, self._manifests, _GATHER_MANIFEST)
-        self._watch(names.UPSTREAM_KIND, fleet, _GATHER_FLEET)
         self._tasks.start(self._resume_jobs())
         self._tasks.start(self._expire_upstreams())
         self._start_directory()
@@ -126,6 +116,10 @@
             return plain(HTTPStatus.OK, 'ready')
         return plain(HTTPStatus.SERVICE_UNAVAILABLE, 'not ready')
 
+    async def inspection(self, request: HttpRequest) -> HttpResponse:
+        """Show metrics and state."""
+        return await self._inspector.handle(request)
+
     async def other_entries(self, request: HttpRequest) -> HttpResponse:
         """Answer another process of the system."""
         return await serve_peer(request, self._parts.peer_service.handle)
@@ -142,15 +136,12 @@
             'callers': self._settings.callers,
             'readiness': self._settings.readiness,
             'other_entries': self._context.own_address,
+            'inspection': self._context.settings.inspection,
         }[name]
         if found is None:
             raise ValueError(f'settings: no address for {name}')
         return found
 
-    def _watch(self, kind: str, view: View, gather: dt.timedelta) -> None:
-        watcher = Watcher(self._context.store, kind, view, self._clock, gather)
-        self._tasks.start(watcher.run())
-
     def _start_directory(self) -> None:
         directory = self._access.directory
         self._tasks.start(directory.register(self._context.own_address))
@@ -170,34 +161,3 @@
         while True:
             await self._clock.sleep(_EXPIRY_TICK)
             self._context.fleet.expire(self._clock.elapsed())
-
-
-class _Servers:
-    """The addresses that an entry listens on."""
-
-    def __init__(self, daemon: GatewayDaemon, clock: Clock) -> None:
-        self.callers = _server(daemon, daemon.callers, clock)
-        self._inner = (
-            _server(daemon, daemon.readiness, clock),
-            _server(daemon, daemon.other_entries, clock),
-        )
-
-    async def start(self) -> None:
-        """Listen, for callers last."""
-        for server in (*self._inner, self.callers):
-            await server.start()
-
-    async def stop_inner(self) -> None:
-        """Stop answering the balancer and the other entries."""
-        await asyncio.gather(
-            *(server.stop(dt.timedelta()) for server in self._inner)
-        )
-
-
-def _server(
-    daemon: GatewayDaemon, handler: Handler, clock: Clock
-) -> HttpServer:
-    name = handler.__name__
-    return HttpServer(
-        daemon.address_of(name), handler, INNER_LIMITS, clock, name
-    )
--- a/bergamotdoor/gateway/dispatcher.py
+++ b/bergamotdoor/gateway/dispatcher.py
@@ -18,6 +18,7 @@
     moves,
     place_item,
 )
+from bergamotdoor.observe.events import Counted
 
 if TYPE_CHECKING:
     import datetime as dt
@@ -155,6 +156,7 @@
 
     def _move(self, run: JobRun, move: Move) -> None:
         item = run.running[move.item]
+        self._context.metrics.count(Counted.ITEM_MOVED)
         _log.info(
             'gateway: item %s of job %s leaves %s after %d events: %s',
             move.item,
--- /dev/null
+++ b/bergamotdoor/gateway/following.py
@@ -0,0 +1,48 @@
+"""Follows what the operator and the upstreams write to the store."""
+
+from __future__ import annotations
+
+import datetime as dt
+from typing import TYPE_CHECKING, Final
+
+from bergamotdoor.gateway.views import FleetView, ManifestView
+from bergamotdoor.objects import Watcher
+from bergamotdoor.platform import headers as names
+
+if TYPE_CHECKING:
+    from bergamotdoor.gateway.context import Context
+    from bergamotdoor.gateway.owner import JobOwner
+    from bergamotdoor.tasks import Tasks
+
+#: Changes of upstreams are gathered for this long. New work must stop two
+#: seconds after an upstream said that it leaves.
+_GATHER_FLEET_MS: Final = 400
+_GATHER_FLEET: Final = dt.timedelta(milliseconds=_GATHER_FLEET_MS)
+#: A manifest must be in force within two seconds, and callers notice the
+#: first entry that has it.
+_GATHER_MANIFEST_MS: Final = 20
+_GATHER_MANIFEST: Final = dt.timedelta(milliseconds=_GATHER_MANIFEST_MS)
+
+
+def follow_platform(
+    context: Context, manifests: ManifestView, owner: JobOwner, tasks: Tasks
+) -> None:
+    """Keep manifest and upstreams up to date from now on."""
+    fleet = FleetView(context.fleet, context.loads, context.clock, owner.poke)
+    for watcher in (
+        Watcher(
+            context.store,
+            names.MANIFEST_KIND,
+            manifests,
+            context.clock,
+            _GATHER_MANIFEST,
+        ),
+        Watcher(
+            context.store,
+            names.UPSTREAM_KIND,
+            fleet,
+            context.clock,
+            _GATHER_FLEET,
+        ),
+    ):
+        tasks.start(watcher.run())
--- a/bergamotdoor/gateway/forwarding.py
+++ b/bergamotdoor/gateway/forwarding.py
@@ -13,6 +13,8 @@
 from bergamotdoor.gateway.attempt import send_call
 from bergamotdoor.gateway.call import Attempt, Call
 from bergamotdoor.gateway.refusals import refusal
+from bergamotdoor.observe.events import Counted
+from bergamotdoor.observe.metrics import Stage
 from bergamotdoor.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -54,10 +56,23 @@
             call.route.name,
             outcome.answer.status if outcome.answer else '-',
         )
+        self._count(outcome, service, now - call.began)
         if outcome.answer is not None:
             return outcome.answer
         return refusal(outcome.verdict, outcome.detail, call.request_id)
 
+    def _count(
+        self, outcome: Attempt, service: ServiceId, took: dt.timedelta
+    ) -> None:
+        metrics = self._context.metrics
+        metrics.record(Stage.TOTAL, took, service)
+        if outcome.answer is None:
+            refused = outcome.verdict is Verdict.NOT_RUN
+            counted = Counted.CALL_REFUSED if refused else Counted.CALL_UNCLEAR
+        else:
+            counted = Counted.CALL_ANSWERED
+        metrics.count(counted, service)
+
 
 class _Tries:
     """The attempts of one call."""
--- a/bergamotdoor/gateway/front.py
+++ b/bergamotdoor/gateway/front.py
@@ -11,6 +11,7 @@
 from bergamotdoor.gateway.batch_front import number_of
 from bergamotdoor.gateway.call import Call
 from bergamotdoor.gateway.refusals import plain, refusal
+from bergamotdoor.observe.events import Counted
 from bergamotdoor.platform import headers as names
 from bergamotdoor.verdict import Verdict
 
@@ -57,6 +58,7 @@
         host = request.headers.first('host')
         route = manifest.match(host, request.target)
         if route is None:
+            self._context.metrics.count(Counted.CALL_WITHOUT_ROUTE)
             _log.info(
                 'gateway: call %s: no route for %s%s, manifest %d',
                 request_id,
--- /dev/null
+++ b/bergamotdoor/gateway/inspection.py
@@ -0,0 +1,126 @@
+"""Metrics and the state of a process, on request."""
+
+from __future__ import annotations
+
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from bergamotdoor.gateway.refusals import plain
+from bergamotdoor.http.messages import Headers, HttpResponse
+from bergamotdoor.observe.dump import DumpRegistry
+from bergamotdoor.observe.exposition import exposition
+from bergamotdoor.types import Generation, JobId, UpstreamId
+
+if TYPE_CHECKING:
+    from bergamotdoor.gateway.context import Context
+    from bergamotdoor.gateway.owner import JobOwner
+    from bergamotdoor.gateway.views import ManifestView
+    from bergamotdoor.http.messages import HttpRequest
+
+METRICS_PATH: Final = '/metrics'
+STATE_PATH: Final = '/state'
+
+
+class UpstreamState(msgspec.Struct, frozen=True):
+    """What an entry thinks of one upstream."""
+
+    upstream: UpstreamId
+    service: str
+    draining: bool
+    in_flight: int
+    busy: int
+    resting: bool
+    event_interval_s: float
+    versions: dict[str, int]
+
+
+class JobState(msgspec.Struct, frozen=True):
+    """How far a job is that this entry owns."""
+
+    job: JobId
+    term: int
+    ended: bool
+    items: int
+    listed: int
+    running: int
+
+
+class GatewayState(msgspec.Struct, frozen=True):
+    """The state of an entry."""
+
+    generation: Generation | None
+    upstreams: tuple[UpstreamState, ...]
+    jobs: tuple[JobState, ...]
+
+
+class GatewayInspector:
+    """Shows an entry's metrics and state."""
+
+    def __init__(
+        self, context: Context, manifests: ManifestView, owner: JobOwner
+    ) -> None:
+        self._context = context
+        self._manifests = manifests
+        self._owner = owner
+        self._dumps = DumpRegistry()
+        self._dumps.register('gateway', self)
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer with metrics or state."""
+        if request.target == METRICS_PATH:
+            text = exposition(self._context.metrics.snapshot())
+            return plain(HTTPStatus.OK, text)
+        if request.target == STATE_PATH:
+            return HttpResponse(
+                status=int(HTTPStatus.OK),
+                headers=Headers.of([('content-type', 'application/json')]),
+                body=self._dumps.collect(),
+            )
+        return plain(HTTPStatus.NOT_FOUND, 'metrics or state')
+
+    def dump(self) -> GatewayState:
+        """Return the state now."""
+        manifest = self._manifests.manifest
+        return GatewayState(
+            None if manifest is None else manifest.generation,
+            tuple(self._upstreams()),
+            tuple(self._jobs()),
+        )
+
+    def _upstreams(self) -> list[UpstreamState]:
+        now = self._context.clock.elapsed()
+        states = []
+        for upstream in self._context.fleet:
+            name = upstream.upstream
+            load = self._context.loads.of(name)
+            states.append(
+                UpstreamState(
+                    name,
+                    upstream.service,
+                    upstream.draining,
+                    load.in_flight,
+                    load.busy(now),
+                    load.resting(now),
+                    self._context.speeds.interval_s(name),
+                    {
+                        model: self._context.fleet.version(name, model)
+                        for model in upstream.versions
+                    },
+                )
+            )
+        return states
+
+    def _jobs(self) -> list[JobState]:
+        return [
+            JobState(
+                run.spec.job,
+                run.found.record.term,
+                run.ended,
+                len(run.spec.items),
+                len(run.ledger),
+                len(run.running),
+            )
+            for run in self._owner.runs()
+        ]
--- a/bergamotdoor/gateway/item_run.py
+++ b/bergamotdoor/gateway/item_run.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from bergamotdoor import utils
+from bergamotdoor.gateway.item_outcome import note_outcome
 from bergamotdoor.gateway.item_request import item_request
 from bergamotdoor.gateway.sending import send
 from bergamotdoor.http.messages import BodyBrokenError, ClientResponse
@@ -42,24 +43,10 @@
         utils.to_ms(now - began),
         load.in_flight,
     )
-    _learn(context, run, end)
+    note_outcome(context, run, end, now - began)
     return end
 
 
-def _learn(context: Context, run: ItemRun, end: ItemResult | RunEnd) -> None:
-    upstream = run.upstream.upstream
-    load = context.loads.of(upstream)
-    now = context.clock.elapsed()
-    if isinstance(end, ItemResult):
-        load.succeeded()
-    elif end is RunEnd.REFUSED:
-        load.refused(now)
-    elif end is RunEnd.REPLACED:
-        context.fleet.replaced(upstream)
-    elif end in {RunEnd.BROKEN, RunEnd.FAILED}:
-        load.failed(now)
-
-
 async def _run(context: Context, run: ItemRun) -> ItemResult | RunEnd:
     response = await send(context.client, item_request(run))
     if not isinstance(response, ClientResponse):
--- a/bergamotdoor/gateway/owner.py
+++ b/bergamotdoor/gateway/owner.py
@@ -12,6 +12,8 @@
 from bergamotdoor.gateway.result_writer import ResultWriter
 from bergamotdoor.jobs.messages import JobRecord
 from bergamotdoor.objects.messages import Outcome
+from bergamotdoor.observe.events import Counted
+from bergamotdoor.observe.metrics import Stage
 from bergamotdoor.tasks import Tasks
 
 if TYPE_CHECKING:
@@ -76,6 +78,10 @@
         """Return a job that this process owns, or owned until its end."""
         return self._runs.get(job)
 
+    def runs(self) -> tuple[JobRun, ...]:
+        """Return all jobs that are kept here."""
+        return tuple(self._runs.values())
+
     def own_record(self, term: int, parts: int) -> JobRecord:
         """Return the record of a job owned by this process."""
         return JobRecord(
@@ -95,6 +101,9 @@
         patience = _ROUTE_PATIENCE if route is None else route.due
         run = JobRun(self._context, self._store, found, loaded, now + patience)
         self._runs[found.job] = run
+        self._context.metrics.count(Counted.JOB_OWNED)
+        if found.record.term > 1:
+            self._context.metrics.count(Counted.JOB_TAKEN_OVER)
         if found.status.ended:
             run.end()
         else:
@@ -117,10 +126,15 @@
         if run is None or run.ended:
             return
         run.end()
+        took = self._context.clock.elapsed() - run.began
+        self._context.metrics.record(Stage.STEP, took)
+        self._context.metrics.count(Counted.JOB_ENDED)
+        listed = len(run.ledger)
+        self._context.metrics.count(Counted.RESULTS_LISTED, amount=listed)
         _log.info(
             'gateway: job %s ended, %d of %d listed',
             job,
-            len(run.ledger),
+            listed,
             len(run.spec.items),
         )
 
--- /dev/null
+++ b/bergamotdoor/observe/events.py
@@ -0,0 +1,28 @@
+"""What the processes on the platform's machines count."""
+
+from __future__ import annotations
+
+import enum
+
+
+class Counted(enum.Enum):
+    """Events that explain a failure afterwards."""
+
+    CALL_ANSWERED = 'calls_answered'
+    CALL_REFUSED = 'calls_refused'
+    CALL_UNCLEAR = 'calls_unclear'
+    CALL_WITHOUT_ROUTE = 'calls_without_route'
+    ITEM_COMPLETED = 'items_completed'
+    ITEM_LOST = 'items_lost'
+    ITEM_REFUSED = 'items_refused'
+    ITEM_BROKEN = 'items_broken'
+    ITEM_MOVED = 'items_moved'
+    ITEM_STALE = 'items_of_old_weights'
+    JOB_KEPT = 'jobs_kept'
+    JOB_REFUSED = 'jobs_refused'
+    JOB_OWNED = 'jobs_owned'
+    JOB_TAKEN_OVER = 'jobs_taken_over'
+    JOB_ENDED = 'jobs_ended'
+    RESULTS_LISTED = 'results_listed'
+    STORE_INTERRUPTED = 'store_interruptions'
+    ORDER_GIVEN = 'orders_given'
--- /dev/null
+++ b/bergamotdoor/observe/exposition.py
@@ -0,0 +1,44 @@
+"""Metrics as text, one series a line."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Final
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from bergamotdoor.observe.metrics import (
+        CounterValue,
+        LatencySummary,
+        MetricsSnapshot,
+    )
+
+_PREFIX: Final = 'bergamotdoor'
+
+
+def exposition(snapshot: MetricsSnapshot) -> str:
+    """Return all series as ``name{labels} value`` lines."""
+    lines = [_counter(counter) for counter in snapshot.counters]
+    for summary in snapshot.latencies:
+        lines.extend(_summary(summary))
+    return '\n'.join((*lines, ''))
+
+
+def _counter(counter: CounterValue) -> str:
+    labels = f'service="{counter.service}"'
+    return f'{_PREFIX}_{counter.name}_total{{{labels}}} {counter.count}'
+
+
+def _summary(summary: LatencySummary) -> Iterator[str]:
+    name = f'{_PREFIX}_{summary.stage}_latency'
+    labels = f'service="{summary.service}"'
+    quantiles = (
+        ('0.5', summary.p50_us),
+        ('0.9', summary.p90_us),
+        ('0.99', summary.p99_us),
+        ('0.999', summary.p999_us),
+        ('1', summary.max_us),
+    )
+    for quantile, value in quantiles:
+        yield f'{name}_us{{{labels},quantile="{quantile}"}} {value}'
+    yield f'{name}_count{{{labels}}} {summary.count}'
--- a/bergamotdoor/observe/logs.py
+++ b/bergamotdoor/observe/logs.py
@@ -5,6 +5,7 @@
 import datetime as dt
 import logging
 import queue
+import sys
 from logging.handlers import (
     QueueHandler,
     QueueListener,
@@ -39,7 +40,7 @@
 
     @property
     def file(self) -> str:
-        """The file to append to; empty for standard error."""
+        """The file to append to; empty for standard output."""
 
 
 class LogOutput:
@@ -105,7 +106,7 @@
         raise ValueError(
             f'log.level: {settings.level!r} is not one of {expected}'
         )
-    handler: logging.Handler = logging.StreamHandler()
+    handler: logging.Handler = logging.StreamHandler(sys.stdout)
     if settings.file:
         # Reopens the file after a log rotation has moved it away.
         handler = WatchedFileHandler(settings.file)
--- a/bergamotdoor/platform/settings.py
+++ b/bergamotdoor/platform/settings.py
@@ -12,6 +12,8 @@
 from bergamotdoor.settings.problems import Problem, SettingsError
 from bergamotdoor.types import NodeId, ZoneId
 
+#: The port that the deploy file names for metrics, alike on every VM.
+INSPECTION_PORT: Final = 9464
 #: Names the settings file in the environment.
 SETTINGS_VARIABLE: Final = 'BERGAMOTDOOR_CONFIG'
 
@@ -62,6 +64,8 @@
     readiness: Address | None
     #: Where processes of the system reach each other.
     first_port: int
+    #: Where metrics and state are shown.
+    inspection: Address
     #: The engine on this VM; sidecars only.
     engine: Address | None
     #: From a request to stop until the process is killed.
@@ -111,6 +115,7 @@
         callers=_optional(written.listen.front),
         readiness=_optional(written.listen.ready),
         first_port=written.internal_ports[0],
+        inspection=Address(ip=written.ip, port=INSPECTION_PORT),
         engine=_optional(written.app),
         grace=dt.timedelta(seconds=written.bounds.grace_s),
         retention=dt.timedelta(seconds=written.bounds.status_s),
--- a/bergamotdoor/settings/process.py
+++ b/bergamotdoor/settings/process.py
@@ -50,7 +50,7 @@
     """Where and how much is logged."""
 
     level: str = 'info'
-    #: Empty logs to standard error.
+    #: Empty logs to standard output.
     file: str = ''
 
 
--- /dev/null
+++ b/features/gateway_inspection.feature
@@ -0,0 +1,6 @@
+Feature: metrics and state of an entry
+
+  Scenario: what an entry did can be read from its metrics and state
+    Given a site whose entry served calls and a job
+    Then its metrics count the calls and items, with their latencies
+    And its state shows the manifest, the upstreams and the job
--- a/features/machines/site.py
+++ b/features/machines/site.py
@@ -161,6 +161,7 @@
             callers=at(port),
             readiness=at(port + 1),
             first_port=port + 2,
+            inspection=at(port + 3),
             engine=engine,
             grace=dt.timedelta(seconds=8),
             retention=dt.timedelta(seconds=120),
--- a/features/steps/gateway_calls_steps.py
+++ b/features/steps/gateway_calls_steps.py
@@ -100,7 +100,7 @@
     def prepare(site: Site) -> None:
         service = site.services['desk-0']
         honest = service.fields
-        vars(service)['fields'] = lambda _: honest('another')
+        setattr(service, 'fields', lambda _: honest('another'))  # noqa: B010
 
     context.plan.prepare.append(prepare)
 
