Leave a watch to its own way

Ruled out: the list after an interruption, which came only when that watch ended. Change: a watch is tried on one way only; when it ends without an answer its caller lists the kind. Test first: a fourth scenario of features/objects_watcher.feature, failed before (generations 5, 7, 7), passes after.

--- a/bergamotdoor/peers/relay.py
+++ b/bergamotdoor/peers/relay.py
@@ -111,7 +111,14 @@
         addresses = self._addresses()
         if not addresses:
             return await self._call_directly(call, timeout)
-        if self._clock.elapsed() < self._detour_until:
+        detour = self._clock.elapsed() < self._detour_until
+        if _is_watch(call):
+            # Its silence tells nothing, and one that was cut is not begun
+            # again on another way: its caller lists first.
+            if detour:
+                return await self._relay.call(addresses[0], call, timeout)
+            return await self._call_directly(call, timeout)
+        if detour:
             found = await self._go_round(call, addresses, timeout)
             if usable(found):
                 return found
@@ -146,10 +153,6 @@
         addresses: list[Address],
         timeout: dt.timedelta,
     ) -> Answer | Outcome:
-        # A watch waits by its nature, so its silence tells nothing. One
-        # that was cut is not begun again here: its caller lists first.
-        if _is_watch(call):
-            return await direct
         await asyncio.wait((direct,), timeout=_PATIENCE.total_seconds())
         if direct.done() and usable(direct.result()):
             return direct.result()
--- a/features/objects_watcher.feature
+++ b/features/objects_watcher.feature
@@ -21,3 +21,11 @@
     Given a site whose registrations lapse while the store is away
     Then calls are answered right after the store's return
     And upstreams that are still missing 4 s later get no calls
+
+  Scenario: a relayed watch that was cut is not begun again by another entry
+    The entry was cut off a moment ago, so its watch waits at another entry.
+    The store cuts that one too, and a third entry would go on with it from
+    the old revision: it hears of later changes only.
+
+    Given a site where an entry's watch waits at another entry when it is cut
+    Then every entry has the newest manifest 2 s later
--- a/features/steps/objects_watcher_steps.py
+++ b/features/steps/objects_watcher_steps.py
@@ -7,7 +7,7 @@
 
 from behave import given, then
 
-from features.machines.site import Site, play
+from features.machines.site import Site, at, play
 
 
 @given('a site whose store becomes deaf, changes and cuts its watches')
@@ -85,3 +85,28 @@
 @then('upstreams that are still missing 4 s later get no calls')
 def gone(context: Any) -> None:
     assert context.statuses[1] == 503, context.statuses
+
+
+@given("a site where an entry's watch waits at another entry when it is cut")
+def relayed_watch(context: Any) -> None:
+    async def scene(site: Site) -> list[int]:
+        await site.start(entries=3)
+        access = site.entries['entry-0']._access
+        direct = access.direct.address
+        access.direct.address = at(8999)
+        site.store.cut_watches()
+        await asyncio.sleep(1.5)
+        access.direct.address = direct
+        # Its watch waits at another entry now.
+        site.store.deaf = True
+        site.put_manifest()
+        await asyncio.sleep(1)
+        site.store.cut_watches()
+        await asyncio.sleep(0.05)
+        site.store.drop_history()
+        site.store.forgotten = 0
+        site.store.deaf = False
+        await asyncio.sleep(2)
+        return generations(site)
+
+    context.generations = play(scene)
