--- a/bergamotdoor/agent/daemon.py
+++ b/bergamotdoor/agent/daemon.py
@@ -68,6 +68,11 @@
         await self._tasks.stop()
         await self._client.close()
 
+    def use_settings(self, settings: NodeSettings) -> None:
+        """Take the store's address of changed settings."""
+        self._access.use_settings(settings)
+        self._settings = settings
+
     def _announce(self, model: ModelId, version: WeightVersion) -> None:
         """Tell the entry that runs the model's jobs of a loaded version.
 
--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -97,6 +97,11 @@
         await self._servers.stop_inner()
         await self._client.close()
 
+    def use_settings(self, settings: NodeSettings) -> None:
+        """Take the store's address and the bounds of changed settings."""
+        self._access.use_settings(settings)
+        self._settings = settings
+
     async def kill(self) -> None:
         """End at once, as a crash would; for tests."""
         await self._parts.owner.stop()
--- a/bergamotdoor/gateway/item_outcome.py
+++ b/bergamotdoor/gateway/item_outcome.py
@@ -21,6 +21,7 @@
         RunEnd.REFUSED: Counted.ITEM_REFUSED,
         RunEnd.REPLACED: Counted.ITEM_REFUSED,
         RunEnd.TOO_OLD: Counted.ITEM_STALE,
+        RunEnd.OUTDATED: Counted.ITEM_STALE,
         RunEnd.IMPOSSIBLE: Counted.ITEM_LOST,
     }
 )
--- a/bergamotdoor/gateway/item_run.py
+++ b/bergamotdoor/gateway/item_run.py
@@ -98,7 +98,7 @@
     version = WeightVersion(int(text))
     context.fleet.saw(run.upstream.upstream, run.job.model, version)
     if version < run.job.min_version:
-        return RunEnd.TOO_OLD
+        return RunEnd.OUTDATED
     run.transcript.begin_run(version)
     return None
 
--- a/bergamotdoor/jobs/board.py
+++ b/bergamotdoor/jobs/board.py
@@ -51,6 +51,8 @@
     IMPOSSIBLE = 'impossible'
     #: Stopped by the owner, to go on at another engine.
     MOVED = 'moved'
+    #: The engine's weights are older than the job takes; none were used.
+    OUTDATED = 'outdated'
     #: Made under a version that the job does not take.
     TOO_OLD = 'too-old'
 
--- a/bergamotdoor/peers/access.py
+++ b/bergamotdoor/peers/access.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 from typing import TYPE_CHECKING
 
@@ -16,6 +17,9 @@
     from bergamotdoor.platform.settings import NodeSettings
 
 
+_log = logging.getLogger('bergamotdoor.peers')
+
+
 class StoreAccess:
     """The ways to the store, and the other entries on them.
 
@@ -43,3 +47,13 @@
         self.store = ObjectClient(caller)
         self.directory = Directory(self.store, settings.node, clock)
         caller.directory = self.directory
+
+    def use_settings(self, settings: NodeSettings) -> None:
+        """Take another address of the store, if the settings have one."""
+        if settings.store != self.direct.address:
+            _log.info(
+                'peers: the store is at %s:%d now',
+                settings.store.ip,
+                settings.store.port,
+            )
+            self.direct.address = settings.store
--- /dev/null
+++ b/features/jobs_progress.feature
@@ -0,0 +1,49 @@
+Feature: where the items of a job run, and when they move
+
+  Scenario: a step at its worst load starts its longest items first
+    A hundred items come at once before twelve slots. The longest takes as
+    long as all that a slot can do, so each second that it waits is a second
+    for the whole step.
+
+    Given a board of 100 items with lengths of a heavy tail
+    Then its longest items start first, the others in the job's order
+
+  Scenario: an item that has to run again goes before those that have not
+    Given a board of 10 items of which the first was refused
+    Then the first item is the next one
+
+  Scenario: failed attempts are paced and bounded
+    An engine fails in a millisecond on the same item. Without a pause all
+    attempts would be used up in one short fault.
+
+    Given a board of 10 items of which the first fails at each run
+    Then its runs begin after 0, 100 and 300 ms, and it is lost after 3
+
+  Scenario: a group stays where its prompt is, as long as there is room
+    Given engines with 2 of 4 and 0 of 4 slots taken
+    Then an item of a group at home in the first goes there
+    And an item of another group goes to the second
+    And with the first one full the group's item goes to the second
+
+  Scenario: an item moves once that gains a quarter of a second
+    Given items at an engine of 40 ms and one of 100 ms an event
+    Then an item with 100 events to go moves from the slow to the fast one
+    And an item with 3 events to go stays
+    And no item moves within half a second of its start
+
+  Scenario: nothing moves to an engine that stands still
+    Two engines load weights at once; both look fast and have room.
+    Given items at two engines that show no events for 400 ms
+    Then no item moves between them
+    And with a third engine that has room both move there
+
+  Scenario: texts that a job does not take are made anew
+    Then a text with a version below the least does not fit
+    And a text of two versions does not fit a job of one
+
+  Scenario: an upstream that refuses is probed by one request
+    Sixteen items wait for an engine that loads weights. When its rest ends,
+    one goes there; the others follow once it was taken.
+
+    Given an upstream that refused a request
+    Then it rests for 300 ms, takes one request, and others once that one runs
--- /dev/null
+++ b/features/steps/jobs_progress_steps.py
@@ -0,0 +1,266 @@
+"""Steps for bergamotdoor.jobs and bergamotdoor.fleet.loads."""
+
+from __future__ import annotations
+
+import datetime as dt
+from typing import Any
+
+from behave import given, then
+
+from bergamotdoor.fleet.loads import Loads, UpstreamLoad
+from bergamotdoor.fleet.upstreams import Upstream
+from bergamotdoor.jobs import (
+    GeneratedEvent,
+    JobBoard,
+    JobSpec,
+    Progress,
+    RunEnd,
+    Speeds,
+    Transcript,
+    free_slots,
+    moves,
+    place_item,
+)
+from bergamotdoor.jobs.ledger import Ledger
+from bergamotdoor.jobs.messages import ItemSpec, ItemState
+from bergamotdoor.types import (
+    GroupId,
+    ItemId,
+    JobId,
+    ModelId,
+    ServiceId,
+    UpstreamId,
+    WeightVersion,
+    ZoneId,
+)
+from features.machines.site import at
+
+WHERE = UpstreamId('e0')
+
+
+def ms(value: float) -> dt.timedelta:
+    return dt.timedelta(milliseconds=value)
+
+
+def board_of(lengths: list[int]) -> JobBoard:
+    items = tuple(
+        ItemSpec(
+            ItemId(str(number)),
+            '/',
+            (),
+            b'',
+            GroupId(str(number // 4)),
+            length,
+        )
+        for number, length in enumerate(lengths)
+    )
+    spec = JobSpec(JobId('j'), 'h', '/', ModelId('m'), WeightVersion(1), items)
+    board = JobBoard(spec, Ledger())
+    board.max_failures = 3
+    return board
+
+
+def take(board: JobBoard, now: dt.timedelta) -> ItemId | None:
+    slot = board.ready(now)
+    if slot is None:
+        return None
+    board.start(slot)
+    return slot.spec.item
+
+
+@given('a board of 100 items with lengths of a heavy tail')
+def heavy_tail(context: Any) -> None:
+    context.lengths = [
+        4000 if number % 20 == 7 else 500 for number in range(100)
+    ]
+    context.board = board_of(context.lengths)
+
+
+@then("its longest items start first, the others in the job's order")
+def longest_first(context: Any) -> None:
+    order = [int(take(context.board, ms(0)) or -1) for _ in range(100)]
+    long = [number for number in range(100) if number % 20 == 7]
+    assert order[: len(long)] == long, order
+    assert order[len(long) :] == sorted(order[len(long) :]), order
+
+
+@given('a board of 10 items of which the first was refused')
+def first_refused(context: Any) -> None:
+    context.board = board_of(list(range(10)))
+    for _ in range(3):
+        take(context.board, ms(0))
+    context.board.give_back(ItemId('0'), RunEnd.REFUSED, WHERE, ms(1))
+
+
+@then('the first item is the next one')
+def first_next(context: Any) -> None:
+    assert take(context.board, ms(1)) == '0'
+
+
+@given('a board of 10 items of which the first fails at each run')
+def first_fails(context: Any) -> None:
+    context.board = board_of([1])
+
+
+@then('its runs begin after 0, 100 and 300 ms, and it is lost after 3')
+def paced(context: Any) -> None:
+    board = context.board
+    begun = []
+    now = 0
+    while board.open_items and now < 2000:
+        if take(board, ms(now)) is not None:
+            begun.append(now)
+            board.give_back(ItemId('0'), RunEnd.FAILED, WHERE, ms(now))
+        now += 10
+    assert begun == [0, 100, 400], begun
+    assert board.take_finished(1)[0].state is ItemState.LOST
+
+
+def engines(count: int) -> list[Upstream]:
+    return [
+        Upstream(
+            upstream=UpstreamId(f'e{number}'),
+            service=ServiceId('lm'),
+            address=at(8100 + number),
+            zone=ZoneId('here'),
+            slots=4,
+        )
+        for number in range(count)
+    ]
+
+
+@given('engines with 2 of 4 and 0 of 4 slots taken')
+def taken(context: Any) -> None:
+    context.engines = engines(2)
+    context.loads = Loads()
+    context.loads.of(WHERE).in_flight = 2
+
+
+def placed(context: Any, home: str | None) -> str:
+    found = place_item(
+        context.engines,
+        context.loads,
+        Speeds(),
+        None if home is None else UpstreamId(home),
+        frozenset(),
+        ms(0),
+    )
+    assert found is not None
+    return found.upstream
+
+
+@then('an item of a group at home in the first goes there')
+def at_home(context: Any) -> None:
+    assert placed(context, 'e0') == 'e0'
+
+
+@then('an item of another group goes to the second')
+def emptier(context: Any) -> None:
+    assert placed(context, None) == 'e1'
+
+
+@then("with the first one full the group's item goes to the second")
+def full(context: Any) -> None:
+    context.loads.of(WHERE).in_flight = 4
+    assert placed(context, 'e0') == 'e1'
+
+
+def progress(
+    upstream: str, events: int, expected: float, last_ms: float
+) -> Progress:
+    one = Progress(
+        ItemId(f'{upstream}-{expected}'), UpstreamId(upstream), ms(0), expected
+    )
+    one.advance(events, ms(last_ms))
+    return one
+
+
+@given('items at an engine of 40 ms and one of 100 ms an event')
+def two_speeds(context: Any) -> None:
+    context.speeds = Speeds()
+    context.speeds.learn(progress('e0', 50, 60, 2000))
+    context.speeds.learn(progress('e1', 20, 60, 2000))
+
+
+def moved(context: Any, one: Progress, now_ms: float) -> list[str]:
+    room = {UpstreamId('e0'): 1, UpstreamId('e1'): 1}
+    found = moves([one], room, context.speeds, ms(now_ms))
+    return [move.item for move in found]
+
+
+@then('an item with 100 events to go moves from the slow to the fast one')
+def moves_over(context: Any) -> None:
+    assert moved(context, progress('e1', 20, 120, 1990), 2000)
+    assert not moved(context, progress('e0', 20, 120, 1990), 2000)
+
+
+@then('an item with 3 events to go stays')
+def stays(context: Any) -> None:
+    assert not moved(context, progress('e1', 2, 5, 1990), 2000)
+
+
+@then('no item moves within half a second of its start')
+def young(context: Any) -> None:
+    assert not moved(context, progress('e1', 20, 120, 390), 400)
+
+
+@given('items at two engines that show no events for 400 ms')
+def standing(context: Any) -> None:
+    context.progresses = [
+        progress('e0', 20, 60, 1000),
+        progress('e1', 20, 60, 1000),
+    ]
+
+
+@then('no item moves between them')
+def none_between(context: Any) -> None:
+    room = {UpstreamId('e0'): 2, UpstreamId('e1'): 2}
+    assert not list(moves(context.progresses, room, Speeds(), ms(1400)))
+
+
+@then('with a third engine that has room both move there')
+def third(context: Any) -> None:
+    room = {UpstreamId('e0'): 2, UpstreamId('e2'): 2}
+    found = list(moves(context.progresses, room, Speeds(), ms(1400)))
+    assert [move.stalled for move in found] == [True, True], found
+
+
+def transcript(*versions: int) -> Transcript:
+    found = Transcript()
+    for number, version in enumerate(versions, start=1):
+        event = GeneratedEvent(number, 'x', WeightVersion(version))
+        assert found.add(event)
+    return found
+
+
+@then('a text with a version below the least does not fit')
+def too_old(_: Any) -> None:
+    assert not transcript(1, 2).fits(WeightVersion(2), single=False)
+    assert transcript(2, 3).fits(WeightVersion(2), single=False)
+
+
+@then('a text of two versions does not fit a job of one')
+def single(_: Any) -> None:
+    assert not transcript(2, 3).fits(WeightVersion(2), single=True)
+    assert transcript(3, 3).fits(WeightVersion(2), single=True)
+
+
+@given('an upstream that refused a request')
+def refused(context: Any) -> None:
+    context.loads = Loads()
+    context.load = context.loads.of(WHERE)
+    context.load.refused(ms(0))
+
+
+@then('it rests for 300 ms, takes one request, and others once that one runs')
+def probed(context: Any) -> None:
+    load: UpstreamLoad = context.load
+    engine = engines(1)[0]
+    free = [
+        free_slots(engine, context.loads, ms(at_ms)) for at_ms in (299, 300)
+    ]
+    load.placed(ms(300))
+    free.append(free_slots(engine, context.loads, ms(310)))
+    load.accepted(ms(320))
+    free.append(free_slots(engine, context.loads, ms(320)))
+    assert free == [0, 4, 0, 4], free
--- /dev/null
+++ b/features/steps/platform_adapter_steps.py
@@ -0,0 +1,269 @@
+"""Steps for bergamotdoor.platform."""
+
+from __future__ import annotations
+
+import contextlib
+import datetime as dt
+import json
+import pathlib
+import re
+import tempfile
+from typing import Any
+
+import hypothesis
+import msgspec
+from behave import given, then, when
+
+from bergamotdoor.calls.manifest import RouteKind, pick_service
+from bergamotdoor.cli.node import ReloadingDaemon
+from bergamotdoor.gateway.views import ManifestView
+from bergamotdoor.objects.messages import Listing, StoredObject
+from bergamotdoor.platform.batch_wire import parse_job
+from bergamotdoor.platform.engines import parse_report, parse_upstream
+from bergamotdoor.platform.events import EventReader
+from bergamotdoor.platform.manifest import parse_manifest
+from bergamotdoor.platform.settings import parse_node_settings
+from bergamotdoor.platform.store_wire import parse_changes, parse_page
+from bergamotdoor.settings.problems import SettingsError
+from bergamotdoor.types import JobId, Revision, ServiceId
+
+PACKAGE = pathlib.Path('bergamotdoor')
+ADAPTER = PACKAGE / 'platform'
+WIRE = re.compile(
+    r'x-bergamotdoor-|retirements|/-/(lots|items|order|report|objects)'
+    r'|cold_left_ms|more_pages|as_of|next_token|max_wait_s|max_conns'
+    r'|goal_ms|can_resume|min_version["\']|beat_interval_ms',
+    re.IGNORECASE,
+)
+ALLOWED = 20
+
+
+def modules() -> list[pathlib.Path]:
+    return sorted(PACKAGE.rglob('*.py'))
+
+
+def lines(path: pathlib.Path) -> int:
+    return len(path.read_text().splitlines())
+
+
+@then('no module outside bergamotdoor/platform holds a name of the wire')
+def no_names(_: Any) -> None:
+    found = {
+        str(path): match.group()
+        for path in modules()
+        if ADAPTER not in path.parents
+        and (match := WIRE.search(path.read_text()))
+    }
+    assert not found, found
+
+
+@then('the adapter is less than a twentieth of the code')
+def small(_: Any) -> None:
+    adapter = sum(lines(path) for path in ADAPTER.rglob('*.py'))
+    whole = sum(lines(path) for path in modules())
+    assert adapter * ALLOWED < whole, (adapter, whole)
+
+
+def manifest(version: int) -> bytes:
+    written = {
+        'version': version,
+        'routes': [
+            {
+                'name': 'jobs',
+                'host': 'A.example',
+                'path_prefix': '/p/',
+                'kind': 'rollout',
+                'service': 's1',
+                'due_ms': 7500,
+                'max_wait_s': 40,
+                'max_attempts': 3,
+                'timeout_ms': 10_000,
+            },
+            {
+                'name': 'calls',
+                'host': 'a.example',
+                'path_prefix': '/p/q/',
+                'kind': 'keyed',
+                'timeout_ms': 1500,
+                'goal_ms': 191,
+                'split': [
+                    {'service': 's2', 'weight': 90},
+                    {'service': 's3', 'weight': 10},
+                ],
+            },
+        ],
+        'limits': {'max_body_bytes': 5, 'idle_timeout_ms': 4000},
+    }
+    return json.dumps(written).encode()
+
+
+@given("the operator's manifest of two routes and a split")
+def two_routes(context: Any) -> None:
+    context.manifest = parse_manifest(manifest(7))
+
+
+@then('its routes have kinds, shares, bounds and limits with their units')
+def typed(context: Any) -> None:
+    found = context.manifest
+    jobs = found.match('a.example:80', '/p/x?y=/p/q/')
+    assert jobs.kind is RouteKind.BATCH
+    assert jobs.due == dt.timedelta(milliseconds=7500)
+    assert jobs.give_up.total_seconds() == 40
+    calls = found.match('A.EXAMPLE', '/p/q/x')
+    assert calls.kind is RouteKind.ONCE
+    assert calls.objective == dt.timedelta(milliseconds=191)
+    assert found.match('b.example', '/p/q/x') is None
+    assert found.match('a.example', '/p') is None
+    assert found.limits.max_body_bytes == 5
+    assert found.limits.idle_timeout.total_seconds() == 4
+
+
+@then('its split is drawn by weight')
+def split(context: Any) -> None:
+    calls = context.manifest.match('a.example', '/p/q/x')
+    drawn = [pick_service(calls, draw / 100) for draw in range(100)]
+    assert drawn.count(ServiceId('s2')) == 90, drawn
+    assert drawn.count(ServiceId('s3')) == 10, drawn
+
+
+@given('a process with manifest 7')
+def process(context: Any) -> None:
+    context.view = ManifestView(lambda: None)
+    show(context, 7)
+
+
+def show(context: Any, version: int) -> int:
+    stored = StoredObject('main', Revision(1), manifest(version))
+    context.view.reset(Listing((stored,), Revision(1)))
+    return int(context.view.manifest.generation)
+
+
+@when('it is shown manifest 5, then 9')
+def shown(context: Any) -> None:
+    context.generations = [show(context, 5), show(context, 9)]
+
+
+@then('it has manifest 7, then 9')
+def has(context: Any) -> None:
+    assert context.generations == [7, 9], context.generations
+
+
+@then('the {what} {text} is refused, naming {field}')
+def refused_naming(_: Any, what: str, text: str, field: str) -> None:
+    refused(what, text, field)
+
+
+def refused(what: str, text: str, field: str) -> None:
+    try:
+        if what == 'manifest':
+            parse_manifest(text.encode())
+        else:
+            parse_node_settings(text.encode(), 'a file')
+    except (msgspec.MsgspecError, SettingsError) as error:
+        assert field in str(error), error
+        return
+    raise AssertionError('not refused')
+
+
+class Stores:
+    """Notes which store it is told to use."""
+
+    def __init__(self) -> None:
+        self.used: list[int] = []
+
+    async def start(self) -> None:
+        """Nothing to do."""
+
+    async def stop(self) -> None:
+        """Nothing to do."""
+
+    def use_settings(self, settings: Any) -> None:
+        self.used.append(settings.store.port)
+
+
+def settings_text(port: int) -> str:
+    return json.dumps(
+        {
+            'node': 'a',
+            'zone': 'z',
+            'ip': '127.0.0.1',
+            'platform': {'address': f'127.0.0.1:{port}'},
+        }
+    )
+
+
+@given('a running process and its settings file')
+def running(context: Any) -> None:
+    folder = tempfile.mkdtemp()
+    context.path = pathlib.Path(folder) / 'settings.json'
+    context.path.write_text(settings_text(1))
+    context.stores = Stores()
+    context.daemon = ReloadingDaemon(context.stores, str(context.path))
+    context.daemon.reload()
+
+
+@when('the file names another store, is broken, and names a third one')
+def changes(context: Any) -> None:
+    for text in (settings_text(2), '{', settings_text(2), settings_text(3)):
+        context.path.write_text(text)
+        context.daemon.reload()
+
+
+@then('the process uses the second store, keeps it, and uses the third')
+def uses(context: Any) -> None:
+    assert context.stores.used == [1, 2, 3], context.stores.used
+
+
+@then('no random body makes a parser of the adapter fail otherwise')
+def fuzz(_: Any) -> None:
+    bodies = hypothesis.strategies.one_of(
+        hypothesis.strategies.binary(max_size=200),
+        json_bodies(),
+    )
+
+    @hypothesis.settings(
+        derandomize=True, max_examples=400, deadline=None, database=None
+    )
+    @hypothesis.given(bodies)
+    def check(body: bytes) -> None:
+        for parse in PARSERS:
+            with contextlib.suppress(*EXPECTED):
+                parse(body)
+
+    check()
+
+
+def json_bodies() -> Any:
+    names = hypothesis.strategies.sampled_from(
+        (
+            'version', 'routes', 'items', 'id', 'path', 'body', 'address',
+            'service', 'metadata', 'name', 'spec', 'models', 'events',
+        )
+    )  # fmt: skip
+    leaves = hypothesis.strategies.one_of(
+        hypothesis.strategies.none(),
+        hypothesis.strategies.integers(),
+        hypothesis.strategies.text(max_size=5),
+    )
+    values = hypothesis.strategies.recursive(
+        leaves,
+        lambda inner: hypothesis.strategies.one_of(
+            hypothesis.strategies.lists(inner, max_size=3),
+            hypothesis.strategies.dictionaries(names, inner, max_size=5),
+        ),
+        max_leaves=12,
+    )
+    return values.map(lambda value: json.dumps(value).encode())
+
+
+EXPECTED = (msgspec.MsgspecError, ValueError, SettingsError)
+PARSERS = (
+    parse_manifest,
+    parse_report,
+    parse_page,
+    parse_changes,
+    lambda body: parse_upstream('u', body),
+    lambda body: parse_job(JobId('j'), 'h', '/p', body),
+    lambda body: parse_node_settings(body, 'a file'),
+    lambda body: list(EventReader().feed(body)),
+)
