Trust a watch for a bounded time

Ruled out: the end of such a watch without an event (traced: it ends with 410, at the next event); one entry that polls for all, since an entry that is in touch would depend on it. Change: watches of manifest and registrations last contact_ms less half a second; after one without an event the next begins at the same revision. Test first: two scenarios of features/objects_watcher.feature failed before, none after. The stand-in store once made a test spin for ten minutes, as a wait below the virtual clock's resolution never ended; it ends waits at half a millisecond now.

--- a/bergamotdoor/gateway/following.py
+++ b/bergamotdoor/gateway/following.py
@@ -18,6 +18,10 @@
 #: new work must stop going to one that leaves: every engine's new version
 #: is such a change, and each would end a watch of every entry.
 _DRAIN_SHARE: Final = 0.5
+#: The rules hold again ``contact_ms`` after the store was in trouble; a
+#: watch must be known as deaf by then, and the kind be listed.
+_LISTING_TIME_MS: Final = 500
+_LISTING_TIME: Final = dt.timedelta(milliseconds=_LISTING_TIME_MS)
 #: A manifest must be in force within two seconds, and callers notice the
 #: first entry that has it.
 _GATHER_MANIFEST_MS: Final = 20
@@ -29,6 +33,7 @@
 ) -> None:
     """Keep manifest and upstreams up to date from now on."""
     gather = context.settings.drain * _DRAIN_SHARE
+    wait = context.settings.contact - _LISTING_TIME
     fleet = FleetView(context.fleet, context.loads, context.clock, owner.poke)
     for watcher in (
         Watcher(
@@ -37,6 +42,7 @@
             manifests,
             context.clock,
             _GATHER_MANIFEST,
+            wait,
         ),
         Watcher(
             context.store,
@@ -44,6 +50,7 @@
             fleet,
             context.clock,
             gather,
+            wait,
         ),
     ):
         tasks.start(watcher.run())
--- a/bergamotdoor/objects/watcher.py
+++ b/bergamotdoor/objects/watcher.py
@@ -7,7 +7,7 @@
 import logging
 from typing import TYPE_CHECKING, Final, Protocol
 
-from bergamotdoor.objects.messages import Changes, Listing, Outcome
+from bergamotdoor.objects.messages import Listing, Outcome
 from bergamotdoor.types import Revision
 
 if TYPE_CHECKING:
@@ -15,10 +15,10 @@
     from bergamotdoor.objects.client import ObjectClient
     from bergamotdoor.objects.messages import Change
 
-#: A waiting watch counts as one call, so a long wait is cheap; the store
-#: takes at most 30 s.
-_WAIT_S: Final = 25
-_WAIT: Final = dt.timedelta(seconds=_WAIT_S)
+#: For views whose age no rule bounds. A waiting watch counts as one call,
+#: so a long wait is cheap; the store takes at most 30 s.
+LONG_WAIT_S: Final = 10
+LONG_WAIT: Final = dt.timedelta(seconds=LONG_WAIT_S)
 _FIRST_BACKOFF: Final = dt.timedelta(milliseconds=100)
 _LAST_BACKOFF_MS: Final = 800
 _LAST_BACKOFF: Final = dt.timedelta(milliseconds=_LAST_BACKOFF_MS)
@@ -46,7 +46,8 @@
     next watch goes on from the same revision and is told of later changes
     only. Symptom: this process lives by an old view for as long as that
     watch waits. After each interruption the kind is listed again, which
-    cannot miss a change.
+    cannot miss a change, and after a watch that ended without an event the
+    next one begins at the same revision.
 
     Parameters
     ----------
@@ -62,6 +63,9 @@
         How long to wait before the next watch. Each change ends the watch
         and each watch costs a call, so changes that come close together
         are gathered into one call.
+    wait
+        How long a watch is trusted. One whose history was dropped stays
+        open and silent; the next one is told that it has to list.
     """
 
     def __init__(
@@ -71,12 +75,14 @@
         view: View,
         clock: Clock,
         gather: dt.timedelta,
+        wait: dt.timedelta = LONG_WAIT,
     ) -> None:
         self._store = store
         self._kind = kind
         self._view = view
         self._clock = clock
         self._gather = gather
+        self._wait = wait
         self._backoff = _FIRST_BACKOFF
         self._listed = asyncio.Event()
         #: The highest revision seen.
@@ -104,15 +110,21 @@
             outcome = await self._follow_changes()
 
     async def _follow_changes(self) -> Outcome | None:
-        found = await self._store.changes(self._kind, self.revision, _WAIT)
-        if isinstance(found, Changes):
+        found = await self._store.changes(self._kind, self.revision, self._wait)
+        if isinstance(found, Outcome):
+            return await self._interrupted(found)
+        # Without an event it may have ended while it was told of none: the
+        # next one begins where this one did, and is told, or has to list.
+        if found.changes:
             self._view.apply(found.changes)
             self._reached(found.revision)
-            return None
+        return None
+
+    async def _interrupted(self, found: Outcome) -> Outcome:
         if found is Outcome.HISTORY_GONE:
             _log.info('objects: history of %s is gone, list it', self._kind)
-            return found
-        await self._rest(found)
+        else:
+            await self._rest(found)
         return found
 
     def _reached(self, revision: Revision) -> None:
--- a/bergamotdoor/platform/settings.py
+++ b/bergamotdoor/platform/settings.py
@@ -27,6 +27,7 @@
 class _Bounds(msgspec.Struct, frozen=True):
     grace_s: float = 8
     drain_ms: float = 2000
+    contact_ms: float = 3000
     lease_ms: float = 3000
     cancel_ms: float = 3000
     status_s: float = 120
@@ -69,6 +70,8 @@
     inspection: Address
     #: The engine on this VM; sidecars only.
     engine: Address | None
+    #: How long after trouble the platform's rules hold again.
+    contact: dt.timedelta
     #: How soon new work must stop going to an upstream that leaves.
     drain: dt.timedelta
     #: From a request to stop until the process is killed.
@@ -120,6 +123,7 @@
         first_port=written.internal_ports[0],
         inspection=Address(ip=written.ip, port=INSPECTION_PORT),
         engine=_optional(written.app),
+        contact=utils.from_ms(written.bounds.contact_ms),
         drain=utils.from_ms(written.bounds.drain_ms),
         grace=dt.timedelta(seconds=written.bounds.grace_s),
         retention=dt.timedelta(seconds=written.bounds.status_s),
--- a/features/machines/site.py
+++ b/features/machines/site.py
@@ -163,6 +163,7 @@
             first_port=port + 2,
             inspection=at(port + 3),
             engine=engine,
+            contact=dt.timedelta(seconds=3),
             drain=dt.timedelta(seconds=2),
             grace=dt.timedelta(seconds=8),
             retention=dt.timedelta(seconds=120),
--- a/features/machines/store.py
+++ b/features/machines/store.py
@@ -32,6 +32,8 @@
 
 LIMITS = HttpLimits(max_header_bytes=32_768)
 ANSWER_S = 0.004
+#: Less than this is no time: virtual clocks have a resolution.
+TICK_S = 0.0005
 PAGE = 50
 
 
@@ -73,6 +75,7 @@
         self.delay_writes = 0
         self._changed = asyncio.Event()
         self._cut = asyncio.Event()
+        self._ended = asyncio.Event()
         self._server = HttpServer(address, self.handle, LIMITS, clock, 'store')
 
     async def start(self) -> None:
@@ -105,14 +108,23 @@
 
     def drop_history(self) -> None:
         """Forget what has changed, and cut the watches that wait."""
+        self.forget()
+        self.cut_watches()
+
+    def forget(self) -> None:
+        """Forget what has changed; watches that wait hear of nothing."""
         self.forgotten = self.revision
         self.history.clear()
-        self.cut_watches()
 
     def cut_watches(self) -> None:
         self._cut.set()
         self._cut = asyncio.Event()
 
+    def end_watches(self) -> None:
+        """End the watches that wait, as if their time were up."""
+        self._ended.set()
+        self._ended = asyncio.Event()
+
     def specs(self, kind: str) -> dict[str, Any]:
         return {
             name: stored['spec']
@@ -164,14 +176,15 @@
             return answer(410)
         until = asyncio.get_running_loop().time() + wait_s
         cut = asyncio.create_task(self._cut.wait())
+        ended = asyncio.create_task(self._ended.wait())
         try:
-            while not self._since(kind, since):
+            while not self._since(kind, since) and not ended.done():
                 left = until - asyncio.get_running_loop().time()
-                if left <= 0:
+                if left <= TICK_S:
                     break
                 news = asyncio.create_task(self._changed.wait())
                 await asyncio.wait(
-                    (news, cut),
+                    (news, cut, ended),
                     timeout=left,
                     return_when=asyncio.FIRST_COMPLETED,
                 )
@@ -180,6 +193,7 @@
                     return cut_off()
         finally:
             cut.cancel()
+            ended.cancel()
         found = self._since(kind, since)
         return answer(200, {'events': found, 'as_of': self.revision})
 
--- a/features/objects_watcher.feature
+++ b/features/objects_watcher.feature
@@ -29,3 +29,19 @@
 
     Given a site where an entry's watch waits at another entry when it is cut
     Then every entry has the newest manifest 2 s later
+
+  Scenario: a watch that ends without an event proves nothing
+    The store tells watches of nothing while a change is made, and then ends
+    them in order, without an event and at the newest revision. A watch from
+    there would be told of later changes only.
+
+    Given a site whose store ends watches without telling of a change
+    Then every entry has the newest manifest 2 s later
+
+  Scenario: a watch that is told of nothing any more is not trusted for long
+    The store drops its history while a change is made, and does not cut the
+    watches that wait: they stay open and silent. The rules hold again three
+    seconds later, and callers must be answered by the new manifest.
+
+    Given a site whose store drops its history and leaves watches waiting
+    Then every entry has the newest manifest 3 s later
--- a/features/steps/objects_watcher_steps.py
+++ b/features/steps/objects_watcher_steps.py
@@ -110,3 +110,38 @@
         return generations(site)
 
     context.generations = play(scene)
+
+
+@given('a site whose store ends watches without telling of a change')
+def ends_quietly(context: Any) -> None:
+    async def scene(site: Site) -> list[int]:
+        await site.start()
+        site.store.deaf = True
+        site.put_manifest()
+        await asyncio.sleep(1)
+        site.store.end_watches()
+        await asyncio.sleep(0.2)
+        site.store.deaf = False
+        await asyncio.sleep(2)
+        return generations(site)
+
+    context.generations = play(scene)
+
+
+@given('a site whose store drops its history and leaves watches waiting')
+def left_waiting(context: Any) -> None:
+    async def scene(site: Site) -> list[int]:
+        await site.start()
+        site.store.deaf = True
+        site.put_manifest()
+        await asyncio.sleep(1)
+        site.store.forget()
+        await asyncio.sleep(3)
+        return generations(site)
+
+    context.generations = play(scene)
+
+
+@then('every entry has the newest manifest 3 s later')
+def newest_later(context: Any) -> None:
+    newest(context)
