List after a watch that ended before its time

Change: a watch that ends without an event before its time counts as cut off, and the kind is listed.

--- a/bergamotdoor/objects/watcher.py
+++ b/bergamotdoor/objects/watcher.py
@@ -19,6 +19,8 @@
 #: so a long wait is cheap; the store takes at most 30 s.
 LONG_WAIT_S: Final = 10
 LONG_WAIT: Final = dt.timedelta(seconds=LONG_WAIT_S)
+#: A watch that lasted for this share of its time has ended in order.
+_WHOLE: Final = 0.9
 _FIRST_BACKOFF: Final = dt.timedelta(milliseconds=100)
 _LAST_BACKOFF_MS: Final = 800
 _LAST_BACKOFF: Final = dt.timedelta(milliseconds=_LAST_BACKOFF_MS)
@@ -110,15 +112,19 @@
             outcome = await self._follow_changes()
 
     async def _follow_changes(self) -> Outcome | None:
+        began = self._clock.elapsed()
         found = await self._store.changes(self._kind, self.revision, self._wait)
         if isinstance(found, Outcome):
             return await self._interrupted(found)
-        # Without an event it may have ended while it was told of none: the
-        # next one begins where this one did, and is told, or has to list.
         if found.changes:
             self._view.apply(found.changes)
             self._reached(found.revision)
-        return None
+            return None
+        # Without an event it may have ended while it was told of none: the
+        # next one begins where this one did, and is told, or has to list.
+        # One that ended before its time was cut off.
+        took = self._clock.elapsed() - began
+        return None if took > self._wait * _WHOLE else Outcome.UNCLEAR
 
     async def _interrupted(self, found: Outcome) -> Outcome:
         if found is Outcome.HISTORY_GONE:
