Count requests that break together as one failure

Ruled out: the way to the store and takeovers, which the log shows unharmed. Change: a failure while an upstream rests already is not counted. Test first: a scenario of features/jobs_progress.feature, failed before.

--- a/bergamotdoor/fleet/loads.py
+++ b/bergamotdoor/fleet/loads.py
@@ -77,7 +77,14 @@
             self._rest_until = min(self._rest_until, now)
 
     def failed(self, now: dt.timedelta) -> None:
-        """Take a broken or failed request."""
+        """Take a broken or failed request.
+
+        Requests that break together, as when a link resets, are one
+        failure: counted one by one they would keep a sound upstream alone
+        for seconds, and all others with it.
+        """
+        if self.resting(now):
+            return
         doublings = min(self._failures, _MOST_DOUBLINGS)
         self._failures += 1
         rest = FAILURE_REST * (1 << doublings)
--- a/features/jobs_progress.feature
+++ b/features/jobs_progress.feature
@@ -47,3 +47,11 @@
 
     Given an upstream that refused a request
     Then it rests for 300 ms, takes one request, and others once that one runs
+
+  Scenario: requests that break together count as one failure
+    A reset cuts all of an upstream's connections at once. Counted one by
+    one, sixteen broken items would keep a sound engine alone for 8 s, and
+    every other one as well.
+
+    Given an upstream whose 16 requests break in one moment
+    Then it rests for half a second, and longer only if it breaks again
--- a/features/steps/jobs_progress_steps.py
+++ b/features/steps/jobs_progress_steps.py
@@ -264,3 +264,20 @@
     load.accepted(ms(320))
     free.append(free_slots(engine, context.loads, ms(320)))
     assert free == [0, 4, 0, 4], free
+
+
+@given('an upstream whose {count:d} requests break in one moment')
+def break_together(context: Any, count: int) -> None:
+    context.load = UpstreamLoad()
+    for number in range(count):
+        context.load.failed(ms(number / 10))
+
+
+@then('it rests for half a second, and longer only if it breaks again')
+def rests_once(context: Any) -> None:
+    load: UpstreamLoad = context.load
+    assert load.resting(ms(499))
+    assert not load.resting(ms(502))
+    load.failed(ms(600))
+    assert load.resting(ms(1599))
+    assert not load.resting(ms(1601))
