Offer a step to several entries at a planned stop

Ruled out: the orders to engines and the store, which the log shows in order. Change: a step is offered to three entries, in the order of its homes; a stopping entry runs and takes over nothing.

--- a/bergamotdoor/gateway/job_finder.py
+++ b/bergamotdoor/gateway/job_finder.py
@@ -102,6 +102,8 @@
 
     async def adopt(self, found: FoundJob) -> JobRun | Outcome:
         """Load a job and run it, or serve it if it is ended."""
+        if self._owner.stopping and not found.status.ended:
+            return Outcome.NOT_DONE
         known = self._owner.get(found.job)
         if known is not None and not known.ended:
             return known
@@ -111,6 +113,8 @@
         return self._owner.adopt(found, loaded)
 
     async def _claim(self, found: FoundJob) -> JobRun | Outcome:
+        if self._owner.stopping:
+            return Outcome.NOT_DONE
         _log.warning(
             'gateway: job %s: owner %s does not answer, taking over',
             found.job,
--- a/bergamotdoor/gateway/other_entries.py
+++ b/bergamotdoor/gateway/other_entries.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.objects.messages import Outcome
-from bergamotdoor.peers.directory import home_of
 from bergamotdoor.peers.messages import (
     AdoptJob,
     Done,
@@ -16,6 +15,8 @@
     JobOwned,
     TakeOver,
 )
+from bergamotdoor.types import NodeId
+from bergamotdoor.utils import hrw_order
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
@@ -38,6 +39,9 @@
 #: Loading a job from the store takes some calls of milliseconds.
 _HAND_ON_WAIT: Final = dt.timedelta(seconds=1)
 
+#: Entries that a job is offered to; the next reader's takes it otherwise.
+_MOST_ASKED: Final = 3
+
 _log = logging.getLogger('bergamotdoor.gateway')
 
 
@@ -103,17 +107,21 @@
         await self._peers.ask(address, message)
 
     async def _hand_on(self, run: JobRun) -> None:
-        home = home_of(run.spec.model, self.directory.entries)
-        if home is not None:
-            message = TakeOver(run.spec.job, run.found.record)
-            address = self.directory.entries[home]
+        """Ask entry after entry: those that stop as well take nothing."""
+        message = TakeOver(run.spec.job, run.found.record)
+        entries = self.directory.entries
+        for entry in hrw_order(run.spec.model, entries)[:_MOST_ASKED]:
+            address = entries[NodeId(entry)]
             reply = await self._peers.ask(address, message, _HAND_ON_WAIT)
+            taken = isinstance(reply, Done)
             _log.info(
                 'gateway: job %s handed on to %s: %s',
                 run.spec.job,
-                home,
-                'taken' if isinstance(reply, Done) else 'not taken',
+                entry,
+                'taken' if taken else 'not taken',
             )
+            if taken:
+                return
 
     async def _hand_over(self, found: FoundJob, spec: JobSpec) -> None:
         message = AdoptJob(found.record, found.revision, spec)
--- a/features/gateway_jobs.feature
+++ b/features/gateway_jobs.feature
@@ -46,6 +46,15 @@
     And the step took at most 4.2 s
     And nothing was generated twice
 
+  Scenario: entries that stop one after the other pass a step on
+    The entry that the step is handed to stops as well. It takes nothing, so
+    the third one runs the step. A reader that comes to a stopping entry does
+    not make it an owner again.
+
+    Given a site of 3 entries of which the owner and the next one stop
+    Then the third entry lists all 4 results, each once and whole
+    And the step took at most 4.2 s
+
   Scenario: two owners cannot give one position to different results
     An owner is cut off from the others and from the store, and goes on. A
     second one takes over and lists results. When the first one reaches the
--- a/features/steps/gateway_jobs_steps.py
+++ b/features/steps/gateway_jobs_steps.py
@@ -10,6 +10,7 @@
 
 from bergamotdoor.objects.messages import Outcome
 from bergamotdoor.types import JobId
+from bergamotdoor.utils import hrw_order
 from features.machines.site import Site, at, play
 
 JOB = 'j1'
@@ -240,6 +241,38 @@
     play(scene)
 
 
+@given('a site of 3 entries of which the owner and the next one stop')
+def two_stop(context: Any) -> None:
+    context.groups = [[90, 3], [80, 2]]
+
+    async def scene(site: Site) -> None:
+        await site.start(entries=3)
+        began = site.clock.elapsed()
+        await handed_in(site, context.groups)
+        await asyncio.sleep(1.5)
+        owner = owner_of(site)
+        order = hrw_order('m', [name for name in site.ports if name != owner])
+        stopping = [
+            asyncio.create_task(site.entries.pop(name).stop())
+            for name in (order[0], owner)
+        ]
+        await asyncio.sleep(0.5)
+        await site.results(owner, JOB)
+        await site.results(order[0], JOB)
+        context.results = await site.all_results(order[1], JOB)
+        context.took = (site.clock.elapsed() - began).total_seconds()
+        context.owner = owner_of(site) == order[1]
+        await asyncio.gather(*stopping)
+
+    play(scene)
+
+
+@then('the third entry lists all {count:d} results, each once and whole')
+def third_lists(context: Any, count: int) -> None:
+    all_whole(context, count)
+    assert context.owner
+
+
 @then('the step took at most {most:f} s')
 def step_took(context: Any, most: float) -> None:
     assert context.took <= most, context.took
