--- a/bergamotdoor/agent/daemon.py
+++ b/bergamotdoor/agent/daemon.py
@@ -6,11 +6,13 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
+from bergamotdoor.agent.cleanup import CleanupAgent
 from bergamotdoor.agent.engine import EngineClient
 from bergamotdoor.agent.evacuation import EvacuationAgent
 from bergamotdoor.agent.weights import WeightsAgent
 from bergamotdoor.clock import Clock, LoopClock
 from bergamotdoor.http import HttpClient
+from bergamotdoor.objects.job_store import JobStore
 from bergamotdoor.objects.watcher import Watcher
 from bergamotdoor.peers.access import StoreAccess
 from bergamotdoor.peers.directory import home_of
@@ -50,6 +52,12 @@
             )
             self._follow(names.EVACUATION_KIND, evacuations)
             self._tasks.start(evacuations.run())
+            cleanup = CleanupAgent(
+                JobStore(self._access.store),
+                self._settings.retention,
+                self._clock,
+            )
+            self._tasks.start(cleanup.run())
             return
         self._tasks.start(self._access.directory.run())
         weights = WeightsAgent(
--- a/bergamotdoor/agent/evacuation.py
+++ b/bergamotdoor/agent/evacuation.py
@@ -11,13 +11,13 @@
 import logging
 from typing import TYPE_CHECKING
 
-from bergamotdoor.objects.messages import Outcome
 from bergamotdoor.platform.evacuation import completed_status, is_completed
 from bergamotdoor.platform.headers import EVACUATION_KIND
+from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
     from bergamotdoor.objects.client import ObjectClient
-    from bergamotdoor.objects.messages import Change, Listing, StoredObject
+    from bergamotdoor.stored import Change, Listing, StoredObject
 
 _RETRY_S = 0.5
 
--- a/bergamotdoor/agent/weights.py
+++ b/bergamotdoor/agent/weights.py
@@ -11,9 +11,9 @@
 
 from bergamotdoor.fleet.orders import LoadMode, LoadOrder
 from bergamotdoor.fleet.swap import Roster
-from bergamotdoor.objects.messages import Listing, Outcome
 from bergamotdoor.platform import headers as names
 from bergamotdoor.platform.engines import parse_upstream, parse_version
+from bergamotdoor.stored import Listing, Outcome
 from bergamotdoor.types import FencingToken, ModelId, WeightVersion
 
 if TYPE_CHECKING:
@@ -24,7 +24,7 @@
     from bergamotdoor.fleet.orders import EngineReport
     from bergamotdoor.fleet.upstreams import Upstream
     from bergamotdoor.objects.client import ObjectClient
-    from bergamotdoor.objects.messages import Change
+    from bergamotdoor.stored import Change
     from bergamotdoor.types import NodeId
 
 _POLL_MS: Final = 150
--- a/bergamotdoor/fleet/swap.py
+++ b/bergamotdoor/fleet/swap.py
@@ -27,6 +27,10 @@
 #: How long a load takes.
 _LOAD_TIME_MS: Final = 950
 LOAD_TIME: Final = dt.timedelta(milliseconds=_LOAD_TIME_MS)
+#: In which a model's engines take a version, however many they are. It must
+#: be everywhere within 26 s, and an order that is lost is given again.
+_ROLLOUT_TIME_S: Final = 20
+ROLLOUT_TIME: Final = dt.timedelta(seconds=_ROLLOUT_TIME_S)
 
 
 class Roster:
@@ -73,7 +77,9 @@
         takers = self._engines_of(model)
         if not self._known or self._own_place not in takers:
             return dt.timedelta()
-        return takers.index(self._own_place) // AT_ONCE * LOAD_TIME
+        # So many that the whole model has new weights in time: 4 of 78.
+        at_once = max(AT_ONCE, -(-len(takers) * LOAD_TIME // ROLLOUT_TIME))
+        return takers.index(self._own_place) // at_once * LOAD_TIME
 
     @property
     def _known(self) -> bool:
--- a/bergamotdoor/gateway/batch_front.py
+++ b/bergamotdoor/gateway/batch_front.py
@@ -10,9 +10,9 @@
 from bergamotdoor import utils
 from bergamotdoor.gateway.refusals import plain, refusal
 from bergamotdoor.http.messages import Headers, HttpResponse
-from bergamotdoor.objects.messages import Outcome
 from bergamotdoor.platform import headers as names
 from bergamotdoor.platform.batch_wire import parse_job, results_body
+from bergamotdoor.stored import Outcome
 from bergamotdoor.types import ItemId, JobId
 from bergamotdoor.verdict import Verdict
 
--- a/bergamotdoor/gateway/job_finder.py
+++ b/bergamotdoor/gateway/job_finder.py
@@ -11,14 +11,14 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
-from bergamotdoor.objects.messages import Outcome
+from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
     from bergamotdoor.gateway.context import Context
     from bergamotdoor.gateway.job_run import JobRun
-    from bergamotdoor.gateway.job_store import FoundJob, JobStore
     from bergamotdoor.gateway.owner import JobOwner
     from bergamotdoor.jobs.messages import JobRecord
+    from bergamotdoor.objects.job_store import FoundJob, JobStore
     from bergamotdoor.types import JobId
 
 #: Owners of jobs that are remembered; each takes some 300 bytes.
--- a/bergamotdoor/gateway/job_run.py
+++ b/bergamotdoor/gateway/job_run.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from bergamotdoor.calls.manifest import Route
     from bergamotdoor.gateway.context import Context
-    from bergamotdoor.gateway.job_store import FoundJob, JobStore, LoadedJob
+    from bergamotdoor.objects.job_store import FoundJob, JobStore, LoadedJob
     from bergamotdoor.types import ItemId, UpstreamId
 
 #: A page of results is a megabyte at most.
--- a/bergamotdoor/gateway/jobs_desk.py
+++ b/bergamotdoor/gateway/jobs_desk.py
@@ -6,13 +6,13 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.gateway.job_run import PAGE_BYTES, JobRun
-from bergamotdoor.objects.messages import Outcome
 from bergamotdoor.peers.messages import (
     ItemBody,
     ReadBody,
     ReadResults,
     ResultPage,
 )
+from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
--- a/bergamotdoor/gateway/jobs_intake.py
+++ b/bergamotdoor/gateway/jobs_intake.py
@@ -4,19 +4,19 @@
 
 from typing import TYPE_CHECKING
 
-from bergamotdoor.gateway.job_store import LoadedJob
 from bergamotdoor.jobs.ledger import Ledger
 from bergamotdoor.jobs.messages import JobRecord
-from bergamotdoor.objects.messages import Outcome
+from bergamotdoor.objects.job_store import LoadedJob
 from bergamotdoor.peers.directory import home_of
+from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
     from bergamotdoor.gateway.context import Context
     from bergamotdoor.gateway.job_finder import JobFinder
-    from bergamotdoor.gateway.job_store import JobStore
     from bergamotdoor.gateway.other_entries import OtherEntries
     from bergamotdoor.gateway.owner import JobOwner
     from bergamotdoor.jobs.messages import JobSpec
+    from bergamotdoor.objects.job_store import JobStore
     from bergamotdoor.types import JobId
 
 
--- a/bergamotdoor/gateway/ledger_sync.py
+++ b/bergamotdoor/gateway/ledger_sync.py
@@ -7,13 +7,13 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
-from bergamotdoor.objects.messages import Outcome
+from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
-    from bergamotdoor.gateway.job_store import JobStore
     from bergamotdoor.jobs.ledger import Ledger
     from bergamotdoor.jobs.messages import ResultRecord
+    from bergamotdoor.objects.job_store import JobStore
     from bergamotdoor.types import JobId
 
 #: A reader is told that there is nothing more by a ledger of this age at
--- a/bergamotdoor/gateway/other_entries.py
+++ b/bergamotdoor/gateway/other_entries.py
@@ -7,7 +7,6 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
-from bergamotdoor.objects.messages import Outcome
 from bergamotdoor.peers.messages import (
     AdoptJob,
     Done,
@@ -15,6 +14,7 @@
     JobOwned,
     TakeOver,
 )
+from bergamotdoor.stored import Outcome
 from bergamotdoor.types import NodeId
 from bergamotdoor.utils import hrw_order
 
@@ -22,8 +22,8 @@
     from bergamotdoor.clock import Clock
     from bergamotdoor.gateway.job_finder import JobFinder
     from bergamotdoor.gateway.job_run import JobRun
-    from bergamotdoor.gateway.job_store import FoundJob
     from bergamotdoor.jobs.messages import JobSpec
+    from bergamotdoor.objects.job_store import FoundJob
     from bergamotdoor.peers.client import PeerClient
     from bergamotdoor.peers.directory import Directory
     from bergamotdoor.settings.document import Address
--- a/bergamotdoor/gateway/owner.py
+++ b/bergamotdoor/gateway/owner.py
@@ -10,9 +10,9 @@
 from bergamotdoor.gateway.dispatcher import Dispatcher
 from bergamotdoor.gateway.job_run import JobRun
 from bergamotdoor.gateway.result_writer import ResultWriter
-from bergamotdoor.objects.messages import Outcome
 from bergamotdoor.observe.events import Counted
 from bergamotdoor.observe.metrics import Stage
+from bergamotdoor.stored import Outcome
 from bergamotdoor.tasks import Tasks
 
 if TYPE_CHECKING:
@@ -20,8 +20,8 @@
 
     from bergamotdoor.calls.manifest import Route
     from bergamotdoor.gateway.context import Context
-    from bergamotdoor.gateway.job_store import FoundJob, JobStore, LoadedJob
     from bergamotdoor.gateway.views import ManifestView
+    from bergamotdoor.objects.job_store import FoundJob, JobStore, LoadedJob
     from bergamotdoor.types import JobId
 
 #: How often items that wait for a rest to end are looked at, and items
--- a/bergamotdoor/gateway/peer_service.py
+++ b/bergamotdoor/gateway/peer_service.py
@@ -5,11 +5,10 @@
 import datetime as dt
 from typing import TYPE_CHECKING, Final
 
-from bergamotdoor.gateway.job_store import FoundJob, LoadedJob
 from bergamotdoor.gateway.jobs_desk import body_of, page_of
 from bergamotdoor.jobs.ledger import Ledger
 from bergamotdoor.jobs.messages import JobStatus
-from bergamotdoor.objects.messages import Outcome
+from bergamotdoor.objects.job_store import FoundJob, LoadedJob
 from bergamotdoor.peers.messages import (
     AdoptJob,
     Done,
@@ -24,6 +23,7 @@
     TakeOver,
 )
 from bergamotdoor.peers.relay import relayed
+from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
     from bergamotdoor.fleet.fleet import Fleet
--- a/bergamotdoor/gateway/views.py
+++ b/bergamotdoor/gateway/views.py
@@ -22,7 +22,7 @@
     from bergamotdoor.fleet.fleet import Fleet
     from bergamotdoor.fleet.loads import Loads
     from bergamotdoor.jobs.messages import JobSpec
-    from bergamotdoor.objects.messages import Change, Listing, StoredObject
+    from bergamotdoor.stored import Change, Listing, StoredObject
 
 #: After the store's return, living upstreams register again within two
 #: seconds.
--- a/bergamotdoor/gateway/wiring.py
+++ b/bergamotdoor/gateway/wiring.py
@@ -8,12 +8,12 @@
 from bergamotdoor.gateway.forwarding import Forwarder
 from bergamotdoor.gateway.front import Front
 from bergamotdoor.gateway.job_finder import JobFinder
-from bergamotdoor.gateway.job_store import JobStore
 from bergamotdoor.gateway.jobs_desk import JobsDesk
 from bergamotdoor.gateway.jobs_intake import JobsIntake
 from bergamotdoor.gateway.other_entries import OtherEntries
 from bergamotdoor.gateway.owner import JobOwner
 from bergamotdoor.gateway.peer_service import PeerService
+from bergamotdoor.objects.job_store import JobStore
 
 if TYPE_CHECKING:
     from bergamotdoor.gateway.context import Context
--- a/bergamotdoor/objects/client.py
+++ b/bergamotdoor/objects/client.py
@@ -18,14 +18,14 @@
     Headers,
 )
 from bergamotdoor.http.sending import send
-from bergamotdoor.objects.messages import (
+from bergamotdoor.platform import store_paths, store_wire
+from bergamotdoor.stored import (
     Changes,
     Conflict,
     Listing,
     Outcome,
     StoredObject,
 )
-from bergamotdoor.platform import store_paths, store_wire
 
 if TYPE_CHECKING:
     from bergamotdoor.settings.document import Address
--- a/bergamotdoor/gateway/job_store.py
+++ b/bergamotdoor/objects/job_store.py
@@ -28,7 +28,7 @@
     ResultRecord,
 )
 from bergamotdoor.jobs.transcript import SavedTranscript
-from bergamotdoor.objects.messages import (
+from bergamotdoor.stored import (
     Conflict,
     Listing,
     Outcome,
@@ -37,13 +37,13 @@
 from bergamotdoor.types import ItemId, JobId, Revision
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from bergamotdoor.objects.client import ObjectClient
 
 JOB_KIND: Final = 'jobs'
 _PART: Final = 'part-'
 _RESULT: Final = 'result-'
-#: Sorts behind every part and before every result.
-_PAST_PARTS: Final = 'part-~'
 #: Names of one length sort as their numbers do.
 _DIGITS: Final = 6
 #: An object may take a megabyte; JSON writes bodies in base64.
@@ -53,7 +53,7 @@
 _ATTEMPTS: Final = 3
 _PAUSE_S: Final = 0.05
 
-_log = logging.getLogger('bergamotdoor.gateway')
+_log = logging.getLogger('bergamotdoor.objects')
 
 
 class FoundJob(msgspec.Struct, frozen=True):
@@ -165,12 +165,20 @@
             return listing
         return _loaded(listing)
 
-    async def results(self, job: JobId) -> Ledger | Outcome:
-        """Return a job's results."""
-        listing = await self._store.listing(parts_kind(job), after=_PAST_PARTS)
+    async def remove(self, job: JobId) -> bool:
+        """Remove a job; return whether all of it is gone.
+
+        Its record goes last, so that a removal that breaks off is seen and
+        done again.
+        """
+        listing = await self._store.listing(parts_kind(job), stale=True)
         if isinstance(listing, Outcome):
-            return listing
-        return Ledger(_records(listing))
+            return False
+        for stored in listing.objects:
+            outcome = await self._store.delete(parts_kind(job), stored.name)
+            if outcome is not Outcome.ABSENT:
+                return False
+        return await self._store.delete(JOB_KIND, job) is Outcome.ABSENT
 
     async def append(
         self, job: JobId, number: int, record: ResultRecord
@@ -209,13 +217,14 @@
         self, job: JobId, partial: dict[ItemId, SavedTranscript]
     ) -> None:
         """Keep what running items have; a failure costs only time."""
+        partial = dict(_that_fit(partial))
         outcome = await self._store.put_status(
             parts_kind(job),
             part_name(0),
             msgspec.json.encode(_Partial(partial)),
         )
         if not isinstance(outcome, StoredObject):
-            _log.info('gateway: job %s: running items not kept', job)
+            _log.info('objects: job %s: running items not kept', job)
 
     async def _create(
         self, kind: str, name: str, body: bytes
@@ -235,6 +244,22 @@
         return Outcome.UNCLEAR
 
 
+def _that_fit(
+    partial: dict[ItemId, SavedTranscript],
+) -> Iterator[tuple[ItemId, SavedTranscript]]:
+    """Return the longest transcripts that fit into one object."""
+    room = PART_BYTES
+    for item, saved in sorted(partial.items(), key=_length, reverse=True):
+        room -= len(msgspec.json.encode(saved))
+        if room < 0:
+            return
+        yield item, saved
+
+
+def _length(entry: tuple[ItemId, SavedTranscript]) -> int:
+    return len(entry[1].texts)
+
+
 def part_name(number: int) -> str:
     """Return the name of a piece of a job's body."""
     return _PART + str(number).zfill(_DIGITS)
--- a/bergamotdoor/objects/watcher.py
+++ b/bergamotdoor/objects/watcher.py
@@ -7,13 +7,13 @@
 import logging
 from typing import TYPE_CHECKING, Final, Protocol
 
-from bergamotdoor.objects.messages import Listing, Outcome
+from bergamotdoor.stored import Listing, Outcome
 from bergamotdoor.types import Revision
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
     from bergamotdoor.objects.client import ObjectClient
-    from bergamotdoor.objects.messages import Change
+    from bergamotdoor.stored import Change
 
 #: For views whose age no rule bounds. A waiting watch counts as one call,
 #: so a long wait is cheap; the store takes at most 30 s.
--- a/bergamotdoor/peers/directory.py
+++ b/bergamotdoor/peers/directory.py
@@ -8,8 +8,8 @@
 
 import msgspec
 
-from bergamotdoor.objects.messages import Conflict, Outcome
 from bergamotdoor.settings.document import Address
+from bergamotdoor.stored import Conflict, Outcome
 from bergamotdoor.types import NodeId
 from bergamotdoor.utils import hrw_order
 
--- a/bergamotdoor/peers/relay.py
+++ b/bergamotdoor/peers/relay.py
@@ -17,8 +17,8 @@
 from typing import TYPE_CHECKING, Final, Protocol
 
 from bergamotdoor.objects.client import Answer, Caller
-from bergamotdoor.objects.messages import Outcome
 from bergamotdoor.peers.messages import StoreCall, StoreReply
+from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
     import random
--- a/bergamotdoor/platform/store_wire.py
+++ b/bergamotdoor/platform/store_wire.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from bergamotdoor.objects.messages import (
+from bergamotdoor.stored import (
     Change,
     Changes,
     Listing,
--- a/features/agent_weights.feature
+++ b/features/agent_weights.feature
@@ -57,3 +57,15 @@
 
     Given a storage machine that is to be emptied
     Then its evacuation is completed within 1 s
+
+  Scenario: a model's many engines have new weights in time
+    Given 78 engines that 1 models share
+    Then the last of them begins to load within 20 s
+
+  Scenario: a job that ended long ago leaves the store
+    Nothing of ours expires by itself. A job that can still be asked for
+    stays, and one that is open stays however old it is.
+
+    Given a storage machine, a job that ended and one that is open
+    Then both are in the store 150 s later
+    And 260 s later only the open one is, with all its parts
--- a/features/steps/agent_weights_steps.py
+++ b/features/steps/agent_weights_steps.py
@@ -237,3 +237,55 @@
             if Roster(left, one.address).models() != before[one.upstream]
         ]
         assert len(changed) <= most, changed
+
+
+@then('the last of them begins to load within {most:d} s')
+def last_begins(context: Any, most: int) -> None:
+    delays = [
+        Roster(context.listed, one.address).turn_delay(context.models[0])
+        for one in context.listed
+    ]
+    assert dt.timedelta() < max(delays) < dt.timedelta(seconds=most), delays
+
+
+@given('a storage machine, a job that ended and one that is open')
+def two_jobs(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start(entries=1)
+        settings = msgspec.structs.replace(
+            site.settings('storage-0', 9600), engine=None
+        )
+        agent = AgentDaemon(settings, site.clock)
+        await agent.start()
+        for job in ('j1', 'j2'):
+            await site.submit('entry-0', job, [[2, 2]])
+            await site.all_results('entry-0', job)
+        await site.ask('entry-0', 'DELETE', '/-/lots/j1')
+        context.kinds = []
+        for wait_s in (150, 110):
+            await asyncio.sleep(wait_s)
+            context.kinds.append(
+                {
+                    kind: len(objects)
+                    for kind, objects in site.store.objects.items()
+                    if kind.startswith('job')
+                }
+            )
+        await agent.stop()
+
+    play(scene)
+
+
+@then('both are in the store 150 s later')
+def both_there(context: Any) -> None:
+    found = context.kinds[0]
+    assert found['jobs'] == 2, found
+    assert found['job-j1'] > 1, found
+
+
+@then('260 s later only the open one is, with all its parts')
+def only_open(context: Any) -> None:
+    found = context.kinds[1]
+    assert found['jobs'] == 1, found
+    assert found['job-j1'] == 0, found
+    assert found['job-j2'] == context.kinds[0]['job-j2'], found
--- a/features/steps/gateway_jobs_steps.py
+++ b/features/steps/gateway_jobs_steps.py
@@ -8,7 +8,7 @@
 
 from behave import given, then
 
-from bergamotdoor.objects.messages import Outcome
+from bergamotdoor.stored import Outcome
 from bergamotdoor.types import JobId
 from bergamotdoor.utils import hrw_order
 from features.machines.site import Site, at, play
--- a/features/steps/jobs_positions_steps.py
+++ b/features/steps/jobs_positions_steps.py
@@ -11,7 +11,6 @@
 from behave import given, then, when
 
 from bergamotdoor.gateway.job_run import JobRun
-from bergamotdoor.gateway.job_store import FoundJob, LoadedJob
 from bergamotdoor.gateway.result_writer import ResultWriter
 from bergamotdoor.jobs.ledger import Ledger
 from bergamotdoor.jobs.messages import (
@@ -23,7 +22,8 @@
     JobStatus,
     ResultRecord,
 )
-from bergamotdoor.objects.messages import Outcome
+from bergamotdoor.objects.job_store import FoundJob, LoadedJob
+from bergamotdoor.stored import Outcome
 from bergamotdoor.types import (
     GroupId,
     ItemId,
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -17,7 +17,6 @@
 from bergamotdoor.calls.manifest import RouteKind, pick_service
 from bergamotdoor.cli.node import ReloadingDaemon
 from bergamotdoor.gateway.views import ManifestView
-from bergamotdoor.objects.messages import Listing, StoredObject
 from bergamotdoor.platform.batch_wire import parse_job
 from bergamotdoor.platform.engines import parse_report, parse_upstream
 from bergamotdoor.platform.events import EventReader
@@ -25,6 +24,7 @@
 from bergamotdoor.platform.settings import parse_node_settings
 from bergamotdoor.platform.store_wire import parse_changes, parse_page
 from bergamotdoor.settings.problems import SettingsError
+from bergamotdoor.stored import Listing, StoredObject
 from bergamotdoor.types import JobId, Revision, ServiceId
 
 PACKAGE = pathlib.Path('bergamotdoor')
