--- a/bergamotdoor/agent/evacuation.py
+++ b/bergamotdoor/agent/evacuation.py
@@ -1,8 +1,7 @@
 """Tells the operator that a storage VM may be taken away.
 
 Nothing that must last lies on these VMs, so one that is to be emptied is
-empty at once. Any storage VM answers for any other: the one that leaves
-may be down already.
+empty at once. Each answers for itself.
 """
 
 from __future__ import annotations
@@ -32,7 +31,7 @@
     store
         Where evacuations are asked for.
     node
-        This VM answers for itself at once, for others after a delay.
+        This VM; evacuations of others are theirs to complete.
     """
 
     def __init__(self, store: ObjectClient, node: str) -> None:
--- a/bergamotdoor/calls/manifest.py
+++ b/bergamotdoor/calls/manifest.py
@@ -123,10 +123,6 @@
             None,
         )
 
-    def has_host(self, host: str) -> bool:
-        """Return whether any route is of this host."""
-        return host.partition(':')[0].lower() in self._by_host
-
 
 def pick_service(route: Route, draw: float) -> ServiceId:
     """Return the service that a draw from [0, 1) falls to."""
--- a/bergamotdoor/fleet/fleet.py
+++ b/bergamotdoor/fleet/fleet.py
@@ -71,7 +71,7 @@
             if now >= until:
                 self.remove(upstream)
 
-    def keep_only(
+    def missing_from(
         self, present: Iterable[UpstreamId]
     ) -> tuple[UpstreamId, ...]:
         """Return those that are kept though not among the present."""
--- a/bergamotdoor/gateway/views.py
+++ b/bergamotdoor/gateway/views.py
@@ -118,7 +118,7 @@
         for stored in listing.objects:
             self._put(stored)
         present = [UpstreamId(listed.name) for listed in listing.objects]
-        for missing in self._fleet.keep_only(present):
+        for missing in self._fleet.missing_from(present):
             self._remove(missing)
         self._on_change()
 
--- a/bergamotdoor/jobs/board.py
+++ b/bergamotdoor/jobs/board.py
@@ -120,10 +120,6 @@
             heapq.heappop(self._waiting)
         return None
 
-    def next_wake(self) -> dt.timedelta | None:
-        """Return when an item that rests may start again."""
-        return self._later[0][0] if self._later else None
-
     def start(self, slot: Slot) -> None:
         """Take an item that ``ready`` returned off the queue."""
         taken = heapq.heappop(self._waiting)
@@ -197,10 +193,6 @@
         slot = self._slots.get(item)
         return None if slot is None else slot.spec.body
 
-    def running(self) -> Iterator[Slot]:
-        """Return the items that run now."""
-        return (slot for slot in self._slots.values() if slot.running)
-
     def _close(self, slot: Slot, result: ItemResult) -> None:
         slot.result = result
         self.open_items -= 1
--- a/bergamotdoor/objects/watcher.py
+++ b/bergamotdoor/objects/watcher.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import datetime as dt
 import logging
 from typing import TYPE_CHECKING, Final, Protocol
@@ -86,14 +85,9 @@
         self._gather = gather
         self._wait = wait
         self._backoff = _FIRST_BACKOFF
-        self._listed = asyncio.Event()
         #: The highest revision seen.
         self.revision = Revision(0)
 
-    async def wait_listed(self) -> None:
-        """Return once the kind was listed for the first time."""
-        await self._listed.wait()
-
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         while True:
@@ -105,7 +99,6 @@
             return
         self._view.reset(found)
         self._reached(found.revision)
-        self._listed.set()
         outcome: Outcome | None = None
         while outcome is None:
             await self._clock.sleep(self._gather)
--- a/bergamotdoor/platform/headers.py
+++ b/bergamotdoor/platform/headers.py
@@ -23,10 +23,6 @@
 WAIT_MS: Final = f'{_PREFIX}wait-ms'
 #: The version that generates, also as the first line of an event.
 WEIGHT_VERSION: Final = f'{_PREFIX}weight-versions'
-#: The parts of a prompt; a long one tells how much must be prefilled.
-PROMPT_PARTS: Final = f'{_PREFIX}prompt-prefix'
-#: From 0, the most urgent, to 9.
-PRIORITY: Final = f'{_PREFIX}request-priority'
 #: The client's guess at the number of tokens to be generated.
 LENGTH_HINT: Final = f'{_PREFIX}length-hint'
 LAST_EVENT_ID: Final = 'last-event-id'
