Leave other entries alone for a second when none of them reaches the store

Ruled out: longer pauses between the tries (the writer, the watchers and the readers each have their own, and a store that is back is found later). Change: after a round in which no way was usable, calls go by the own way only for 1 s.

--- a/bergamotdoor/peers/relay.py
+++ b/bergamotdoor/peers/relay.py
@@ -34,6 +34,10 @@
 _PATIENCE: Final = dt.timedelta(milliseconds=_PATIENCE_MS)
 #: How long the other way is taken before the own one is tried again.
 _DETOUR: Final = dt.timedelta(seconds=1)
+#: How long other entries are left alone after none of them helped. A store
+#: that is down for all is then called 1.2 times for each call instead of 3
+#: times, with a call each 100 ms.
+_CLOSED: Final = dt.timedelta(seconds=1)
 #: How many entries are asked; each may be cut off as well.
 _MOST_PEERS: Final = 2
 _MS: Final = dt.timedelta(milliseconds=1)
@@ -98,6 +102,7 @@
         self._clock = clock
         self._rng = rng
         self._detour_until = dt.timedelta()
+        self._closed_until = dt.timedelta()
         #: Set once the entries can be known.
         self.directory: Directory | None = None
 
@@ -128,11 +133,15 @@
         return await self._call_directly(call, timeout)
 
     def _addresses(self) -> list[Address]:
-        if self.directory is None:
+        if self.directory is None or self._closed():
             return []
         known = list(self.directory.entries.values())
         return self._rng.sample(known, min(len(known), _MOST_PEERS))
 
+    def _closed(self) -> bool:
+        """Return whether the other ways were found to be no better."""
+        return self._clock.elapsed() < self._closed_until
+
     async def _call_directly(
         self, call: StoreCall, timeout: dt.timedelta
     ) -> Answer | Outcome:
@@ -165,7 +174,16 @@
                 _log.warning('peers: the store is reached by others only')
             self._detour_until = self._clock.elapsed() + _DETOUR
             return found
-        return _worse(await direct, found)
+        return await self._without_others(direct, found)
+
+    async def _without_others(
+        self, direct: asyncio.Task[Answer | Outcome], found: Answer | Outcome
+    ) -> Answer | Outcome:
+        """Return the own way's answer; no other entry got one."""
+        own = await direct
+        if not usable(own):
+            self._closed_until = self._clock.elapsed() + _CLOSED
+        return _worse(own, found)
 
     async def _go_round(
         self, call: StoreCall, addresses: list[Address], timeout: dt.timedelta
--- /dev/null
+++ b/features/peers_relay.feature
@@ -0,0 +1,19 @@
+Feature: calls of the store that go through other entries
+
+  Scenario: a store that is down for everyone is not asked by every way
+    The store refuses every entry. Each call would be made three times, once
+    by the own way and by two other entries, while nobody can be served; the
+    store comes back to three times the load.
+
+    Given a store that refuses every way
+    When an entry makes a call each 100 ms for 2 s
+    Then other entries were asked at most 8 times
+
+  Scenario: a way that opens again is found within a second
+    The store refused every way, and then this entry alone. Its calls go
+    through the others again after at most a second.
+
+    Given a store that refuses every way
+    When an entry makes a call each 100 ms for 2 s
+    And the store takes calls of the other entries again
+    Then a call is answered within 1100 ms
--- /dev/null
+++ b/features/steps/peers_relay_steps.py
@@ -0,0 +1,115 @@
+"""Steps for bergamotdoor.peers.relay."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime as dt
+import random
+from typing import TYPE_CHECKING, Any
+
+from behave import given, then, when
+
+from bergamotdoor.objects.client import Answer
+from bergamotdoor.peers.directory import Directory
+from bergamotdoor.peers.relay import RelayingCaller
+from bergamotdoor.types import NodeId
+from features.machines.site import at
+from features.support import run_virtual, virtual_clock
+
+if TYPE_CHECKING:
+    from bergamotdoor.peers.messages import StoreCall
+    from bergamotdoor.settings.document import Address
+    from bergamotdoor.stored import Outcome
+
+PAUSE_S = 0.1
+REFUSED = Answer(503, b'')
+DONE = Answer(200, b'')
+
+
+class Ways:
+    """The own way, which is refused, and those of other entries."""
+
+    def __init__(self) -> None:
+        self.open = False
+        self.relayed = 0
+
+    async def call(self, *_: Any) -> Answer | Outcome:
+        return REFUSED
+
+    async def watch(self, *_: Any) -> Answer | Outcome:
+        return REFUSED
+
+
+class OtherEntries:
+    def __init__(self, ways: Ways) -> None:
+        self._ways = ways
+
+    async def call(
+        self, address: Address, call: StoreCall, timeout: dt.timedelta
+    ) -> Answer | Outcome:
+        self._ways.relayed += 1
+        return DONE if self._ways.open else REFUSED
+
+
+@given('a store that refuses every way')
+def refuses(context: Any) -> None:
+    ways = Ways()
+    caller = RelayingCaller(
+        ways, OtherEntries(ways), virtual_clock(), random.Random(1)
+    )
+    directory = Directory.__new__(Directory)
+    directory.entries = {
+        NodeId(f'e{number}'): at(9000 + number) for number in range(3)
+    }
+    caller.directory = directory
+    context.ways = ways
+    context.caller = caller
+    context.scene = []
+
+
+async def one_call(caller: RelayingCaller) -> Answer | Outcome:
+    return await caller.call('GET', '/x', b'', dt.timedelta(seconds=1))
+
+
+async def calls(context: Any, seconds: float) -> None:
+    for _ in range(round(seconds / PAUSE_S)):
+        await one_call(context.caller)
+        await asyncio.sleep(PAUSE_S)
+
+
+@when('an entry makes a call each 100 ms for {seconds:d} s')
+def call_often(context: Any, seconds: int) -> None:
+    context.scene.append(lambda: calls(context, seconds))
+
+
+@when('the store takes calls of the other entries again')
+def opens(context: Any) -> None:
+    async def reopen() -> None:
+        context.ways.open = True
+
+    context.scene.append(reopen)
+
+
+async def play(context: Any) -> None:
+    for step in context.scene:
+        await step()
+
+
+@then('other entries were asked at most {most:d} times')
+def asked_at_most(context: Any, most: int) -> None:
+    run_virtual(play(context))
+    assert 0 < context.ways.relayed <= most, context.ways.relayed
+
+
+@then('a call is answered within {limit_ms:d} ms')
+def answered_within(context: Any, limit_ms: int) -> None:
+    async def measure() -> float:
+        await play(context)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        while await one_call(context.caller) != DONE:
+            await asyncio.sleep(PAUSE_S)
+        return (loop.time() - began) * 1000
+
+    took_ms = run_virtual(measure())
+    assert took_ms <= limit_ms, took_ms
