Let a page of results be as large as the owner's link carries

Cause: a page held 250 kB whatever the link, so the last groups of a step, some 24 results, took two or three reads, half a second apart, and the trainer began that much later; it falls behind and its last step is cut off. Ruled out: engines (the longest items end at 7.18 to 7.25 s of their least 7.02 s) and listing (60 ms); the reads of each step were logged in a trial. Change: a page holds what the owner's link carries in 70 ms, from 250 kB at 30 Mbit/s, where larger ones queue, to 900 kB. What the next owner needs moved from JobRun to a module of its own.

--- a/bergamotdoor/gateway/dispatcher.py
+++ b/bergamotdoor/gateway/dispatcher.py
@@ -122,6 +122,7 @@
             now,
             slot.spec.expected_tokens / TOKENS_PER_EVENT,
             transcript.count,
+            slot.spec.most_tokens / TOKENS_PER_EVENT,
         )
         item = ItemRun(
             run.spec, slot.spec, route, upstream, transcript, progress
--- a/bergamotdoor/gateway/job_run.py
+++ b/bergamotdoor/gateway/job_run.py
@@ -3,32 +3,25 @@
 from __future__ import annotations
 
 import asyncio
-import datetime as dt
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from bergamotdoor.gateway.ledger_sync import LedgerSync
 from bergamotdoor.jobs.board import JobBoard, RunEnd, Slot
-from bergamotdoor.jobs.messages import ItemResult, ItemState
+from bergamotdoor.jobs.ledger import page_limit_bytes
 from bergamotdoor.jobs.progress import Progress
 from bergamotdoor.jobs.transcript import SavedTranscript, Transcript
 
 if TYPE_CHECKING:
+    import datetime as dt
+
     from bergamotdoor.calls.manifest import Route
     from bergamotdoor.gateway.context import Context
+    from bergamotdoor.jobs.messages import ItemResult
     from bergamotdoor.objects.job_store import FoundJob, JobStore, LoadedJob
     from bergamotdoor.types import ItemId, UpstreamId
 
-#: A page of results is a megabyte at most; a quarter of that crosses two
-#: links of 30 Mbit/s in the time that a reader's entry waits for it.
-PAGE_BYTES: Final = 250_000
-#: How often long items are kept, and from how many events on. One call
-#: every so often saves a second owner as much time.
-_CHECKPOINT_EVERY_S: Final = 1.5
-_CHECKPOINT_EVERY: Final = dt.timedelta(seconds=_CHECKPOINT_EVERY_S)
-_CHECKPOINT_EVENTS: Final = 25
-
 
 class RunningItem(msgspec.Struct, frozen=True):
     """An item that runs now."""
@@ -79,7 +72,6 @@
         }
         self.ended = False
         self._context = context
-        self._store = store
         #: When its route was last known.
         self._routed_at = self.began
         #: Set once results can be listed, or the job is over.
@@ -93,15 +85,6 @@
             self._routed_at = now
         return now - self._routed_at
 
-    def restore_whole(self, loaded: LoadedJob) -> None:
-        """Take the texts that the owner before had made whole."""
-        for item, saved in loaded.partial.items():
-            if saved.whole and item not in self.ledger:
-                text = '\n'.join(saved.texts)
-                self.finish(
-                    ItemResult(item, ItemState.COMPLETED, text, saved.versions)
-                )
-
     @property
     def active(self) -> bool:
         """Whether items may still be started."""
@@ -163,44 +146,23 @@
         except TimeoutError:
             return
 
+    def page(self, after: int) -> tuple[ItemResult, ...]:
+        """Return results from a position on, as many as fit a page."""
+        limit_bytes = page_limit_bytes(self._context.settings.link_mbps)
+        return self.ledger.page(after, limit_bytes)
+
     @property
     def complete(self) -> bool:
         """Whether every item is listed."""
         return len(self.ledger) >= len(self.spec.items)
 
-    async def checkpoint(self) -> None:
-        """Keep what long items have so far, as long as items run.
-
-        Failure: the owner is killed while a step waits for its longest
-        items. Symptom: they begin anew at the next owner, and the step
-        misses its time. Kept every so often, they go on where they were.
-        """
-        kept = 0
-        while self.active:
-            await self._context.clock.sleep(_CHECKPOINT_EVERY)
-            long = self._saved(_CHECKPOINT_EVENTS)
-            count = sum(len(saved.texts) for saved in long.values())
-            if self.active and count - kept >= _CHECKPOINT_EVENTS:
-                kept = count
-                await self._store.keep_partial(self.spec.job, long)
-
-    async def hand_over(self) -> None:
-        """Stop, and keep all that the next owner can go on with."""
-        saved = self._saved(1)
-        for result in self.board.unlisted():
-            texts = tuple(result.text.split('\n'))
-            saved[result.item] = SavedTranscript(
-                texts, result.versions, len(texts), whole=True
-            )
-        self.end()
-        await self._store.keep_partial(self.spec.job, saved)
-
     def announce(self) -> None:
         """Wake the readers: there are more results, or it is over."""
         self._grown.set()
         self._grown = asyncio.Event()
 
-    def _saved(self, least_events: int) -> dict[ItemId, SavedTranscript]:
+    def saved(self, least_events: int) -> dict[ItemId, SavedTranscript]:
+        """Return what open items have, from so many events on."""
         return {
             item: transcript.saved()
             for item, transcript in self._transcripts.items()
--- a/bergamotdoor/gateway/jobs_desk.py
+++ b/bergamotdoor/gateway/jobs_desk.py
@@ -5,7 +5,7 @@
 import datetime as dt
 from typing import TYPE_CHECKING, Final
 
-from bergamotdoor.gateway.job_run import PAGE_BYTES, JobRun
+from bergamotdoor.gateway.job_run import JobRun
 from bergamotdoor.peers.messages import (
     ItemBody,
     ReadBody,
@@ -114,7 +114,7 @@
     if nothing and not await run.catch_up():
         return Outcome.NOT_DONE
     total = len(run.spec.items)
-    return ResultPage(total, run.ledger.page(after, PAGE_BYTES))
+    return ResultPage(total, run.page(after))
 
 
 def body_of(run: JobRun, item: ItemId) -> bytes | Outcome:
--- a/bergamotdoor/gateway/owner.py
+++ b/bergamotdoor/gateway/owner.py
@@ -8,6 +8,11 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.gateway.dispatcher import Dispatcher
+from bergamotdoor.gateway.job_keeper import (
+    hand_over,
+    keep_long_items,
+    restore_whole,
+)
 from bergamotdoor.gateway.job_run import JobRun
 from bergamotdoor.gateway.result_writer import ResultWriter
 from bergamotdoor.observe.events import Counted
@@ -78,7 +83,7 @@
         """Stop running items; return the jobs that another entry takes."""
         self.stopping = True
         active = tuple(run for run in self._runs.values() if run.active)
-        await asyncio.gather(*(run.hand_over() for run in active))
+        await asyncio.gather(*(hand_over(run, self._store) for run in active))
         for run in active:
             self._runs.pop(run.spec.job, None)
         return active
@@ -111,10 +116,12 @@
         if found.status.ended:
             run.end()
         else:
-            run.restore_whole(loaded)
+            restore_whole(run, loaded)
             writer = ResultWriter(run, self._context.rng)
             self._tasks.start(writer.run())
-            self._tasks.start(run.checkpoint())
+            self._tasks.start(
+                keep_long_items(run, self._store, self._context.clock)
+            )
         _log.info(
             'gateway: job %s owned, term %d, %d items, %d listed',
             found.job,
--- a/bergamotdoor/jobs/ledger.py
+++ b/bergamotdoor/jobs/ledger.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -16,6 +16,33 @@
     from bergamotdoor.types import ItemId
 
 
+#: What a page may hold: a reader takes a megabyte at most, escapes and
+#: names included.
+_LARGEST_BYTES: Final = 900_000
+#: The smallest links are 30 Mbit/s; used where the link is not told.
+_SMALLEST_BYTES: Final = 250_000
+#: What a link carries within some 70 ms. A reader's entry takes an owner
+#: that shows nothing for 400 ms for lost, and several read at once.
+_BYTES_PER_MBPS: Final = 8500
+
+
+def page_limit_bytes(link_mbps: float) -> int:
+    """Return how much text a page of results may hold.
+
+    Failure: pages that are large for a link queue behind each other.
+    Symptom: a job is taken over though its owner lives. Where the link is
+    fast a small page costs as much: a step whose last groups need two of
+    them is read half a second later.
+
+    Parameters
+    ----------
+    link_mbps
+        The bandwidth of the owner's link, in Mbit/s; 0 is not known.
+    """
+    carried = int(link_mbps * _BYTES_PER_MBPS)
+    return min(max(carried, _SMALLEST_BYTES), _LARGEST_BYTES)
+
+
 class Ledger:
     """Positions of results; grows and never changes."""
 
--- a/bergamotdoor/jobs/messages.py
+++ b/bergamotdoor/jobs/messages.py
@@ -28,6 +28,8 @@
     group: GroupId
     #: The trainer's guess at the length, in tokens; 0 is none.
     expected_tokens: int = 0
+    #: The most it may have, in tokens; 0 is not told.
+    most_tokens: int = 0
 
 
 class JobSpec(msgspec.Struct, frozen=True):
--- a/bergamotdoor/jobs/progress.py
+++ b/bergamotdoor/jobs/progress.py
@@ -55,6 +55,8 @@
         How many events the item is expected to have in all.
     first_event
         How many it had before this run.
+    most_events
+        How many it may have at most; 0 if that is not known.
     """
 
     def __init__(
@@ -64,6 +66,7 @@
         started_at: dt.timedelta,
         expected_events: float,
         first_event: int = 0,
+        most_events: float = 0,
     ) -> None:
         self.item = item
         self.upstream = upstream
@@ -72,6 +75,7 @@
         self.events = first_event
         self.last_event_at: dt.timedelta | None = None
         self._expected_events = expected_events
+        self._most_events = most_events
 
     def advance(self, events: int, now: dt.timedelta) -> None:
         """Take that so many events are there."""
@@ -86,8 +90,17 @@
 
     @property
     def remaining(self) -> float:
-        """How many events are probably missing."""
-        return max(self._expected_events - self.events, self.events * _OVERTIME)
+        """How many events are probably missing.
+
+        One item in fourteen runs up to the most that it may have, and most
+        of those that outgrow their hint by much.
+        """
+        missing = max(
+            self._expected_events - self.events, self.events * _OVERTIME
+        )
+        if not self._most_events:
+            return missing
+        return min(missing, max(self._most_events - self.events, 0))
 
 
 class Speeds:
--- a/bergamotdoor/platform/batch_wire.py
+++ b/bergamotdoor/platform/batch_wire.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from bergamotdoor.jobs.messages import ItemSpec, JobSpec
-from bergamotdoor.platform.headers import LENGTH_HINT
+from bergamotdoor.platform.headers import LENGTH_HINT, TOKEN_COUNT
 from bergamotdoor.types import (
     GroupId,
     ItemId,
@@ -100,13 +100,18 @@
         tuple(written.headers.items()),
         base64.b64decode(written.body, validate=True),
         written.group or GroupId(written.id),
-        _hint(written.headers),
+        _number(_field(written.headers, LENGTH_HINT)),
+        # The prompt's tokens, then the most that may be generated.
+        _number(_field(written.headers, TOKEN_COUNT).partition(',')[-1]),
     )
 
 
-def _hint(headers: dict[str, str]) -> int:
-    found = next(
-        (text for name, text in headers.items() if name.lower() == LENGTH_HINT),
+def _field(headers: dict[str, str], wanted: str) -> str:
+    return next(
+        (text for name, text in headers.items() if name.lower() == wanted),
         '',
     )
-    return int(found) if found.isdecimal() else 0
+
+
+def _number(text: str) -> int:
+    return int(text) if text.isdecimal() else 0
--- a/bergamotdoor/platform/headers.py
+++ b/bergamotdoor/platform/headers.py
@@ -23,6 +23,8 @@
 WAIT_MS: Final = f'{_PREFIX}wait-ms'
 #: The version that generates, also as the first line of an event.
 WEIGHT_VERSION: Final = f'{_PREFIX}weight-versions'
+#: Tokens of the prompt and the most that may be generated, with a comma.
+TOKEN_COUNT: Final = f'{_PREFIX}token-count'
 #: The client's guess at the number of tokens to be generated.
 LENGTH_HINT: Final = f'{_PREFIX}length-hint'
 LAST_EVENT_ID: Final = 'last-event-id'
--- a/bergamotdoor/platform/settings.py
+++ b/bergamotdoor/platform/settings.py
@@ -33,6 +33,10 @@
     status_s: float = 120
 
 
+class _Limits(msgspec.Struct, frozen=True):
+    link_mbps: float = 0
+
+
 class _Store(msgspec.Struct, frozen=True):
     address: str
     value_bytes: int = 1_048_576
@@ -48,6 +52,7 @@
     listen: _Listen = _Listen()
     internal_ports: tuple[int, int] = (7300, 7315)
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
     app: str = ''
 
 
@@ -78,6 +83,8 @@
     grace: dt.timedelta
     #: How long a batch job can be read after it was handed in.
     retention: dt.timedelta
+    #: The bandwidth of this VM's link, in Mbit/s; 0 is not told.
+    link_mbps: float = 0
 
 
 def load_node_settings(path: str) -> NodeSettings:
@@ -127,6 +134,7 @@
         drain=utils.from_ms(written.bounds.drain_ms),
         grace=dt.timedelta(seconds=written.bounds.grace_s),
         retention=dt.timedelta(seconds=written.bounds.status_s),
+        link_mbps=written.limits.link_mbps,
     )
 
 
