Note a failed try: groups held until the step's target is whole

Cause looked for: a read that brings the last group but one costs the trainer most of the half second until its next read. Try: whole groups waited up to 450 ms for those that complete the target, judged by the events that their items have left at most, not beyond the due time; the target itself was listed at once. Conclusion: reverted; it would hold results back for nothing. The properties of the board that only it used are removed.

--- a/bergamotdoor/jobs/board.py
+++ b/bergamotdoor/jobs/board.py
@@ -95,8 +95,6 @@
                 self._slots[item.item] = Slot(item, order)
                 self._waiting.append((order, item.item))
                 self._open_in_group[item.group] += 1
-        self._all_groups = len({one.group for one in spec.items})
-        self._target_groups = spec.target_groups
         #: Where each group's prompt is cached.
         self.homes: dict[GroupId, UpstreamId] = {}
         #: Items that have no result yet.
@@ -112,18 +110,6 @@
         """
         return bool(self._finished)
 
-    @property
-    def missing_groups(self) -> int:
-        """How many more groups have to be whole for the trainer to go on."""
-        open_groups = sum(1 for left in self._open_in_group.values() if left)
-        return self._target_groups - (self._all_groups - open_groups)
-
-    def open_slots(self) -> Iterator[Slot]:
-        """Return the items that have no result yet."""
-        yield from (
-            slot for slot in self._slots.values() if slot.result is None
-        )
-
     def ready(self, now: dt.timedelta) -> Slot | None:
         """Return the item that should start next, if any."""
         self._wake(now)
