Move the models of store and engines out of the tests

Tests, demonstration and the fault soak are to use one model of what stands around bergamotdoor; it was untyped test code in features/machines. Now a package beside the product, checked by mypy strict and the linter, with enumerations for the modes and the objects apart from the HTTP side. The scenes are unchanged but for the names of the modes.

--- a/features/machines/site.py
+++ b/features/machines/site.py
@@ -22,9 +22,9 @@
 from bergamotdoor.platform.settings import NodeSettings
 from bergamotdoor.settings.document import Address
 from bergamotdoor.types import NodeId, ZoneId
-from features.machines.engine import Engine, Upstream
-from features.machines.store import Store
 from features.support import run_virtual, virtual_clock
+from lab.store import Store
+from lab.upstreams import Engine, Upstream
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/features/steps/agent_weights_steps.py
+++ b/features/steps/agent_weights_steps.py
@@ -22,7 +22,7 @@
 from features.machines.site import Site, at, play
 
 if TYPE_CHECKING:
-    from features.machines.engine import Engine
+    from lab.upstreams import Engine
 
 
 async def an_agent(site: Site) -> Engine:
@@ -184,7 +184,7 @@
         await asyncio.sleep(1)
         site.store.put('retirements', 'storage-0', {'duration_s': 10})
         await asyncio.sleep(1)
-        context.status = site.store.objects['retirements']['storage-0'][
+        context.status = site.store.table.objects['retirements']['storage-0'][
             'status'
         ]
         await agent.stop()
@@ -267,7 +267,7 @@
             context.kinds.append(
                 {
                     kind: len(objects)
-                    for kind, objects in site.store.objects.items()
+                    for kind, objects in site.store.table.objects.items()
                     if kind.startswith('job')
                 }
             )
--- a/features/steps/gateway_calls_steps.py
+++ b/features/steps/gateway_calls_steps.py
@@ -10,6 +10,8 @@
 
 from bergamotdoor.http.messages import ClientRequest, ClientResponse
 from features.machines.site import Site, at, play
+from lab.store import StoreMode
+from lab.upstreams import UpstreamMode
 
 SLOW_S = 0.7
 
@@ -78,7 +80,7 @@
         spec = service.registration(state='draining')
         site.store.put('servers', name, spec)
     else:
-        service.mode = mode
+        service.mode = UpstreamMode(mode)
 
 
 @given('a site for calls whose first upstream was replaced at its address')
@@ -231,12 +233,12 @@
         await site.store.start()
         site.put_manifest()
         await site.add_service('desk-0')
-        site.store.mode = 'busy'
+        site.store.mode = StoreMode.BUSY
         await site.add_entry('entry-0')
         await asyncio.sleep(1)
         reply = await post(context, site, '/book/1', 1)
         before = await probe(site)
-        site.store.mode = 'up'
+        site.store.mode = StoreMode.UP
         await asyncio.sleep(2)
         return reply, before, await probe(site)
 
--- a/features/steps/gateway_jobs_steps.py
+++ b/features/steps/gateway_jobs_steps.py
@@ -12,6 +12,8 @@
 from bergamotdoor.types import JobId
 from bergamotdoor.utils import hrw_order
 from features.machines.site import Site, at, play
+from lab.store import StoreMode
+from lab.upstreams import UpstreamMode
 
 JOB = 'j1'
 
@@ -48,7 +50,7 @@
 
 
 def owner_of(site: Site) -> str:
-    return str(site.store.specs('jobs')[JOB]['owner'])
+    return str(site.store.table.specs('jobs')[JOB]['owner'])
 
 
 def other(site: Site, entry: str) -> str:
@@ -126,7 +128,7 @@
 def store_away(context: Any) -> None:
     async def scene(site: Site) -> None:
         await site.start()
-        site.store.mode = 'busy'
+        site.store.mode = StoreMode.BUSY
         began = site.clock.elapsed()
         refused = await site.submit('entry-0', JOB, [[2, 2]])
         assert refused is not None
@@ -134,7 +136,7 @@
         context.took = site.clock.elapsed() - began
         await asyncio.sleep(1)
         context.ran = sum(len(one.seen) for one in site.engines.values())
-        site.store.mode = 'up'
+        site.store.mode = StoreMode.UP
         await handed_in(site, [[2, 2]])
         context.results = await site.all_results('entry-1', JOB)
 
@@ -369,7 +371,7 @@
         assert len(page['results']) == 2, page
         await asyncio.sleep(1)
         context.second = await site.results(owner, JOB, 1)
-        site.store.mode = 'busy'
+        site.store.mode = StoreMode.BUSY
         await asyncio.sleep(1)
         context.cut = await site.results(owner, JOB, 2)
 
@@ -455,7 +457,7 @@
     async def scene(site: Site) -> None:
         await site.start()
         first = await site.results('entry-0', 'j9')
-        site.store.mode = 'busy'
+        site.store.mode = StoreMode.BUSY
         context.statuses = [first, await site.results('entry-1', 'j9')]
 
     play(scene)
@@ -471,7 +473,7 @@
     async def scene(site: Site) -> None:
         await site.start()
         for broken in site.engines.values():
-            broken.mode = mode
+            broken.mode = UpstreamMode(mode)
         await handed_in(site, parsed(groups))
         context.results = await site.all_results('entry-0', JOB)
         context.runs = Counter(
--- a/features/steps/objects_watcher_steps.py
+++ b/features/steps/objects_watcher_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then
 
 from features.machines.site import Site, at, play
+from lab.store import StoreMode
 
 
 @given('a site whose store becomes deaf, changes and cuts its watches')
@@ -21,7 +22,7 @@
         # A watch that begins now is told of later changes only.
         await asyncio.sleep(0.05)
         site.store.drop_history()
-        site.store.forgotten = 0
+        site.store.table.forgotten = 0
         site.store.deaf = False
         await asyncio.sleep(2)
         return generations(site)
@@ -60,12 +61,12 @@
     async def scene(site: Site) -> tuple[int, int]:
         await site.start()
         await site.ask('entry-0', 'GET', '/book/1', Request_Id='b1')
-        site.store.mode = 'busy'
+        site.store.mode = StoreMode.BUSY
         site.store.cut_watches()
         await asyncio.sleep(3)
         for name in list(site.services):
             site.store.remove('servers', name)
-        site.store.mode = 'up'
+        site.store.mode = StoreMode.UP
         await asyncio.sleep(1)
         early = await site.ask('entry-0', 'GET', '/book/2', Request_Id='b2')
         await asyncio.sleep(3)
@@ -104,7 +105,7 @@
         site.store.cut_watches()
         await asyncio.sleep(0.05)
         site.store.drop_history()
-        site.store.forgotten = 0
+        site.store.table.forgotten = 0
         site.store.deaf = False
         await asyncio.sleep(2)
         return generations(site)
@@ -135,7 +136,7 @@
         site.store.deaf = True
         site.put_manifest()
         await asyncio.sleep(1)
-        site.store.forget()
+        site.store.table.forget()
         await asyncio.sleep(3)
         return generations(site)
 
--- /dev/null
+++ b/lab/objects.py
@@ -0,0 +1,137 @@
+"""The objects of the store model, and what changed in which order."""
+
+from __future__ import annotations
+
+import enum
+import json
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+#: An object as the protocol writes it: metadata, spec and status.
+Stored = dict[str, Any]
+
+_FIRST_REVISION = 7
+
+
+class Refusal(enum.Enum):
+    """Why a write was not done."""
+
+    ABSENT = 404
+    CONFLICT = 409
+
+
+class Written(NamedTuple):
+    """One change of an object."""
+
+    revision: int
+    kind: str
+    removed: bool
+    stored: Stored
+
+
+class WriteCall(NamedTuple):
+    """A writing call of the protocol."""
+
+    method: str
+    #: Kind, name and perhaps ``status``.
+    parts: tuple[str, ...]
+    body: bytes
+
+
+class WriteResult(NamedTuple):
+    """What became of a write: no refusal, or the object in its way."""
+
+    refusal: Refusal | None
+    stored: Stored | None = None
+
+
+class ObjectTable:
+    """Objects by kind and name; every write gets the next revision."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, dict[str, Stored]] = {}
+        self.history: list[Written] = []
+        #: Changes up to this revision can't be told any more.
+        self.forgotten = 0
+        self.revision = _FIRST_REVISION
+
+    def put(
+        self, kind: str, name: str, spec: object, status: object = None
+    ) -> Stored:
+        """Write an object; an existing one keeps its status."""
+        known = self.objects.setdefault(kind, {}).get(name)
+        self.revision += 1
+        stored = {
+            'metadata': {'name': name, 'rev': self.revision},
+            'spec': spec,
+            'status': status if known is None else known['status'],
+        }
+        self.objects[kind][name] = stored
+        self._note(kind, removed=False, stored=stored)
+        return stored
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        stored = self.objects[kind].pop(name)
+        self.revision += 1
+        self._note(kind, removed=True, stored=stored)
+
+    def of_kind(self, kind: str) -> dict[str, Stored]:
+        """Return the objects of a kind by name."""
+        return self.objects.get(kind, {})
+
+    def specs(self, kind: str) -> dict[str, Any]:
+        """Return the specs of a kind's objects."""
+        return {
+            name: stored['spec'] for name, stored in self.of_kind(kind).items()
+        }
+
+    def forget(self) -> None:
+        """Drop the history of changes."""
+        self.forgotten = self.revision
+        self.history.clear()
+
+    def since(self, kind: str, revision: int) -> Iterator[Written]:
+        """Return the changes of a kind behind a revision."""
+        return (
+            written
+            for written in self.history
+            if written.kind == kind and written.revision > revision
+        )
+
+    def write(self, call: WriteCall) -> WriteResult:
+        """Do a writing call of the protocol."""
+        if call.method == 'POST':
+            return self._create(call)
+        kind, name = call.parts[:2]
+        stored = self.of_kind(kind).get(name)
+        if stored is None:
+            return WriteResult(Refusal.ABSENT)
+        if call.method == 'DELETE':
+            self.remove(kind, name)
+            return WriteResult(None, stored)
+        sent = json.loads(call.body)
+        if len(call.parts) > 2:
+            stored['status'] = sent['status']
+            return WriteResult(None, self.put(kind, name, stored['spec']))
+        return self._replace(kind, stored, sent)
+
+    def _create(self, call: WriteCall) -> WriteResult:
+        kind = call.parts[0]
+        sent = json.loads(call.body)
+        name = sent['metadata']['name']
+        stored = self.of_kind(kind).get(name)
+        if stored is not None:
+            return WriteResult(Refusal.CONFLICT, stored)
+        return WriteResult(None, self.put(kind, name, sent['spec']))
+
+    def _replace(self, kind: str, stored: Stored, sent: Stored) -> WriteResult:
+        current = stored['metadata']
+        if sent['metadata'].get('rev', current['rev']) != current['rev']:
+            return WriteResult(Refusal.CONFLICT, stored)
+        return WriteResult(None, self.put(kind, current['name'], sent['spec']))
+
+    def _note(self, kind: str, *, removed: bool, stored: Stored) -> None:
+        self.history.append(Written(self.revision, kind, removed, dict(stored)))
--- /dev/null
+++ b/lab/upstreams.py
@@ -0,0 +1,255 @@
+"""Models of plain services and engines."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime as dt
+import enum
+import json
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any, Final, NamedTuple
+
+from bergamotdoor.http.messages import Headers, HttpRequest, HttpResponse
+from bergamotdoor.http.server import HttpServer
+from lab.store import LIMITS, LostError, cut_off
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from bergamotdoor.clock import Clock
+    from bergamotdoor.settings.document import Address
+
+EVENT_S: Final = 0.04
+_WORK_S: Final = 0.03
+_LOAD_S: Final = 0.9
+#: When an order that was delayed is taken.
+_LATE_S: Final = 3
+#: How often a stream looks whether the weights are loaded.
+_PAUSE_S: Final = 0.01
+_MAX_BODY_BYTES: Final = 10_000_000
+_PREFIX: Final = 'x-bergamotdoor-'
+_MODEL: Final = 'm'
+
+
+class UpstreamMode(enum.Enum):
+    """How an upstream takes requests."""
+
+    GOOD = 'good'
+    #: Refuses, and says that it ran nothing.
+    FULL = 'full'
+    #: Runs a request and breaks its connection.
+    BROKEN = 'broken'
+    #: Answers 500.
+    FAILING = 'failing'
+    #: Takes requests and never answers.
+    DARK = 'dark'
+    #: Says that the item can never be done.
+    IMPOSSIBLE = 'impossible'
+
+
+class Seen(NamedTuple):
+    """A request that was begun."""
+
+    request: str
+    headers: dict[str, str]
+
+
+class Upstream:
+    """Runs requests, and remembers what it was sent."""
+
+    def __init__(
+        self, name: str, service: str, address: Address, clock: Clock
+    ) -> None:
+        #: The incarnation; another one refuses requests meant for this.
+        self.name = name
+        self.service = service
+        self.address = address
+        self.seen: list[Seen] = []
+        #: Requests that run now.
+        self.running: set[str] = set()
+        self.mode = UpstreamMode.GOOD
+        self.work_s = _WORK_S
+        self._server = HttpServer(address, self.handle, LIMITS, clock, name)
+
+    async def start(self) -> None:
+        """Serve."""
+        await self._server.start()
+
+    async def stop(self) -> None:
+        """End all requests."""
+        await self._server.stop(dt.timedelta())
+
+    def registration(self, **extra: Any) -> dict[str, Any]:
+        """Return what it registers in the store."""
+        return {
+            'service': self.service,
+            'address': written(self.address),
+            'zone': 'here',
+            'slots': 4,
+            'state': 'ready',
+            'cold_left_ms': 0,
+            **extra,
+        }
+
+    def fields(self, request_id: str) -> list[tuple[str, str]]:
+        """Return the header fields of an answer."""
+        return [
+            (f'{_PREFIX}request-id', request_id),
+            (f'{_PREFIX}server-stamp', f'proof of {self.name}'),
+            (f'{_PREFIX}server-load', f'{len(self.running)},0,4'),
+        ]
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Run one request, as the mode says."""
+        headers = {field.name: field.value for field in request.headers}
+        request_id = headers.get(f'{_PREFIX}request-id', '')
+        body = await request.read_body(_MAX_BODY_BYTES)
+        expected = headers.get(f'{_PREFIX}expect-instance', self.name)
+        if expected != self.name:
+            return _refused(
+                HTTPStatus.MISDIRECTED_REQUEST, 'instance-id', self.name
+            )
+        if self.mode is UpstreamMode.FULL:
+            return _refused(HTTPStatus.SERVICE_UNAVAILABLE, 'not-executed', '1')
+        self.seen.append(Seen(request_id, headers))
+        if self.mode is UpstreamMode.DARK:
+            await asyncio.Event().wait()
+        self.running.add(request_id)
+        try:
+            return await self.run(request, headers, body)
+        finally:
+            self.running.discard(request_id)
+
+    async def run(
+        self, request: HttpRequest, headers: dict[str, str], body: bytes
+    ) -> HttpResponse:
+        """Answer a request that was taken."""
+        await asyncio.sleep(self.work_s)
+        if self.mode is UpstreamMode.BROKEN:
+            return cut_off()
+        status = HTTPStatus.OK
+        if self.mode is UpstreamMode.FAILING:
+            status = HTTPStatus.INTERNAL_SERVER_ERROR
+        request_id = headers.get(f'{_PREFIX}request-id', '')
+        return HttpResponse(
+            status=int(status),
+            headers=Headers.of(self.fields(request_id)),
+            body=f'{self.name} ran {request.target} {len(body)}'.encode(),
+        )
+
+
+class Engine(Upstream):
+    """Generates as many events as the item's body says."""
+
+    def __init__(
+        self, name: str, service: str, address: Address, clock: Clock
+    ) -> None:
+        super().__init__(name, service, address, clock)
+        self.version = 1
+        self.event_s = EVENT_S
+        self.orders: list[dict[str, Any]] = []
+        self.loading = False
+        #: How many of the next orders get no answer and are done later.
+        self.late_orders = 0
+        #: A stream breaks off behind so many events; -1 is never.
+        self.break_after = -1
+        self.load_s = _LOAD_S
+
+    def registration(self, **extra: Any) -> dict[str, Any]:
+        """Return what it registers in the store."""
+        models = [{'name': _MODEL, 'version': self.version, 'adapters': []}]
+        return super().registration(models=models, **extra)
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer its agent, or run an item."""
+        if request.target == '/-/report':
+            report = {
+                'models': [{'name': _MODEL, 'version': self.version}],
+                'busy': self.loading,
+                'seq': len(self.orders),
+                'running': len(self.running),
+                'waiting': 0,
+            }
+            return HttpResponse(
+                status=int(HTTPStatus.OK), body=json.dumps(report).encode()
+            )
+        if request.target == '/-/order':
+            order = json.loads(await request.read_body(_MAX_BODY_BYTES))
+            return self._ordered(order)
+        return await super().handle(request)
+
+    async def run(
+        self, request: HttpRequest, headers: dict[str, str], body: bytes
+    ) -> HttpResponse:
+        """Stream the events of an item."""
+        if self.mode is UpstreamMode.FAILING:
+            return HttpResponse(status=int(HTTPStatus.INTERNAL_SERVER_ERROR))
+        if self.mode is UpstreamMode.IMPOSSIBLE:
+            return HttpResponse(status=int(HTTPStatus.UNPROCESSABLE_ENTITY))
+        first = int(headers.get('last-event-id', '0')) + 1
+        request_id = headers[f'{_PREFIX}request-id']
+        fields = [
+            *self.fields(request_id),
+            ('content-type', 'text/event-stream'),
+            (f'{_PREFIX}weight-versions', str(self.version)),
+        ]
+        return HttpResponse(
+            status=int(HTTPStatus.OK),
+            headers=Headers.of(fields),
+            body=self._events(request_id, first, int(body)),
+        )
+
+    def _ordered(self, order: dict[str, Any]) -> HttpResponse:
+        if self.late_orders:
+            self.late_orders -= 1
+            loop = asyncio.get_running_loop()
+            loop.call_later(_LATE_S, self._accept, order)
+            return cut_off()
+        return HttpResponse(status=int(self._accept(order)))
+
+    def _accept(self, order: dict[str, Any]) -> HTTPStatus:
+        if self.loading or order['expected'] != len(self.orders):
+            return HTTPStatus.CONFLICT
+        self.orders.append(order)
+        self.loading = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(self.load_s, self._loaded, order['version'])
+        return HTTPStatus.ACCEPTED
+
+    def _loaded(self, version: int) -> None:
+        self.version = version
+        self.loading = False
+
+    async def _events(
+        self, request_id: str, first: int, count: int
+    ) -> AsyncIterator[bytes]:
+        version = self.version
+        self.running.add(request_id)
+        try:
+            for number in range(first, count + 1):
+                await self._generate()
+                if number - first == self.break_after:
+                    yield b'id: '
+                    raise LostError
+                event = f'id: {number}\ndata: {request_id}/{number}\n\n'
+                if self.version != version:
+                    version = self.version
+                    event = f'{_PREFIX}weight-versions: {version}\n{event}'
+                yield event.encode()
+        finally:
+            self.running.discard(request_id)
+
+    async def _generate(self) -> None:
+        await asyncio.sleep(self.event_s)
+        while self.loading:
+            await asyncio.sleep(_PAUSE_S)
+
+
+def _refused(status: HTTPStatus, name: str, text: str) -> HttpResponse:
+    headers = Headers.of([(f'{_PREFIX}{name}', text)])
+    return HttpResponse(status=int(status), headers=headers)
+
+
+def written(address: Address) -> str:
+    """Write an address as registrations do."""
+    return f'{address.ip}:{address.port}'
