A fault soak of the real programs as separate processes

Entries, agents and a storage agent run as processes; store, engines and services are the project's models, each behind a loopback proxy that delays, cuts one way, silences and resets. Sixteen kinds of fault, drawn from a seed, come in series and overlapping; callers and a trainer keep their connections and check fourteen promises from what they see and from what ran upstream.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := .venv/bin
 ARGS ?=
 
-.PHONY: demo test check setup bench
+.PHONY: demo test check setup soak
 
 demo: .venv/.ready
 	$(BIN)/bergamotdoor demo $(ARGS)
@@ -18,6 +18,9 @@
 	$(BIN)/mypy
 	$(BIN)/lint-imports
 
+soak: .venv/.ready
+	$(BIN)/python -m lab soak $(ARGS)
+
 setup: .venv/.ready
 
 .venv/.ready: pyproject.toml constraints.txt
--- /dev/null
+++ b/features/lab_soak.feature
@@ -0,0 +1,35 @@
+Feature: the fault soak
+
+  Scenario: a short run of the real programs breaks no promise
+    Entries, agents and a storage agent run as processes of their own; they
+    are killed, stopped, paused and cut off while callers and a trainer work.
+
+    Given a soak of seed 3 with faults for 4 s
+    Then every promise was kept, and results, calls and orders were checked
+
+  Scenario: the soak sees a result that changes
+    A second owner lists another text at a position that was read.
+
+    Given a trainer that has read a step's first result
+    When it reads another text at the same position
+    Then the promise POSITION is broken
+
+  Scenario: the soak sees an item that comes twice
+    Given a trainer that has read a step's first result
+    When it reads the same item at the next position
+    Then the promise EXACTLY_ONCE is broken
+
+  Scenario: the soak sees a text that has a gap
+    Given a trainer that has read a step's first result
+    When it reads a text without its second event
+    Then the promise TEXT is broken
+
+  Scenario: the soak sees a refused request that ran
+    Given a caller whose request was refused as not run
+    When an upstream ran the request
+    Then the promise REFUSED is broken
+
+  Scenario: the soak sees a request that ran twice
+    Given a caller whose request may run once
+    When two upstreams ran the request
+    Then the promise ONCE is broken
--- /dev/null
+++ b/features/steps/lab_soak_steps.py
@@ -0,0 +1,133 @@
+"""Steps for lab: the soak, and whether it sees what breaks."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+import pathlib
+import random
+import tempfile
+from typing import Any
+
+from behave import given, then, when
+
+from bergamotdoor.http.messages import Headers
+from lab.callers import Callers
+from lab.client import Reply
+from lab.deployment import Deployment, Size
+from lab.promises import Promise, Promises
+from lab.soak import soak
+from lab.trainer import Step, Trainer
+from lab.upstreams import Seen
+
+NETWORK = 250
+LEAST = 2
+
+
+@given('a soak of seed {seed:d} with faults for {seconds:d} s')
+def play(context: Any, seed: int, seconds: int) -> None:
+    logging.getLogger('bergamotdoor').setLevel(logging.CRITICAL)
+    size = Size(entries=2, engines=2, services=2)
+    context.outcome = asyncio.run(soak(seed, seconds, size))
+
+
+@then('every promise was kept, and results, calls and orders were checked')
+def kept(context: Any) -> None:
+    outcome = context.outcome
+    assert not outcome.broken, (outcome.broken, outcome.folder)
+    for name in ('WHOLE', 'POSITION', 'TEXT', 'COMPLETE', 'NEWEST', 'ORDERS'):
+        assert outcome.checked[name], outcome.checked
+
+
+def deployment() -> Deployment:
+    folder = pathlib.Path(tempfile.gettempdir())
+
+    async def build() -> Deployment:
+        return Deployment(folder, NETWORK, Size())
+
+    return asyncio.run(build())
+
+
+def result(step: Step, item: int, text: str) -> dict[str, Any]:
+    return {
+        'id': f'{step.job}.{item}',
+        'state': 'completed',
+        'text': text,
+        'versions': [LEAST],
+    }
+
+
+def whole(step: Step, item: int) -> str:
+    name = f'{step.job}.{item}'
+    count = step.lengths[name]
+    return '\n'.join(f'{name}/{number + 1}' for number in range(count))
+
+
+def read(context: Any, position: int, *results: dict[str, Any]) -> None:
+    body = json.dumps({'results': results}).encode()
+    context.trainer._take(context.step, position, Reply(200, Headers(), body))
+
+
+@given("a trainer that has read a step's first result")
+def has_read(context: Any) -> None:
+    context.promises = Promises()
+    context.trainer = Trainer(deployment(), context.promises, random.Random(1))
+    context.step = Step(0, LEAST, [3, 4, 5])
+    read(context, 0, result(context.step, 0, whole(context.step, 0)))
+    assert not context.promises.broken, context.promises.broken
+
+
+@when('it reads another text at the same position')
+def other_text(context: Any) -> None:
+    read(context, 0, result(context.step, 1, whole(context.step, 1)))
+
+
+@when('it reads the same item at the next position')
+def same_item(context: Any) -> None:
+    read(context, 1, result(context.step, 0, whole(context.step, 0)))
+
+
+@when('it reads a text without its second event')
+def gap(context: Any) -> None:
+    first, _, *rest = whole(context.step, 1).split('\n')
+    read(context, 1, result(context.step, 1, '\n'.join((first, *rest))))
+
+
+@given('a caller whose request was refused as not run')
+def refused(context: Any) -> None:
+    callers(context)
+    context.callers._take('call-1', '/safe/call-1', Reply(503, Headers(), b''))
+
+
+@given('a caller whose request may run once')
+def once(context: Any) -> None:
+    callers(context)
+    context.callers._unsafe.add('call-1')
+
+
+def callers(context: Any) -> None:
+    context.promises = Promises()
+    context.deployment = deployment()
+    context.callers = Callers(
+        context.deployment, context.promises, random.Random(1)
+    )
+
+
+@when('an upstream ran the request')
+def ran(context: Any) -> None:
+    context.deployment.services[0].seen.append(Seen('call-1', {}))
+
+
+@when('two upstreams ran the request')
+def ran_twice(context: Any) -> None:
+    for service in context.deployment.services:
+        service.seen.append(Seen('call-1', {}))
+
+
+@then('the promise {name} is broken')
+def broken(context: Any, name: str) -> None:
+    if hasattr(context, 'callers'):
+        asyncio.run(context.callers.close())
+    found = {line.partition(':')[0] for line in context.promises.broken}
+    assert found == {Promise[name].name}, context.promises.broken
--- /dev/null
+++ b/lab/__main__.py
@@ -0,0 +1,87 @@
+"""``python -m lab soak`` and ``python -m lab demo``."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import pathlib
+import sys
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+from absl import app, flags
+
+from lab.deployment import Size
+from lab.soak import SoakOutcome, soak
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+_USUAL_S: Final = 12
+_SEEDS: Final = flags.DEFINE_string(
+    'seeds', '1-4', 'Seeds to play, such as 3, 1-50 or 2,5,9.'
+)
+_SECONDS: Final = flags.DEFINE_float(
+    'seconds', _USUAL_S, 'How long faults come in each run.', lower_bound=0
+)
+_JOBS: Final = flags.DEFINE_integer(
+    'jobs', 4, 'How many runs go beside each other.', lower_bound=1
+)
+_ENTRIES: Final = flags.DEFINE_integer('entries', 3, 'Entries of a run.')
+_ENGINES: Final = flags.DEFINE_integer('engines', 3, 'Engines of a run.')
+_SERVICES: Final = flags.DEFINE_integer('services', 2, 'Services of a run.')
+_JSON: Final = flags.DEFINE_string('json', '', 'File for the outcomes.')
+
+
+def main(words: list[str]) -> int:
+    """Play the soak; the exit code tells whether a promise broke."""
+    if words[1:] != ['soak']:
+        sys.stderr.write('usage: python -m lab soak [FLAGS]\n')
+        return 2
+    # The models log like the product; here only what they see counts.
+    logging.getLogger('bergamotdoor').setLevel(logging.CRITICAL)
+    outcomes = asyncio.run(_play(tuple(_seeds(_SEEDS.value))))
+    if _JSON.value:
+        written = msgspec.json.format(msgspec.json.encode(outcomes))
+        pathlib.Path(_JSON.value).write_bytes(written)
+    return _summarize(outcomes)
+
+
+async def _play(seeds: tuple[int, ...]) -> list[SoakOutcome]:
+    room = asyncio.Semaphore(_JOBS.value)
+    return list(await asyncio.gather(*(_one(seed, room) for seed in seeds)))
+
+
+async def _one(seed: int, room: asyncio.Semaphore) -> SoakOutcome:
+    size = Size(_ENTRIES.value, _ENGINES.value, _SERVICES.value)
+    async with room:
+        outcome = await soak(seed, _SECONDS.value, size)
+    print(_line(outcome), flush=True)
+    return outcome
+
+
+def _line(outcome: SoakOutcome) -> str:
+    broken = ''.join(f'\n  {line}' for line in outcome.broken)
+    kept = f', logs in {outcome.folder}' if broken else ''
+    return (
+        f'seed {outcome.seed}: {outcome.seconds} s, {outcome.calls} calls, '
+        f'{outcome.steps} steps, {sum(outcome.faults.values())} faults, '
+        f'{len(outcome.broken)} broken{kept}{broken}'
+    )
+
+
+def _summarize(outcomes: list[SoakOutcome]) -> int:
+    broken = sum(len(outcome.broken) for outcome in outcomes)
+    checked = sum(sum(outcome.checked.values()) for outcome in outcomes)
+    print(f'{len(outcomes)} seeds, {checked} checks, {broken} broken')
+    return 1 if broken else 0
+
+
+def _seeds(text: str) -> Iterator[int]:
+    for part in text.split(','):
+        first, _, last = part.partition('-')
+        yield from range(int(first), int(last or first) + 1)
+
+
+if __name__ == '__main__':
+    app.run(main)
--- /dev/null
+++ b/lab/faults.py
@@ -0,0 +1,101 @@
+"""Faults from outside the processes, drawn from a seed."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+from collections import Counter
+from typing import TYPE_CHECKING, Final
+
+from lab.process_faults import ProcessFaults
+from lab.store_faults import StoreFaults
+from lab.upstream_faults import UpstreamFaults
+
+if TYPE_CHECKING:
+    import random
+
+    from lab.deployment import Deployment
+    from lab.promises import Promises
+
+#: Pauses between two faults: some come at once, some alone.
+_PAUSES_S: Final = (0, 0.3, 1, 2)
+
+
+class Fault(enum.Enum):
+    """What is done to the deployment."""
+
+    KILL = 'a process is killed and started again'
+    STOP = 'a process is stopped as planned and started again'
+    PAUSE = 'a process is paused'
+    CHANGED_SETTINGS = 'a process is told to read its settings again'
+    STORE_LINK = 'a way to the store is broken'
+    STORE_AWAY = 'the store refuses or is silent for all'
+    STORE_LOST = 'the store loses or delays answers'
+    STORE_HISTORY = 'the store forgets its history'
+    STORE_DEAF = 'the store tells watches of nothing for a while'
+    UPSTREAM_LINK = 'the way to an upstream is broken'
+    UPSTREAM_RESET = 'connections to an upstream are reset'
+    UPSTREAM_MODE = 'an upstream refuses, fails, breaks or hangs'
+    UPSTREAM_REPLACED = "another incarnation is at an upstream's address"
+    ENGINE_SLOW = 'an engine turns slow'
+    LATE_ORDER = 'an order to an engine arrives late'
+    MANIFEST = 'a new manifest'
+
+
+class Faults:
+    """Draws faults and does them, in series and overlapping.
+
+    Parameters
+    ----------
+    deployment
+        What is harmed.
+    promises
+        Takes how planned stops ended.
+    rng
+        Draws what, when and how long.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        promises: Promises,
+        rng: random.Random,
+    ) -> None:
+        self._rng = rng
+        self.done: Counter[Fault] = Counter()
+        processes = ProcessFaults(deployment, promises, rng)
+        store = StoreFaults(deployment, rng)
+        upstreams = UpstreamFaults(deployment, rng)
+        self._actions = {
+            Fault.KILL: processes.kill,
+            Fault.STOP: processes.stop,
+            Fault.PAUSE: processes.pause,
+            Fault.CHANGED_SETTINGS: processes.reload,
+            Fault.STORE_LINK: store.break_way,
+            Fault.STORE_AWAY: store.send_away,
+            Fault.STORE_LOST: store.lose_answers,
+            Fault.STORE_HISTORY: store.forget,
+            Fault.STORE_DEAF: store.deafen,
+            Fault.UPSTREAM_LINK: upstreams.break_way,
+            Fault.UPSTREAM_RESET: upstreams.reset,
+            Fault.UPSTREAM_MODE: upstreams.change_mode,
+            Fault.UPSTREAM_REPLACED: upstreams.replace,
+            Fault.ENGINE_SLOW: upstreams.slow_down,
+            Fault.LATE_ORDER: upstreams.delay_order,
+            Fault.MANIFEST: store.put_manifest,
+        }
+
+    async def run(self, seconds: float) -> None:
+        """Do faults for some seconds; return once all are over."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + seconds
+        async with asyncio.TaskGroup() as group:
+            while loop.time() < until:
+                fault = self._rng.choice(tuple(Fault))
+                group.create_task(self.apply(fault))
+                await asyncio.sleep(self._rng.choice(_PAUSES_S))
+
+    async def apply(self, fault: Fault) -> None:
+        """Do one fault; return once it is over."""
+        self.done[fault] += 1
+        await self._actions[fault]()
--- /dev/null
+++ b/lab/process_faults.py
@@ -0,0 +1,91 @@
+"""Faults of the product's processes."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+from typing import TYPE_CHECKING, Final
+
+from lab.deployment import listens
+from lab.promises import Promise, Promises
+from lab.spans import span_s
+
+if TYPE_CHECKING:
+    import random
+
+    from lab.deployment import Deployment
+    from lab.processes import ProductProcess
+
+#: Within the grace of eight seconds, and a little for the machine.
+_STOP_S: Final = 12
+
+
+class ProcessFaults:
+    """Signals processes and starts them again."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        promises: Promises,
+        rng: random.Random,
+    ) -> None:
+        self._deployment = deployment
+        self._promises = promises
+        self._rng = rng
+        #: Processes that are stopped, paused or being started.
+        self._away: set[str] = set()
+
+    async def kill(self) -> None:
+        """Kill a process and start it again."""
+        await self._restart(signal.SIGKILL)
+
+    async def stop(self) -> None:
+        """Stop a process as planned and start it again."""
+        await self._restart(signal.SIGTERM)
+
+    async def pause(self) -> None:
+        """Pause a process."""
+        process = self._pick()
+        if process is None:
+            return
+        process.send(signal.SIGSTOP)
+        await asyncio.sleep(span_s(self._rng))
+        process.send(signal.SIGCONT)
+        self._away.discard(process.name)
+
+    async def reload(self) -> None:
+        """Have a process read its settings again."""
+        self._rng.choice(self._deployment.processes).send(signal.SIGHUP)
+
+    async def _restart(self, number: signal.Signals) -> None:
+        process = self._pick()
+        if process is None:
+            return
+        process.send(number)
+        await self._ended(process, number)
+        await asyncio.sleep(span_s(self._rng))
+        await process.start()
+        if process.command == 'gateway':
+            await listens(process)
+        self._away.discard(process.name)
+
+    def _pick(self) -> ProductProcess | None:
+        process = self._rng.choice(self._deployment.processes)
+        if process.name in self._away:
+            return None
+        self._away.add(process.name)
+        return process
+
+    async def _ended(
+        self, process: ProductProcess, number: signal.Signals
+    ) -> None:
+        try:
+            async with asyncio.timeout(_STOP_S):
+                code = await process.wait()
+        except TimeoutError:
+            code = -1
+            await process.kill()
+        if number is signal.SIGTERM:
+            self._promises.check(
+                Promise.STOP, code == 0, f'{process.name} ended with {code}'
+            )
--- /dev/null
+++ b/lab/promises.py
@@ -0,0 +1,53 @@
+"""What must hold, with how often it was checked and broken."""
+
+from __future__ import annotations
+
+import enum
+from collections import Counter
+from typing import Final
+
+_ROW: Final = '{0:>8} {1:>7}  {2}'
+
+
+class Promise(enum.Enum):
+    """What users were promised."""
+
+    WHOLE = "an answer is whole and the caller's own"
+    REFUSED = 'a refused request did not run'
+    ONCE = 'a request that is not idempotent runs at most once'
+    KEPT = 'a job that was taken can be read until its end'
+    POSITION = 'a position that was read never changes'
+    EXACTLY_ONCE = 'an item stands at one position'
+    TEXT = 'a text is whole and in order'
+    VERSION = 'a text is of versions that its step takes'
+    COMPLETE = 'a job is whole once the faults are over'
+    MANIFEST = 'a process never goes back to an older manifest'
+    NEWEST = 'the newest manifest is in force once the faults are over'
+    WEIGHTS = 'engines have the newest version once the faults are over'
+    ORDERS = 'an engine is never ordered back to an older version'
+    STOP = 'a planned stop ends in time and breaks no call'
+
+
+class Promises:
+    """Counts checks, and keeps what broke."""
+
+    def __init__(self) -> None:
+        self.checked: Counter[Promise] = Counter()
+        self.broken: list[str] = []
+
+    def check(self, promise: Promise, holds: bool, detail: str) -> None:
+        """Count a check; keep the detail if it is broken."""
+        self.checked[promise] += 1
+        if not holds:
+            self.broken.append(f'{promise.name}: {detail}')
+
+    def report(self) -> str:
+        """Return a table of all promises."""
+        broken = Counter(line.partition(':')[0] for line in self.broken)
+        rows = [
+            _ROW.format(
+                self.checked[promise], broken[promise.name], promise.value
+            )
+            for promise in Promise
+        ]
+        return '\n'.join((' checked  broken  promise', *rows, *self.broken))
--- a/lab/store.py
+++ b/lab/store.py
@@ -182,12 +182,14 @@
             if left_s <= _TICK_S or any(end.done() for end in ends):
                 return
             news = asyncio.create_task(self._changed.wait())
-            await asyncio.wait(
-                (news, *ends),
-                timeout=left_s,
-                return_when=asyncio.FIRST_COMPLETED,
-            )
-            news.cancel()
+            try:
+                await asyncio.wait(
+                    (news, *ends),
+                    timeout=left_s,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+            finally:
+                news.cancel()
 
     def _told(self, kind: str, since: int) -> list[Stored]:
         if self.deaf:
--- /dev/null
+++ b/lab/trainer.py
@@ -0,0 +1,191 @@
+"""A trainer that runs steps and checks every result that it reads."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import json
+from http import HTTPStatus
+from typing import TYPE_CHECKING, Any, Final
+
+from lab.client import Call, Client
+from lab.deployment import MODEL, STEP_PATH
+from lab.promises import Promise, Promises
+
+if TYPE_CHECKING:
+    import random
+
+    from bergamotdoor.settings.document import Address
+    from lab.client import Reply
+    from lab.deployment import Deployment
+
+_GROUPS: Final = 3
+_GROUP_SIZE: Final = 3
+_MOST_EVENTS: Final = 40
+_READ_S: Final = 0.3
+_WAIT_MS: Final = 500
+_MODEL_HEADER: Final = 'X-Bergamotdoor-Model'
+#: How many steps are open at a time.
+_AHEAD: Final = 2
+
+
+class Step:
+    """One job and what was read of it."""
+
+    def __init__(self, number: int, least_version: int, lengths: list[int]):
+        self.job = f'step-{number}'
+        self.least_version = least_version
+        #: How many events each item has, by its id.
+        self.lengths = {
+            f'{self.job}.{item}': length for item, length in enumerate(lengths)
+        }
+        #: What stands at each position, as written on the wire.
+        self.positions: dict[int, str] = {}
+        self.kept = False
+
+    @property
+    def whole(self) -> bool:
+        """Whether every item was read."""
+        return len(self.positions) >= len(self.lengths)
+
+    def progress(self) -> str:
+        """Return how much of it was read."""
+        read = len(self.positions)
+        return f'{self.job}: {read} of {len(self.lengths)} results'
+
+    def body(self) -> bytes:
+        """Return the job as it is handed in."""
+        items = [
+            {
+                'id': item,
+                'path': f'{STEP_PATH}{item}',
+                'headers': {_MODEL_HEADER: MODEL},
+                'body': base64.b64encode(str(length).encode()).decode(),
+                'group': _group(self.job, order),
+            }
+            for order, (item, length) in enumerate(self.lengths.items())
+        ]
+        job = {
+            'step': 1,
+            'model': MODEL,
+            'min_version': self.least_version,
+            'target_groups': _GROUPS,
+            'items': items,
+        }
+        return json.dumps(job).encode()
+
+
+class Trainer:
+    """Hands in steps, reads them at any entry, names the next version."""
+
+    def __init__(
+        self, deployment: Deployment, promises: Promises, rng: random.Random
+    ) -> None:
+        self._deployment = deployment
+        self._promises = promises
+        self._rng = rng
+        self._client = Client()
+        self.steps: list[Step] = []
+        #: Set once no new step should begin.
+        self.ending = False
+
+    @property
+    def whole(self) -> int:
+        """How many steps were read to their end."""
+        return sum(1 for step in self.steps if step.whole)
+
+    async def run(self) -> None:
+        """Run steps until the end, several at a time."""
+        async with asyncio.TaskGroup() as group:
+            for _ in range(_AHEAD):
+                group.create_task(self._train())
+
+    async def check_again(self) -> None:
+        """Read every step from its start at every entry."""
+        for entry in self._deployment.entries:
+            for step in self.steps:
+                if step.kept:
+                    await self._read(step, entry.front, 0)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self._client.close()
+
+    async def _train(self) -> None:
+        while not self.ending:
+            step = self._begin()
+            await self._hand_in(step)
+            while not step.whole:
+                await self._read(step, self._entry(), len(step.positions))
+                await asyncio.sleep(_READ_S)
+            self._deployment.publish()
+
+    def _begin(self) -> Step:
+        lengths = [
+            self._rng.randint(1, _MOST_EVENTS)
+            for _ in range(_GROUPS * _GROUP_SIZE)
+        ]
+        least = max(self._deployment.version - 1, 1)
+        step = Step(len(self.steps), least, lengths)
+        self.steps.append(step)
+        return step
+
+    async def _hand_in(self, step: Step) -> None:
+        call = Call('POST', f'{STEP_PATH}{step.job}', step.body(), step.job)
+        while not step.kept:
+            reply = await self._client.send(self._entry(), call)
+            step.kept = (
+                reply is not None and reply.status == HTTPStatus.ACCEPTED
+            )
+            if not step.kept:
+                await asyncio.sleep(_READ_S)
+
+    async def _read(self, step: Step, entry: Address, after: int) -> None:
+        path = f'/-/lots/{step.job}?after={after}'
+        call = Call('GET', path, wait_ms=_WAIT_MS)
+        reply = await self._client.send(entry, call)
+        if reply is not None:
+            self._take(step, after, reply)
+
+    def _take(self, step: Step, after: int, reply: Reply) -> None:
+        known = reply.status != HTTPStatus.NOT_FOUND
+        self._promises.check(Promise.KEPT, known, f'{step.job} is not known')
+        if reply.status == HTTPStatus.OK:
+            results = json.loads(reply.body)['results']
+            for position, result in enumerate(results, start=after):
+                self._check(step, position, result)
+
+    def _check(self, step: Step, position: int, result: Any) -> None:
+        written = json.dumps(result, sort_keys=True)
+        before = step.positions.setdefault(position, written)
+        where = f'{step.job} at {position}'
+        self._promises.check(
+            Promise.POSITION, before == written, f'{where}: {before} {written}'
+        )
+        items = [json.loads(text)['id'] for text in step.positions.values()]
+        self._promises.check(
+            Promise.EXACTLY_ONCE, len(set(items)) == len(items), where
+        )
+        whole = result['text'] == _text(
+            result['id'], step.lengths[result['id']]
+        )
+        self._promises.check(Promise.TEXT, whole, f'{where}: {written}')
+        least = min(result['versions'])
+        self._promises.check(
+            Promise.VERSION,
+            least >= step.least_version,
+            f'{where}: {least} < {step.least_version}',
+        )
+
+    def _entry(self) -> Address:
+        return self._rng.choice(self._deployment.entries).front
+
+
+def _text(item: str, length: int) -> str:
+    events = range(1, length + 1)
+    return '\n'.join(f'{item}/{number}' for number in events)
+
+
+def _group(job: str, order: int) -> str:
+    group = order // _GROUP_SIZE
+    return f'{job}.group-{group}'
