--- a/bergamotdoor/fleet/orders.py
+++ b/bergamotdoor/fleet/orders.py
@@ -1,4 +1,4 @@
-"""Messages between a sidecar and its engine."""
+"""Messages between an agent and its engine."""
 
 from __future__ import annotations
 
--- a/bergamotdoor/observe/metrics.py
+++ b/bergamotdoor/observe/metrics.py
@@ -35,18 +35,10 @@
 
     #: From the caller's request to its whole answer.
     TOTAL = 'total'
-    #: Waiting for a free place.
-    QUEUE = 'queue'
-    #: The upstream itself, seen by its sidecar.
+    #: The upstream itself, seen by an entry.
     UPSTREAM = 'upstream'
-    #: Finding out what became of a request.
-    SETTLE = 'settle'
-    #: One call of the platform's store, retries included.
-    STORE = 'store'
-    #: From a step's arrival to its committed batch.
+    #: From a job's taking by its owner to its end.
     STEP = 'step'
-    #: One engine's swap to other weights.
-    SWAP = 'swap'
 
 
 class _Key(NamedTuple):
--- a/bergamotdoor/platform/settings.py
+++ b/bergamotdoor/platform/settings.py
@@ -73,7 +73,7 @@
     first_port: int
     #: Where metrics and state are shown.
     inspection: Address
-    #: The engine on this VM; sidecars only.
+    #: The engine on this VM; agents only.
     engine: Address | None
     #: How long after trouble the platform's rules hold again.
     contact: dt.timedelta
--- a/features/steps/observe_metrics_steps.py
+++ b/features/steps/observe_metrics_steps.py
@@ -24,7 +24,7 @@
     context.metrics = metrics.Metrics()
     for value_ms in range(1, 101):
         latency = dt.timedelta(milliseconds=value_ms)
-        context.metrics.record(metrics.Stage.QUEUE, latency, SERVICE)
+        context.metrics.record(metrics.Stage.UPSTREAM, latency, SERVICE)
 
 
 @given('a count of 3 for one reason')
@@ -62,7 +62,7 @@
     expected = {'p50_us': 50_000, 'p90_us': 90_000, 'max_us': 100_000}
     for field, value_us in expected.items():
         assert abs(getattr(latency, field) - value_us) <= value_us / 100
-    assert (latency.service, latency.stage) == (SERVICE, 'queue')
+    assert (latency.service, latency.stage) == (SERVICE, 'upstream')
     counter = only(context.snapshot.counters)
     assert (counter.name, counter.count) == ('overloaded', 3)
 
