Split the entry's package by concern, and how jobs are written from the store

How a job is written as objects moves from the store's client of jobs (333 lines) to objects/job_codec.py. Nothing else changed.

--- a/bergamotdoor/gateway/answers.py
+++ b/bergamotdoor/gateway/answers.py
@@ -19,9 +19,9 @@
 from bergamotdoor.verdict import Verdict
 
 if TYPE_CHECKING:
+    from bergamotdoor.entry.context import Context
     from bergamotdoor.fleet.upstreams import Upstream
     from bergamotdoor.gateway.call import Call
-    from bergamotdoor.gateway.context import Context
     from bergamotdoor.http.messages import ClientResponse
 
 #: Answers up to this are read whole before anything is passed on, so that
--- a/bergamotdoor/gateway/attempt.py
+++ b/bergamotdoor/gateway/attempt.py
@@ -16,9 +16,9 @@
 if TYPE_CHECKING:
     import datetime as dt
 
+    from bergamotdoor.entry.context import Context
     from bergamotdoor.fleet.loads import UpstreamLoad
     from bergamotdoor.fleet.upstreams import Upstream
-    from bergamotdoor.gateway.context import Context
 
 
 async def send_call(
--- a/bergamotdoor/gateway/batch_front.py
+++ b/bergamotdoor/gateway/batch_front.py
@@ -17,9 +17,9 @@
 from bergamotdoor.verdict import Verdict
 
 if TYPE_CHECKING:
-    from bergamotdoor.gateway.jobs_desk import JobsDesk
-    from bergamotdoor.gateway.jobs_intake import JobsIntake
     from bergamotdoor.http.messages import HttpRequest
+    from bergamotdoor.steps.jobs_desk import JobsDesk
+    from bergamotdoor.steps.jobs_intake import JobsIntake
 
 #: The most that a reader is kept waiting for a result.
 _MOST_WAIT_MS: Final = 1000
--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -8,13 +8,13 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.clock import Clock, LoopClock
-from bergamotdoor.gateway.context import Context
+from bergamotdoor.entry.context import Context
+from bergamotdoor.entry.views import ManifestView
 from bergamotdoor.gateway.following import follow_platform
 from bergamotdoor.gateway.inspection import GatewayInspector
 from bergamotdoor.gateway.limits import caller_limits
 from bergamotdoor.gateway.refusals import plain
 from bergamotdoor.gateway.servers import Servers
-from bergamotdoor.gateway.views import ManifestView
 from bergamotdoor.gateway.wiring import JobParts
 from bergamotdoor.http import HttpClient
 from bergamotdoor.peers import StoreAccess, serve_peer
--- a/bergamotdoor/gateway/following.py
+++ b/bergamotdoor/gateway/following.py
@@ -5,13 +5,13 @@
 import datetime as dt
 from typing import TYPE_CHECKING, Final
 
-from bergamotdoor.gateway.views import FleetView, ManifestView
+from bergamotdoor.entry.views import FleetView, ManifestView
 from bergamotdoor.objects import Watcher
 from bergamotdoor.platform import headers as names
 
 if TYPE_CHECKING:
-    from bergamotdoor.gateway.context import Context
-    from bergamotdoor.gateway.owner import JobOwner
+    from bergamotdoor.entry.context import Context
+    from bergamotdoor.steps.owner import JobOwner
     from bergamotdoor.tasks import Tasks
 
 #: Changes of upstreams are gathered for this share of the time in which
--- a/bergamotdoor/gateway/forwarding.py
+++ b/bergamotdoor/gateway/forwarding.py
@@ -18,8 +18,8 @@
 from bergamotdoor.verdict import Verdict
 
 if TYPE_CHECKING:
+    from bergamotdoor.entry.context import Context
     from bergamotdoor.fleet.upstreams import Upstream
-    from bergamotdoor.gateway.context import Context
     from bergamotdoor.http.messages import HttpResponse
     from bergamotdoor.types import ServiceId, UpstreamId
 
--- a/bergamotdoor/gateway/front.py
+++ b/bergamotdoor/gateway/front.py
@@ -19,10 +19,10 @@
     import datetime as dt
 
     from bergamotdoor.calls.manifest import Manifest, Route
+    from bergamotdoor.entry.context import Context
+    from bergamotdoor.entry.views import ManifestView
     from bergamotdoor.gateway.batch_front import BatchFront
-    from bergamotdoor.gateway.context import Context
     from bergamotdoor.gateway.forwarding import Forwarder
-    from bergamotdoor.gateway.views import ManifestView
     from bergamotdoor.http.messages import HttpRequest, HttpResponse
 
 _log = logging.getLogger('bergamotdoor.gateway')
--- a/bergamotdoor/gateway/inspection.py
+++ b/bergamotdoor/gateway/inspection.py
@@ -14,10 +14,10 @@
 from bergamotdoor.types import Generation, JobId, UpstreamId
 
 if TYPE_CHECKING:
-    from bergamotdoor.gateway.context import Context
-    from bergamotdoor.gateway.owner import JobOwner
-    from bergamotdoor.gateway.views import ManifestView
+    from bergamotdoor.entry.context import Context
+    from bergamotdoor.entry.views import ManifestView
     from bergamotdoor.http.messages import HttpRequest
+    from bergamotdoor.steps.owner import JobOwner
 
 METRICS_PATH: Final = '/metrics'
 STATE_PATH: Final = '/state'
--- a/bergamotdoor/gateway/relayed_stream.py
+++ b/bergamotdoor/gateway/relayed_stream.py
@@ -18,9 +18,9 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from bergamotdoor.entry.context import Context
     from bergamotdoor.fleet.upstreams import Upstream
     from bergamotdoor.gateway.call import Call
-    from bergamotdoor.gateway.context import Context
     from bergamotdoor.jobs import GeneratedEvent
 
 _log = logging.getLogger('bergamotdoor.gateway')
--- a/bergamotdoor/gateway/wiring.py
+++ b/bergamotdoor/gateway/wiring.py
@@ -7,17 +7,17 @@
 from bergamotdoor.gateway.batch_front import BatchFront
 from bergamotdoor.gateway.forwarding import Forwarder
 from bergamotdoor.gateway.front import Front
-from bergamotdoor.gateway.job_finder import JobFinder
-from bergamotdoor.gateway.jobs_desk import JobsDesk
-from bergamotdoor.gateway.jobs_intake import JobsIntake
-from bergamotdoor.gateway.other_entries import OtherEntries
-from bergamotdoor.gateway.owner import JobOwner
-from bergamotdoor.gateway.peer_service import PeerService
 from bergamotdoor.objects.job_store import JobStore
+from bergamotdoor.steps.job_finder import JobFinder
+from bergamotdoor.steps.jobs_desk import JobsDesk
+from bergamotdoor.steps.jobs_intake import JobsIntake
+from bergamotdoor.steps.other_entries import OtherEntries
+from bergamotdoor.steps.owner import JobOwner
+from bergamotdoor.steps.peer_service import PeerService
 
 if TYPE_CHECKING:
-    from bergamotdoor.gateway.context import Context
-    from bergamotdoor.gateway.views import ManifestView
+    from bergamotdoor.entry.context import Context
+    from bergamotdoor.entry.views import ManifestView
     from bergamotdoor.peers.access import StoreAccess
     from bergamotdoor.tasks import Tasks
 
--- a/bergamotdoor/objects/job_store.py
+++ b/bergamotdoor/objects/job_store.py
@@ -1,15 +1,4 @@
-"""Batch jobs as objects of the platform's store.
-
-======================  ==============  ================================
-kind                    name            spec
-======================  ==============  ================================
-``jobs``                job             who runs it (``JobRecord``);
-                                        status: whether it is ended
-``job-ID``              ``part-000000`` pieces of its body; the status of the
-                                        first: what long items have so far
-``job-ID``              ``result-000000`` results, one record a number
-======================  ==============  ================================
-"""
+"""Reads and writes batch jobs in the platform's store."""
 
 from __future__ import annotations
 
@@ -19,35 +8,32 @@
 
 import msgspec
 
-from bergamotdoor.jobs.ledger import Ledger
 from bergamotdoor.jobs.messages import (
-    ItemSpec,
     JobRecord,
     JobSpec,
     JobStatus,
     ResultRecord,
 )
-from bergamotdoor.jobs.transcript import SavedTranscript
-from bergamotdoor.stored import (
-    Conflict,
-    Listing,
-    Outcome,
-    StoredObject,
+from bergamotdoor.objects.job_codec import (
+    JOB_KIND,
+    FoundJob,
+    LoadedJob,
+    found_job,
+    loaded_job,
+    part_name,
+    partial_body,
+    parts_kind,
+    record_name,
+    record_of,
+    split,
 )
-from bergamotdoor.types import ItemId, JobId, Revision
+from bergamotdoor.stored import Conflict, Outcome, StoredObject
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
-
+    from bergamotdoor.jobs.transcript import SavedTranscript
     from bergamotdoor.objects.client import ObjectClient
+    from bergamotdoor.types import ItemId, JobId
 
-JOB_KIND: Final = 'jobs'
-_PART: Final = 'part-'
-_RESULT: Final = 'result-'
-#: Names of one length sort as their numbers do.
-_DIGITS: Final = 6
-#: An object may take a megabyte; JSON writes bodies in base64.
-PART_BYTES: Final = 600_000
 #: How often a call whose outcome is unclear is repeated before its caller
 #: is told so, and the pause between.
 _ATTEMPTS: Final = 3
@@ -56,37 +42,6 @@
 _log = logging.getLogger('bergamotdoor.objects')
 
 
-class FoundJob(msgspec.Struct, frozen=True):
-    """A job's record as stored."""
-
-    job: JobId
-    record: JobRecord
-    status: JobStatus
-    revision: Revision
-
-
-class LoadedJob(msgspec.Struct, frozen=True):
-    """A job's body and results as stored."""
-
-    spec: JobSpec
-    ledger: Ledger
-    #: What items that are not listed had when it was last kept.
-    partial: dict[ItemId, SavedTranscript] = {}
-
-
-class _Partial(msgspec.Struct):
-    """What running items have so far."""
-
-    items: dict[ItemId, SavedTranscript]
-
-
-class _Part(msgspec.Struct):
-    """A piece of a job; every piece repeats its head."""
-
-    head: JobSpec
-    items: tuple[ItemSpec, ...]
-
-
 class JobStore:
     """Reads and writes batch jobs."""
 
@@ -163,7 +118,7 @@
         listing = await self._store.listing(parts_kind(job))
         if isinstance(listing, Outcome):
             return listing
-        return _loaded(listing)
+        return loaded_job(listing)
 
     async def remove(self, job: JobId) -> bool:
         """Remove a job; return whether all of it is gone.
@@ -193,7 +148,7 @@
             again under the same number: the first call may still be done.
         """
         kind = parts_kind(job)
-        name = _record_name(number)
+        name = record_name(number)
         outcome = await self._store.create(
             kind, name, msgspec.json.encode(record)
         )
@@ -202,26 +157,23 @@
         if isinstance(outcome, Outcome):
             return outcome
         if outcome.current is not None:
-            return _record(outcome.current)
+            return record_of(outcome.current)
         found = await self._store.get(kind, name)
-        return found if isinstance(found, Outcome) else _record(found)
+        return found if isinstance(found, Outcome) else record_of(found)
 
     async def record_at(
         self, job: JobId, number: int
     ) -> ResultRecord | Outcome:
         """Return the record that has a number; ABSENT if none has."""
-        found = await self._store.get(parts_kind(job), _record_name(number))
-        return found if isinstance(found, Outcome) else _record(found)
+        found = await self._store.get(parts_kind(job), record_name(number))
+        return found if isinstance(found, Outcome) else record_of(found)
 
     async def keep_partial(
         self, job: JobId, partial: dict[ItemId, SavedTranscript]
     ) -> None:
         """Keep what running items have; a failure costs only time."""
-        partial = dict(_that_fit(partial))
         outcome = await self._store.put_status(
-            parts_kind(job),
-            part_name(0),
-            msgspec.json.encode(_Partial(partial)),
+            parts_kind(job), part_name(0), partial_body(partial)
         )
         if not isinstance(outcome, StoredObject):
             _log.info('objects: job %s: running items not kept', job)
@@ -242,92 +194,3 @@
                 return outcome
             await asyncio.sleep(_PAUSE_S)
         return Outcome.UNCLEAR
-
-
-def _that_fit(
-    partial: dict[ItemId, SavedTranscript],
-) -> Iterator[tuple[ItemId, SavedTranscript]]:
-    """Return the longest transcripts that fit into one object."""
-    room = PART_BYTES
-    for item, saved in sorted(partial.items(), key=_length, reverse=True):
-        room -= len(msgspec.json.encode(saved))
-        if room < 0:
-            return
-        yield item, saved
-
-
-def _length(entry: tuple[ItemId, SavedTranscript]) -> int:
-    return len(entry[1].texts)
-
-
-def part_name(number: int) -> str:
-    """Return the name of a piece of a job's body."""
-    return _PART + str(number).zfill(_DIGITS)
-
-
-def _record_name(number: int) -> str:
-    return _RESULT + str(number).zfill(_DIGITS)
-
-
-def parts_kind(job: JobId) -> str:
-    """Return the kind of a job's parts and results."""
-    return f'job-{job}'
-
-
-def split(spec: JobSpec) -> list[bytes]:
-    """Cut a job into pieces that fit into an object each."""
-    head = msgspec.structs.replace(spec, items=())
-    pieces: list[list[ItemSpec]] = [[]]
-    size_bytes = 0
-    for item in spec.items:
-        item_bytes = len(msgspec.json.encode(item))
-        if pieces[-1] and size_bytes + item_bytes > PART_BYTES:
-            pieces.append([])
-            size_bytes = 0
-        pieces[-1].append(item)
-        size_bytes += item_bytes
-    return [msgspec.json.encode(_Part(head, tuple(piece))) for piece in pieces]
-
-
-def found_job(stored: StoredObject) -> FoundJob:
-    """Read a job's record."""
-    status = msgspec.json.decode(
-        stored.status or b'null', type=JobStatus | None
-    )
-    return FoundJob(
-        JobId(stored.name),
-        msgspec.json.decode(stored.spec, type=JobRecord),
-        status or JobStatus(),
-        stored.revision,
-    )
-
-
-def _loaded(listing: Listing) -> LoadedJob | Outcome:
-    parts = [
-        msgspec.json.decode(stored.spec, type=_Part)
-        for stored in listing.objects
-        if stored.name.startswith(_PART)
-    ]
-    if not parts:
-        return Outcome.ABSENT
-    items = tuple(item for part in parts for item in part.items)
-    spec = msgspec.structs.replace(parts[0].head, items=items)
-    first = listing.objects[0].status or b'null'
-    partial = msgspec.json.decode(first, type=_Partial | None)
-    return LoadedJob(
-        spec,
-        Ledger(_records(listing)),
-        {} if partial is None else partial.items,
-    )
-
-
-def _records(listing: Listing) -> list[ResultRecord]:
-    return [
-        _record(stored)
-        for stored in listing.objects
-        if stored.name.startswith(_RESULT)
-    ]
-
-
-def _record(stored: StoredObject) -> ResultRecord:
-    return msgspec.json.decode(stored.spec, type=ResultRecord)
--- a/bergamotdoor/gateway/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -7,9 +7,6 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.calls.manifest import pick_service
-from bergamotdoor.gateway.item_request import ItemRun
-from bergamotdoor.gateway.item_run import run_item
-from bergamotdoor.gateway.job_run import RunningItem
 from bergamotdoor.jobs import (
     ItemResult,
     Progress,
@@ -19,17 +16,20 @@
     place_item,
 )
 from bergamotdoor.observe.events import Counted
+from bergamotdoor.steps.item_request import ItemRun
+from bergamotdoor.steps.item_run import run_item
+from bergamotdoor.steps.job_run import RunningItem
 
 if TYPE_CHECKING:
     import datetime as dt
     from collections.abc import Callable
 
     from bergamotdoor.calls.manifest import Route
+    from bergamotdoor.entry.context import Context
     from bergamotdoor.fleet.upstreams import Upstream
-    from bergamotdoor.gateway.context import Context
-    from bergamotdoor.gateway.job_run import JobRun
     from bergamotdoor.jobs.board import Slot
     from bergamotdoor.jobs.progress import Move
+    from bergamotdoor.steps.job_run import JobRun
     from bergamotdoor.types import UpstreamId
 
 #: A guess until the first stream of a kind was seen.
--- a/bergamotdoor/gateway/item_outcome.py
+++ b/bergamotdoor/steps/item_outcome.py
@@ -13,8 +13,8 @@
 if TYPE_CHECKING:
     import datetime as dt
 
-    from bergamotdoor.gateway.context import Context
-    from bergamotdoor.gateway.item_request import ItemRun
+    from bergamotdoor.entry.context import Context
+    from bergamotdoor.steps.item_request import ItemRun
 
 _ENDS: Final = MappingProxyType(
     {
--- a/bergamotdoor/gateway/item_run.py
+++ b/bergamotdoor/steps/item_run.py
@@ -7,8 +7,6 @@
 from typing import TYPE_CHECKING
 
 from bergamotdoor import utils
-from bergamotdoor.gateway.item_outcome import note_outcome
-from bergamotdoor.gateway.item_request import item_request
 from bergamotdoor.http.messages import BodyBrokenError, ClientResponse
 from bergamotdoor.http.sending import send
 from bergamotdoor.jobs.board import RunEnd
@@ -16,14 +14,16 @@
 from bergamotdoor.platform import headers as names
 from bergamotdoor.platform.engines import parse_load
 from bergamotdoor.platform.events import EventReader
+from bergamotdoor.steps.item_outcome import note_outcome
+from bergamotdoor.steps.item_request import item_request
 from bergamotdoor.types import WeightVersion
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from bergamotdoor.gateway.context import Context
-    from bergamotdoor.gateway.item_request import ItemRun
+    from bergamotdoor.entry.context import Context
     from bergamotdoor.jobs.transcript import GeneratedEvent
+    from bergamotdoor.steps.item_request import ItemRun
 
 _log = logging.getLogger('bergamotdoor.gateway')
 
--- a/bergamotdoor/gateway/job_finder.py
+++ b/bergamotdoor/steps/job_finder.py
@@ -14,11 +14,12 @@
 from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
-    from bergamotdoor.gateway.context import Context
-    from bergamotdoor.gateway.job_run import JobRun
-    from bergamotdoor.gateway.owner import JobOwner
+    from bergamotdoor.entry.context import Context
     from bergamotdoor.jobs.messages import JobRecord
-    from bergamotdoor.objects.job_store import FoundJob, JobStore
+    from bergamotdoor.objects.job_codec import FoundJob
+    from bergamotdoor.objects.job_store import JobStore
+    from bergamotdoor.steps.job_run import JobRun
+    from bergamotdoor.steps.owner import JobOwner
     from bergamotdoor.types import JobId
 
 #: Owners of jobs that are remembered; each takes some 300 bytes.
--- a/bergamotdoor/gateway/job_keeper.py
+++ b/bergamotdoor/steps/job_keeper.py
@@ -10,8 +10,9 @@
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
-    from bergamotdoor.gateway.job_run import JobRun
-    from bergamotdoor.objects.job_store import JobStore, LoadedJob
+    from bergamotdoor.objects.job_codec import LoadedJob
+    from bergamotdoor.objects.job_store import JobStore
+    from bergamotdoor.steps.job_run import JobRun
 
 #: How often long items are kept, and from how many events on. One call
 #: every so often saves a second owner as much time.
--- a/bergamotdoor/gateway/job_run.py
+++ b/bergamotdoor/steps/job_run.py
@@ -7,19 +7,20 @@
 
 import msgspec
 
-from bergamotdoor.gateway.ledger_sync import LedgerSync
 from bergamotdoor.jobs.board import JobBoard, RunEnd, Slot
 from bergamotdoor.jobs.ledger import page_limit_bytes
 from bergamotdoor.jobs.progress import Progress
 from bergamotdoor.jobs.transcript import SavedTranscript, Transcript
+from bergamotdoor.steps.ledger_sync import LedgerSync
 
 if TYPE_CHECKING:
     import datetime as dt
 
     from bergamotdoor.calls.manifest import Route
-    from bergamotdoor.gateway.context import Context
+    from bergamotdoor.entry.context import Context
     from bergamotdoor.jobs.messages import ItemResult
-    from bergamotdoor.objects.job_store import FoundJob, JobStore, LoadedJob
+    from bergamotdoor.objects.job_codec import FoundJob, LoadedJob
+    from bergamotdoor.objects.job_store import JobStore
     from bergamotdoor.types import ItemId, UpstreamId
 
 
--- a/bergamotdoor/gateway/jobs_desk.py
+++ b/bergamotdoor/steps/jobs_desk.py
@@ -5,21 +5,21 @@
 import datetime as dt
 from typing import TYPE_CHECKING, Final
 
-from bergamotdoor.gateway.job_run import JobRun
 from bergamotdoor.peers.messages import (
     ItemBody,
     ReadBody,
     ReadResults,
     ResultPage,
 )
+from bergamotdoor.steps.job_run import JobRun
 from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
-    from bergamotdoor.gateway.job_finder import JobFinder
-    from bergamotdoor.gateway.owner import JobOwner
     from bergamotdoor.jobs.messages import JobRecord
     from bergamotdoor.peers.client import PeerClient
+    from bergamotdoor.steps.job_finder import JobFinder
+    from bergamotdoor.steps.owner import JobOwner
     from bergamotdoor.types import ItemId, JobId
 
 #: A failure that comes sooner is a reset or a refused connection.
--- a/bergamotdoor/gateway/jobs_intake.py
+++ b/bergamotdoor/steps/jobs_intake.py
@@ -6,17 +6,17 @@
 
 from bergamotdoor.jobs.ledger import Ledger
 from bergamotdoor.jobs.messages import JobRecord
-from bergamotdoor.objects.job_store import LoadedJob
+from bergamotdoor.objects.job_codec import LoadedJob
 from bergamotdoor.peers.directory import home_of
 from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
-    from bergamotdoor.gateway.context import Context
-    from bergamotdoor.gateway.job_finder import JobFinder
-    from bergamotdoor.gateway.other_entries import OtherEntries
-    from bergamotdoor.gateway.owner import JobOwner
+    from bergamotdoor.entry.context import Context
     from bergamotdoor.jobs.messages import JobSpec
     from bergamotdoor.objects.job_store import JobStore
+    from bergamotdoor.steps.job_finder import JobFinder
+    from bergamotdoor.steps.other_entries import OtherEntries
+    from bergamotdoor.steps.owner import JobOwner
     from bergamotdoor.types import JobId
 
 
--- a/bergamotdoor/gateway/other_entries.py
+++ b/bergamotdoor/steps/other_entries.py
@@ -20,13 +20,13 @@
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
-    from bergamotdoor.gateway.job_finder import JobFinder
-    from bergamotdoor.gateway.job_run import JobRun
     from bergamotdoor.jobs.messages import JobSpec
-    from bergamotdoor.objects.job_store import FoundJob
+    from bergamotdoor.objects.job_codec import FoundJob
     from bergamotdoor.peers.client import PeerClient
     from bergamotdoor.peers.directory import Directory
     from bergamotdoor.settings.document import Address
+    from bergamotdoor.steps.job_finder import JobFinder
+    from bergamotdoor.steps.job_run import JobRun
     from bergamotdoor.tasks import Tasks
     from bergamotdoor.types import JobId
 
--- a/bergamotdoor/gateway/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -7,16 +7,16 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
-from bergamotdoor.gateway.dispatcher import Dispatcher
-from bergamotdoor.gateway.job_keeper import (
+from bergamotdoor.observe.events import Counted
+from bergamotdoor.observe.metrics import Stage
+from bergamotdoor.steps.dispatcher import Dispatcher
+from bergamotdoor.steps.job_keeper import (
     hand_over,
     keep_long_items,
     restore_whole,
 )
-from bergamotdoor.gateway.job_run import JobRun
-from bergamotdoor.gateway.result_writer import ResultWriter
-from bergamotdoor.observe.events import Counted
-from bergamotdoor.observe.metrics import Stage
+from bergamotdoor.steps.job_run import JobRun
+from bergamotdoor.steps.result_writer import ResultWriter
 from bergamotdoor.stored import Outcome
 from bergamotdoor.tasks import Tasks
 
@@ -24,9 +24,10 @@
     from collections.abc import Iterator
 
     from bergamotdoor.calls.manifest import Route
-    from bergamotdoor.gateway.context import Context
-    from bergamotdoor.gateway.views import ManifestView
-    from bergamotdoor.objects.job_store import FoundJob, JobStore, LoadedJob
+    from bergamotdoor.entry.context import Context
+    from bergamotdoor.entry.views import ManifestView
+    from bergamotdoor.objects.job_codec import FoundJob, LoadedJob
+    from bergamotdoor.objects.job_store import JobStore
     from bergamotdoor.types import JobId
 
 #: How often items that wait for a rest to end are looked at, and items
--- a/bergamotdoor/gateway/peer_service.py
+++ b/bergamotdoor/steps/peer_service.py
@@ -5,10 +5,9 @@
 import datetime as dt
 from typing import TYPE_CHECKING, Final
 
-from bergamotdoor.gateway.jobs_desk import body_of, page_of
 from bergamotdoor.jobs.ledger import Ledger
 from bergamotdoor.jobs.messages import JobStatus
-from bergamotdoor.objects.job_store import FoundJob, LoadedJob
+from bergamotdoor.objects.job_codec import FoundJob, LoadedJob
 from bergamotdoor.peers.messages import (
     AdoptJob,
     Done,
@@ -23,14 +22,15 @@
     TakeOver,
 )
 from bergamotdoor.peers.relay import relayed
+from bergamotdoor.steps.jobs_desk import body_of, page_of
 from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
     from bergamotdoor.fleet.fleet import Fleet
-    from bergamotdoor.gateway.job_finder import JobFinder
-    from bergamotdoor.gateway.owner import JobOwner
     from bergamotdoor.objects.client import Caller
     from bergamotdoor.peers.messages import PeerReply, PeerRequest
+    from bergamotdoor.steps.job_finder import JobFinder
+    from bergamotdoor.steps.owner import JobOwner
 
 _MS: Final = dt.timedelta(milliseconds=1)
 
--- a/bergamotdoor/gateway/result_writer.py
+++ b/bergamotdoor/steps/result_writer.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     import random
 
-    from bergamotdoor.gateway.job_run import JobRun
+    from bergamotdoor.steps.job_run import JobRun
 
 #: Results that finish within this go into one record: each record costs a
 #: call of the store and reaches readers some milliseconds later.
--- a/features/steps/jobs_positions_steps.py
+++ b/features/steps/jobs_positions_steps.py
@@ -10,8 +10,6 @@
 import hypothesis
 from behave import given, then, when
 
-from bergamotdoor.gateway.job_run import JobRun
-from bergamotdoor.gateway.result_writer import ResultWriter
 from bergamotdoor.jobs.ledger import Ledger
 from bergamotdoor.jobs.messages import (
     ItemResult,
@@ -22,7 +20,9 @@
     JobStatus,
     ResultRecord,
 )
-from bergamotdoor.objects.job_store import FoundJob, LoadedJob
+from bergamotdoor.objects.job_codec import FoundJob, LoadedJob
+from bergamotdoor.steps.job_run import JobRun
+from bergamotdoor.steps.result_writer import ResultWriter
 from bergamotdoor.stored import Outcome
 from bergamotdoor.types import (
     GroupId,
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -16,7 +16,7 @@
 
 from bergamotdoor.calls.manifest import RouteKind, pick_service
 from bergamotdoor.cli.node import ReloadingDaemon
-from bergamotdoor.gateway.views import ManifestView
+from bergamotdoor.entry.views import ManifestView
 from bergamotdoor.platform.batch_wire import parse_job
 from bergamotdoor.platform.engines import parse_report, parse_upstream
 from bergamotdoor.platform.events import EventReader
