Measure an engine's pace between events, and move for real differences only

Cause: an engine's pace was the mean since a run's start, so it held the wait for the prompt, a slot or new weights. Engines that had not been measured were taken for 40 ms an event where all take 50, and drew every item.

--- a/bergamotdoor/jobs/progress.py
+++ b/bergamotdoor/jobs/progress.py
@@ -38,8 +38,15 @@
 #: as a share of what it has. The hints are often far off.
 _OVERTIME: Final = 0.5
 _SMOOTHING: Final = 0.3
-#: Assumed of engines that were never measured.
+#: A pace is measured over so many events, a fifth of a second at the usual
+#: one: longer than the jitter of one event, short beside a step.
+_PACE_EVENTS: Final = 5
+#: Assumed while no engine was measured.
 _USUAL_S: Final = 0.04
+#: How much slower an engine must be for its items to leave it. A full engine
+#: is 4 to 10 % slower than an empty one; one that has turned slow is several
+#: times as slow.
+_LEAST_RATIO: Final = 1.25
 
 
 class Progress:
@@ -76,11 +83,30 @@
         self.last_event_at: dt.timedelta | None = None
         self._expected_events = expected_events
         self._most_events = most_events
+        #: From where the pace is measured next.
+        self._marked_events = first_event
+        self._marked_at: dt.timedelta | None = None
+        self._paces_s: list[float] = []
 
     def advance(self, events: int, now: dt.timedelta) -> None:
         """Take that so many events are there."""
+        before = self.last_event_at
         self.events = events
         self.last_event_at = now
+        if before is None or now - before > STALL or self._marked_at is None:
+            # Waiting for a prompt, a slot or weights is not a pace.
+            self._mark(now)
+            return
+        count = events - self._marked_events
+        if count >= _PACE_EVENTS:
+            took = now - self._marked_at
+            self._paces_s.append(took.total_seconds() / count)
+            self._mark(now)
+
+    def take_paces(self) -> Iterator[float]:
+        """Return the seconds per event measured since the last time."""
+        while self._paces_s:
+            yield self._paces_s.pop(0)
 
     def stalled(self, now: dt.timedelta) -> bool:
         """Return whether nothing has come for too long."""
@@ -102,6 +128,10 @@
             return missing
         return min(missing, max(self._most_events - self.events, 0))
 
+    def _mark(self, now: dt.timedelta) -> None:
+        self._marked_events = self.events
+        self._marked_at = now
+
 
 class Speeds:
     """Seconds per event at each engine, by what its items show."""
@@ -110,20 +140,30 @@
         self._interval_s: dict[UpstreamId, float] = {}
 
     def learn(self, progress: Progress) -> None:
-        """Take how fast a run was so far."""
-        events = progress.events - progress.first_event
-        if progress.last_event_at is None or events <= 0:
-            return
-        took = (progress.last_event_at - progress.started_at).total_seconds()
-        known = self._interval_s.get(progress.upstream)
-        found = took / events
-        if known is not None:
-            found = known + _SMOOTHING * (found - known)
-        self._interval_s[progress.upstream] = found
+        """Take how fast a run was since the last time.
+
+        Failure: the wait for a prompt, a slot or weights is taken for an
+        engine's pace. Symptom: each engine looks slow as soon as it has new
+        items; items leave it every half second and wait anew elsewhere, up
+        to ten times. The pace is measured between events only.
+        """
+        for pace_s in progress.take_paces():
+            known_s = self._interval_s.get(progress.upstream, pace_s)
+            self._interval_s[progress.upstream] = known_s + _SMOOTHING * (
+                pace_s - known_s
+            )
 
     def interval_s(self, upstream: UpstreamId) -> float:
-        """Return the seconds per event at an engine."""
-        return self._interval_s.get(upstream, _USUAL_S)
+        """Return the seconds per event at an engine.
+
+        One that was never measured is taken to be like the others.
+        """
+        known_s = self._interval_s.get(upstream)
+        return self._usual_s() if known_s is None else known_s
+
+    def _usual_s(self) -> float:
+        paces_s = sorted(self._interval_s.values())
+        return paces_s[len(paces_s) // 2] if paces_s else _USUAL_S
 
 
 class Move(msgspec.Struct, frozen=True):
@@ -179,5 +219,8 @@
 def _gain(
     progress: Progress, speeds: Speeds, interval_s: float
 ) -> dt.timedelta:
-    slower_s = speeds.interval_s(progress.upstream) - interval_s
+    own_s = speeds.interval_s(progress.upstream)
+    if own_s < interval_s * _LEAST_RATIO:
+        return dt.timedelta()
+    slower_s = own_s - interval_s
     return dt.timedelta(seconds=progress.remaining * slower_s)
--- a/features/jobs_progress.feature
+++ b/features/jobs_progress.feature
@@ -31,6 +31,39 @@
     And an item with 3 events to go stays
     And no item moves within half a second of its start
 
+  Scenario: a wait for the first event is not an engine's pace
+    A step begins: its items wait for their prompts and for slots. Taken for
+    the engines' pace, every engine looks slow as soon as it has new items;
+    all items move to the others, where the same begins. Each move costs a
+    connection and a prompt, and steps take a second longer.
+
+    Given an engine whose items waited 700 ms for their first event
+    Then its pace is 40 ms an event
+    And no item leaves it for another engine
+
+  Scenario: a pause for new weights is not an engine's pace
+    Given an engine whose items stood still for 950 ms between events
+    Then its pace is 40 ms an event
+    And no item leaves it for another engine
+
+  Scenario: an engine that was not measured is not taken for a fast one
+    Engines take 50 ms an event here. One that has just begun was not
+    measured; taken for 40 ms, it would draw every item of the others.
+
+    Given an engine that takes 50 ms an event, and one that was not measured
+    Then no item leaves it for another engine
+
+  Scenario: small differences of pace move nothing
+    An engine is 6 % slower while it is fuller. By the time an item has
+    moved, the other one is.
+
+    Given engines that take 51 and 48 ms an event
+    Then no item leaves it for another engine
+
+  Scenario: an engine that turns slow is known after five events
+    Given an engine that takes 140 ms an event after 40 ms
+    Then an item with 100 events to go leaves it for another engine
+
   Scenario: nothing moves to an engine that stands still
     Two engines load weights at once; both look fast and have room.
     Given items at two engines that show no events for 400 ms
--- a/features/steps/jobs_progress_steps.py
+++ b/features/steps/jobs_progress_steps.py
@@ -171,10 +171,78 @@
     one = Progress(
         ItemId(f'{upstream}-{expected}'), UpstreamId(upstream), ms(0), expected
     )
-    one.advance(events, ms(last_ms))
+    for number in range(1, events + 1):
+        one.advance(number, ms(last_ms * number / events))
     return one
 
 
+def streamed(gaps_ms: list[int]) -> Progress:
+    """An item at the first engine with these pauses before its events."""
+    one = Progress(ItemId('i'), WHERE, ms(0), expected_events=200)
+    at_ms = 0
+    for number, gap_ms in enumerate(gaps_ms, start=1):
+        at_ms += gap_ms
+        one.advance(number, ms(at_ms))
+    return one
+
+
+def learned(context: Any, gaps_ms: list[int]) -> None:
+    context.speeds = Speeds()
+    for _ in range(4):
+        context.item = streamed(gaps_ms)
+        context.speeds.learn(context.item)
+    context.now = ms(sum(gaps_ms) + 10)
+
+
+@given('an engine whose items waited 700 ms for their first event')
+def waited(context: Any) -> None:
+    learned(context, [700, *(40 for _ in range(6))])
+
+
+@given('an engine whose items stood still for 950 ms between events')
+def stood_still(context: Any) -> None:
+    learned(context, [40, 40, 40, 990, *(40 for _ in range(6))])
+
+
+@given('an engine that takes 140 ms an event after 40 ms')
+def turned_slow(context: Any) -> None:
+    learned(context, [*(40 for _ in range(6)), *(140 for _ in range(6))])
+    context.speeds.learn(progress('e1', 30, 60, 30 * 40))
+
+
+@given('an engine that takes 50 ms an event, and one that was not measured')
+def not_measured(context: Any) -> None:
+    learned(context, [50 for _ in range(12)])
+
+
+@given('engines that take 51 and 48 ms an event')
+def alike(context: Any) -> None:
+    learned(context, [51 for _ in range(12)])
+    context.speeds.learn(progress('e1', 30, 60, 30 * 48))
+
+
+@then('its pace is {pace_ms:d} ms an event')
+def pace_is(context: Any, pace_ms: int) -> None:
+    found_s = context.speeds.interval_s(WHERE)
+    assert abs(found_s * 1000 - pace_ms) < 1, found_s
+
+
+def leaving(context: Any) -> list[str]:
+    room = {UpstreamId('e1'): 1}
+    found = moves([context.item], room, context.speeds, context.now)
+    return [move.item for move in found]
+
+
+@then('no item leaves it for another engine')
+def none_leaves(context: Any) -> None:
+    assert not leaving(context)
+
+
+@then('an item with 100 events to go leaves it for another engine')
+def one_leaves(context: Any) -> None:
+    assert leaving(context) == ['i']
+
+
 @given('items at an engine of 40 ms and one of 100 ms an event')
 def two_speeds(context: Any) -> None:
     context.speeds = Speeds()
