--- a/features/gateway_jobs.feature
+++ b/features/gateway_jobs.feature
@@ -134,6 +134,15 @@
     Then the first engine gets none of the job's items
     And every result names the newer version only
 
+  Scenario: an engine that is behind its registration is left at once
+    The registration says version 2; the engine was replaced and still has
+    version 1, as the head of its answer tells. Read to its end, a text of
+    2 s would be thrown away and made again.
+
+    Given a site whose first engine is behind its registration
+    Then every result names the newer version only
+    And the results were there after less than 3.5 s
+
   Scenario: a text over two versions names both
     Weights change in the middle of a stream, and the engine goes on.
 
--- a/features/steps/gateway_jobs_steps.py
+++ b/features/steps/gateway_jobs_steps.py
@@ -554,6 +554,28 @@
     play(scene)
 
 
+@given('a site whose first engine is behind its registration')
+def behind(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        for engine in site.engines.values():
+            engine.version = 2
+            site.store.put('servers', engine.name, engine.registration())
+        site.engines['engine-0'].version = 1
+        await asyncio.sleep(1)
+        began = site.clock.elapsed()
+        await handed_in(site, [[50, 50], [50, 50]], least=2)
+        context.results = await site.all_results('entry-0', JOB)
+        context.took_s = (site.clock.elapsed() - began).total_seconds()
+
+    play(scene)
+
+
+@then('the results were there after less than {most_s:g} s')
+def soon(context: Any, most_s: float) -> None:
+    assert context.took_s < most_s, context.took_s
+
+
 @then("the first engine gets none of the job's items")
 def none_there(context: Any) -> None:
     assert not context.old_engine, context.old_engine
--- /dev/null
+++ b/tools/mutations.py
@@ -0,0 +1,193 @@
+"""Switches safeguards off, one at a time, and shows that a test fails.
+
+Each mutation is one replacement of text in a copy of the code; the named
+feature must then fail. ``python -m tools.mutations`` prints a table and exits
+non-zero if a mutation is not noticed, or no longer fits the code.
+"""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from typing import Final
+
+import msgspec
+
+_COPIED: Final = ('bergamotdoor', 'features', 'lab')
+_PACKAGE: Final = pathlib.Path('bergamotdoor')
+_JOBS: Final = 4
+_TIMEOUT_S: Final = 300
+
+
+class Mutation(msgspec.Struct, frozen=True):
+    """A safeguard that is switched off."""
+
+    safeguard: str
+    #: Below the package.
+    path: str
+    text: str
+    replacement: str
+    #: The feature that must fail.
+    feature: str
+
+
+MUTATIONS: Final = (
+    Mutation(
+        'a kind is listed again after an interrupted watch',
+        'objects/watcher.py',
+        '            await self._rest(found)\n        return found',
+        '            await self._rest(found)\n        return None',
+        'objects_watcher',
+    ),
+    Mutation(
+        'a watch is trusted for a bounded time',
+        'objects/watcher.py',
+        'self._store.changes(self._kind, self.revision, self._wait)',
+        'self._store.changes(self._kind, self.revision, LONG_WAIT)',
+        'objects_watcher',
+    ),
+    Mutation(
+        'what is listed is left out of each record',
+        'steps/result_writer.py',
+        '        batch = tuple(run.ledger.unlisted(batch))\n        while',
+        '        while',
+        'jobs_positions',
+    ),
+    Mutation(
+        'a record is tried unchanged under its number until it is settled',
+        'steps/ledger_sync.py',
+        'number = self._ledger.next_number\n                found',
+        'number = self._ledger.next_number + tries\n                found',
+        'jobs_positions',
+    ),
+    Mutation(
+        'nothing under the next number proves a whole ledger',
+        'steps/jobs_desk.py',
+        'if nothing and not await run.catch_up():',
+        'if False and nothing and not await run.catch_up():',
+        'gateway_jobs',
+    ),
+    Mutation(
+        'items made under an older version are not taken',
+        'steps/item_run.py',
+        'if version < run.job.min_version:',
+        'if False and version < run.job.min_version:',
+        'gateway_jobs',
+    ),
+    Mutation(
+        'moves leave out engines that stand still',
+        'jobs/progress.py',
+        'if name not in halted',
+        'if name is not halted',
+        'jobs_progress',
+    ),
+    Mutation(
+        "a standstill is not an engine's pace",
+        'jobs/progress.py',
+        'now - before > STALL or',
+        'False or',
+        'jobs_progress',
+    ),
+    Mutation(
+        'requests that break together are one failure',
+        'fleet/loads.py',
+        '        if self.resting(now):\n            return\n',
+        '',
+        'jobs_progress',
+    ),
+    Mutation(
+        'orders name the count of accepted orders',
+        'agent/weights.py',
+        'accepted_orders=report.accepted_orders',
+        'accepted_orders=report.accepted_orders + 1',
+        'agent_weights',
+    ),
+    Mutation(
+        'what may run once is not sent again after a doubt',
+        'gateway/forwarding.py',
+        'if not self._call.repeatable and (self._ran or self._running):',
+        'if False and not self._call.repeatable:',
+        'gateway_calls',
+    ),
+    Mutation(
+        'a manifest never goes back',
+        'entry/views.py',
+        'if known is not None and found.generation <= known.generation:',
+        'if known is not None and found.generation == known.generation:',
+        'platform_adapter',
+    ),
+    Mutation(
+        'a store that is down for all is not asked by every way',
+        'peers/relay.py',
+        'if self.directory is None or self._closed():',
+        'if self.directory is None:',
+        'peers_relay',
+    ),
+    Mutation(
+        'pages are no larger than the link carries',
+        'jobs/ledger.py',
+        'return min(max(carried, _SMALLEST_BYTES), _LARGEST_BYTES)',
+        'return _LARGEST_BYTES',
+        'jobs_pages',
+    ),
+)
+
+
+def noticed(mutation: Mutation) -> bool:
+    """Return whether the feature fails with the safeguard off."""
+    with tempfile.TemporaryDirectory(prefix='mutation-') as folder:
+        root = pathlib.Path(folder)
+        for name in _COPIED:
+            shutil.copytree(name, root / name)
+        path = root / _PACKAGE / mutation.path
+        written = path.read_text()
+        if written.count(mutation.text) != 1:
+            raise ValueError(
+                f'{mutation.path}: {mutation.text!r} found '
+                f'{written.count(mutation.text)} times, expected once'
+            )
+        path.write_text(written.replace(mutation.text, mutation.replacement))
+        return _fails(root, mutation.feature)
+
+
+def _fails(root: pathlib.Path, feature: str) -> bool:
+    command = (
+        sys.executable,
+        '-m',
+        'behave',
+        '--stop',
+        f'features/{feature}.feature',
+    )
+    try:
+        done = subprocess.run(
+            command,
+            cwd=root,
+            env={**os.environ, 'PYTHONPATH': str(root)},
+            capture_output=True,
+            timeout=_TIMEOUT_S,
+            check=False,
+        )
+    except subprocess.TimeoutExpired:
+        # A test that does not end is a failure, too.
+        return True
+    return done.returncode != 0 and b'ASSERT' in done.stdout
+
+
+def main() -> int:
+    """Try all mutations; print which were noticed."""
+    with ThreadPoolExecutor(_JOBS) as pool:
+        results = list(pool.map(noticed, MUTATIONS))
+    for mutation, found in zip(MUTATIONS, results, strict=True):
+        word = 'noticed' if found else 'NOT NOTICED'
+        print(f'{word}: {mutation.safeguard} ({mutation.feature})')
+    print(f'{sum(results)} of {len(results)} noticed')
+    return 0 if all(results) else 1
+
+
+if __name__ == '__main__':
+    sys.exit(main())
