--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := .venv/bin
 ARGS ?=
 
-.PHONY: demo test check setup soak mutations
+.PHONY: demo test check setup soak mutations experiment
 
 demo: .venv/.ready
 	$(BIN)/python -m lab demo $(ARGS)
@@ -21,6 +21,9 @@
 soak: .venv/.ready
 	$(BIN)/python -m lab soak $(ARGS)
 
+experiment: .venv/.ready
+	$(BIN)/python -m lab experiment $(ARGS)
+
 mutations: .venv/.ready
 	$(BIN)/python -m tools.mutations
 
--- a/features/http_rig.py
+++ b/features/http_rig.py
@@ -20,7 +20,7 @@
 from bergamotdoor.http.server import HttpServer
 from bergamotdoor.settings.document import Address
 from bergamotdoor.settings.process import HttpLimits
-from features.support import run_virtual, virtual_clock
+from lab.virtual import run_virtual, virtual_clock
 
 if TYPE_CHECKING:
     from collections.abc import (
--- a/features/steps/agent_weights_steps.py
+++ b/features/steps/agent_weights_steps.py
@@ -19,7 +19,7 @@
     WeightVersion,
     ZoneId,
 )
-from features.machines.site import Site, at, play
+from lab.site import Site, at, play
 
 if TYPE_CHECKING:
     from lab.upstreams import Engine
--- a/features/steps/cli_main_steps.py
+++ b/features/steps/cli_main_steps.py
@@ -19,7 +19,7 @@
 from bergamotdoor.cli.serving import StopSignals, serve
 from bergamotdoor.platform.settings import SETTINGS_VARIABLE
 from bergamotdoor.settings.document import Address
-from features.support import run_virtual
+from lab.virtual import run_virtual
 
 STOP_TIMEOUT = dt.timedelta(seconds=10)
 COMMANDS = ('gateway', 'agent', 'ctl')
--- a/features/steps/gateway_calls_steps.py
+++ b/features/steps/gateway_calls_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from bergamotdoor.http.messages import ClientRequest, ClientResponse
-from features.machines.site import Site, at, play
+from lab.site import Site, at, play
 from lab.store import StoreMode
 from lab.upstreams import UpstreamMode
 
--- a/features/steps/gateway_inspection_steps.py
+++ b/features/steps/gateway_inspection_steps.py
@@ -9,7 +9,7 @@
 from behave import given, then
 
 from bergamotdoor.http.messages import ClientRequest, ClientResponse
-from features.machines.site import Site, at, play
+from lab.site import Site, at, play
 
 
 @given('a site whose entry served calls and a job')
--- a/features/steps/gateway_jobs_steps.py
+++ b/features/steps/gateway_jobs_steps.py
@@ -11,7 +11,7 @@
 from bergamotdoor.stored import Outcome
 from bergamotdoor.types import JobId
 from bergamotdoor.utils import hrw_order
-from features.machines.site import Site, at, play
+from lab.site import Site, at, play
 from lab.store import StoreMode
 from lab.upstreams import UpstreamMode
 
--- a/features/steps/http_exchange_steps.py
+++ b/features/steps/http_exchange_steps.py
@@ -21,7 +21,7 @@
 from bergamotdoor.http.server import HttpServer
 from bergamotdoor.settings.process import HttpLimits
 from features.http_rig import ADDRESS, Notes, Play, calling, run_clean
-from features.support import virtual_clock
+from lab.virtual import virtual_clock
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable, Coroutine
--- a/features/steps/jobs_positions_steps.py
+++ b/features/steps/jobs_positions_steps.py
@@ -33,8 +33,8 @@
     Revision,
     WeightVersion,
 )
-from features.machines.site import at
-from features.support import run_virtual, virtual_clock
+from lab.site import at
+from lab.virtual import run_virtual, virtual_clock
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/features/steps/jobs_progress_steps.py
+++ b/features/steps/jobs_progress_steps.py
@@ -34,7 +34,7 @@
     WeightVersion,
     ZoneId,
 )
-from features.machines.site import at
+from lab.site import at
 
 WHERE = UpstreamId('e0')
 
--- a/features/steps/objects_watcher_steps.py
+++ b/features/steps/objects_watcher_steps.py
@@ -7,7 +7,7 @@
 
 from behave import given, then
 
-from features.machines.site import Site, at, play
+from lab.site import Site, at, play
 from lab.store import StoreMode
 
 
--- a/features/steps/peers_relay_steps.py
+++ b/features/steps/peers_relay_steps.py
@@ -13,8 +13,8 @@
 from bergamotdoor.peers.directory import Directory
 from bergamotdoor.peers.relay import RelayingCaller
 from bergamotdoor.types import NodeId
-from features.machines.site import at
-from features.support import run_virtual, virtual_clock
+from lab.site import at
+from lab.virtual import run_virtual, virtual_clock
 
 if TYPE_CHECKING:
     from bergamotdoor.peers.messages import StoreCall
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -11,6 +11,7 @@
 import msgspec
 from absl import app, flags
 
+from bergamotdoor.settings.problems import SettingsError
 from lab.demo import demo
 from lab.deployment import Size
 from lab.soak import soak
@@ -19,8 +20,16 @@
     from collections.abc import Iterator
 
     from lab.play import Outcome
-
-_COMMANDS: Final = frozenset(('soak', 'demo'))
+from lab.experiment import run_scenario
+from lab.report import summarize, table, write_report
+from lab.scenario import load_scenario
+
+_EXPERIMENT: Final = 'experiment'
+_COMMANDS: Final = frozenset(('soak', 'demo', _EXPERIMENT))
+_USAGE: Final = (
+    'usage: python -m lab soak|demo [FLAGS]\n'
+    '       python -m lab experiment SCENARIO... [--seeds=1-4] [--out=DIR]\n'
+)
 _USUAL_S: Final = 12
 _SEEDS: Final = flags.DEFINE_string(
     'seeds', '1-4', 'Seeds to play, such as 3, 1-50 or 2,5,9.'
@@ -34,17 +43,22 @@
 _ENTRIES: Final = flags.DEFINE_integer('entries', 3, 'Entries of a run.')
 _ENGINES: Final = flags.DEFINE_integer('engines', 3, 'Engines of a run.')
 _SERVICES: Final = flags.DEFINE_integer('services', 2, 'Services of a run.')
+_OUT: Final = flags.DEFINE_string(
+    'out', '', 'Folder for the report of an experiment.'
+)
 _JSON: Final = flags.DEFINE_string('json', '', 'File for the outcomes.')
 
 
 def main(words: list[str]) -> int:
     """Play the soak or the tour; the exit code tells if a promise broke."""
-    command = words[1] if len(words) == 2 else ''
-    if command not in _COMMANDS:
-        sys.stderr.write('usage: python -m lab soak|demo [FLAGS]\n')
+    command, *files = words[1:] or ('',)
+    if command not in _COMMANDS or bool(files) != (command == _EXPERIMENT):
+        sys.stderr.write(_USAGE)
         return 2
     # The models log like the product; here only what they see counts.
     logging.getLogger('bergamotdoor').setLevel(logging.CRITICAL)
+    if command == _EXPERIMENT:
+        return _experiment(files)
     if command == 'demo':
         return _show(asyncio.run(demo(_seed(), _size())))
     outcomes = asyncio.run(_soak(tuple(_seeds(_SEEDS.value))))
@@ -66,6 +80,24 @@
     return outcome
 
 
+def _experiment(files: list[str]) -> int:
+    """Play scenarios over the seeds and compare them."""
+    try:
+        scenarios = [load_scenario(path) for path in files]
+    except SettingsError as error:
+        sys.stderr.write(f'{error}\n')
+        return 1
+    measured = []
+    for seed in _seeds(_SEEDS.value):
+        for scenario in scenarios:
+            measured.append(run_scenario(scenario, seed))
+            print(f'seed {seed}: {scenario.name} played', flush=True)
+    print(table(list(summarize(measured))))
+    if _OUT.value:
+        write_report(pathlib.Path(_OUT.value), measured)
+    return 0
+
+
 def _size() -> Size:
     return Size(_ENTRIES.value, _ENGINES.value, _SERVICES.value)
 
--- a/features/machines/site.py
+++ b/lab/site.py
@@ -8,7 +8,7 @@
 import json
 import logging
 import warnings
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, Final
 
 from bergamotdoor.agent.daemon import AgentDaemon
 from bergamotdoor.gateway.daemon import GatewayDaemon
@@ -22,9 +22,9 @@
 from bergamotdoor.platform.settings import NodeSettings
 from bergamotdoor.settings.document import Address
 from bergamotdoor.types import NodeId, ZoneId
-from features.support import run_virtual, virtual_clock
 from lab.store import Store
 from lab.upstreams import Engine, Upstream
+from lab.virtual import run_virtual, virtual_clock
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -32,11 +32,25 @@
 logging.getLogger('bergamotdoor').addHandler(logging.NullHandler())
 warnings.filterwarnings('ignore', message='Ignoring socket option')
 
-IP = '127.0.0.1'
-HOST = 'train.example'
+IP: Final = '127.0.0.1'
+HOST: Final = 'train.example'
+_STORE_PORT: Final = 8000
+_ENGINE_PORT: Final = 8100
+_SERVICE_PORT: Final = 8200
+#: Each entry has ten ports from here on.
+_ENTRY_PORT: Final = 9000
+_PORTS_EACH: Final = 10
+_AGENT_PORT: Final = 9500
+_OBJECT_BYTES: Final = 1_000_000
+_RETENTION_S: Final = 120
+_MAX_BODY_BYTES: Final = 10_000_000
+_OK: Final = 200
+#: Readers come again after this.
+_READ_S: Final = 0.2
 
 
 def at(port: int) -> Address:
+    """Return an address of this machine."""
     return Address(ip=IP, port=port)
 
 
@@ -50,6 +64,7 @@
 
     @property
     def json(self) -> Any:
+        """The body, decoded."""
         return json.loads(self.body)
 
 
@@ -58,7 +73,7 @@
 
     def __init__(self) -> None:
         self.clock = virtual_clock()
-        self.store = Store(at(8000), self.clock)
+        self.store = Store(at(_STORE_PORT), self.clock)
         self.client = HttpClient(self.clock)
         self.engines: dict[str, Engine] = {}
         self.services: dict[str, Upstream] = {}
@@ -82,8 +97,8 @@
             self.route('/once/', 'unsafe', 2),
         ]
 
-    @staticmethod
-    def route(prefix: str, kind: str, attempts: int) -> dict[str, Any]:
+    def route(self, prefix: str, kind: str, attempts: int) -> dict[str, Any]:
+        """Return a route to the plain service."""
         return {
             'name': prefix,
             'host': HOST,
@@ -96,6 +111,7 @@
         }
 
     def put_manifest(self, **changes: Any) -> None:
+        """Put the next manifest in force."""
         self.version += 2
         manifest = {
             'version': self.version,
@@ -109,6 +125,7 @@
     async def start(
         self, engines: int = 2, services: int = 2, entries: int = 2
     ) -> None:
+        """Start everything; return once entries know each other."""
         await self.store.start()
         self.put_manifest()
         for number in range(engines):
@@ -121,14 +138,18 @@
         await asyncio.sleep(4)
 
     async def add_engine(self, name: str) -> Engine:
-        engine = Engine(name, 'lm', at(8100 + len(self.engines)), self.clock)
+        """Start and register an engine."""
+        engine = Engine(
+            name, 'lm', at(_ENGINE_PORT + len(self.engines)), self.clock
+        )
         await engine.start()
         self.engines[name] = engine
         self.store.put('servers', name, engine.registration())
         return engine
 
     async def add_service(self, name: str) -> Upstream:
-        address = at(8200 + len(self.services))
+        """Start and register a plain service."""
+        address = at(_SERVICE_PORT + len(self.services))
         service = Upstream(name, 'desk', address, self.clock)
         await service.start()
         self.services[name] = service
@@ -136,14 +157,18 @@
         return service
 
     async def add_entry(self, name: str) -> GatewayDaemon:
-        port = self.ports.setdefault(name, 9000 + 10 * len(self.ports))
+        """Start an entry, at its ports of before if it had some."""
+        port = self.ports.setdefault(
+            name, _ENTRY_PORT + _PORTS_EACH * len(self.ports)
+        )
         entry = GatewayDaemon(self.settings(name, port), self.clock)
         await entry.start()
         self.entries[name] = entry
         return entry
 
     async def add_agent(self, name: str, engine: Engine) -> AgentDaemon:
-        settings = self.settings(name, 9500, engine.address)
+        """Start an engine's agent."""
+        settings = self.settings(name, _AGENT_PORT, engine.address)
         agent = AgentDaemon(settings, self.clock)
         await agent.start()
         self.agents[name] = agent
@@ -152,12 +177,13 @@
     def settings(
         self, name: str, port: int, engine: Address | None = None
     ) -> NodeSettings:
+        """Return what the platform would tell a process."""
         return NodeSettings(
             node=NodeId(name),
             zone=ZoneId('here'),
             ip=IP,
             store=self.store.address,
-            object_bytes=1_000_000,
+            object_bytes=_OBJECT_BYTES,
             callers=at(port),
             readiness=at(port + 1),
             first_port=port + 2,
@@ -166,7 +192,7 @@
             contact=dt.timedelta(seconds=3),
             drain=dt.timedelta(seconds=2),
             grace=dt.timedelta(seconds=8),
-            retention=dt.timedelta(seconds=120),
+            retention=dt.timedelta(seconds=_RETENTION_S),
         )
 
     async def kill(self, name: str) -> None:
@@ -175,6 +201,7 @@
         await entry.kill()
 
     async def stop(self) -> None:
+        """End everything."""
         for entry in self.entries.values():
             await entry.kill()
         for agent in self.agents.values():
@@ -215,7 +242,7 @@
         if not isinstance(response, ClientResponse):
             return None
         try:
-            whole = await response.read_body(10_000_000)
+            whole = await response.read_body(_MAX_BODY_BYTES)
         except BodyBrokenError:
             return None
         return Reply(response.status, response.headers, whole)
@@ -260,7 +287,7 @@
         )
         if reply is None:
             return None
-        return reply.json if reply.status == 200 else reply.status
+        return reply.json if reply.status == _OK else reply.status
 
     async def all_results(
         self, entry: str, job: str, within_s: float = 12
@@ -274,23 +301,25 @@
                 found.extend(page['results'])
                 if len(found) >= page['total']:
                     break
-            await asyncio.sleep(0.2)
+            await asyncio.sleep(_READ_S)
         return found
 
 
 def play(scene: Callable[[Site], Awaitable[Any]]) -> Any:
     """Run a scene on a new site; nothing may fail in the background."""
     failures: list[Any] = []
-
-    async def run() -> Any:
-        loop = asyncio.get_running_loop()
-        loop.set_exception_handler(lambda _, what: failures.append(what))
-        site = Site()
-        try:
-            return await scene(site)
-        finally:
-            await site.stop()
-
-    outcome = run_virtual(run())
+    outcome = run_virtual(_play(scene, failures))
     assert not failures, failures
     return outcome
+
+
+async def _play(
+    scene: Callable[[Site], Awaitable[Any]], failures: list[Any]
+) -> Any:
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, what: failures.append(what))
+    site = Site()
+    try:
+        return await scene(site)
+    finally:
+        await site.stop()
