--- a/bergamotdoor/cli/ctl.py
+++ b/bergamotdoor/cli/ctl.py
@@ -13,6 +13,11 @@
 from bergamotdoor.cli.codes import ExitCode
 from bergamotdoor.cli.command import Command, Invocation, Option, UsageError
 from bergamotdoor.clock import LoopClock
+from bergamotdoor.gateway.inspection import (
+    STATE_PATH,
+    GatewayState,
+    UpstreamState,
+)
 from bergamotdoor.http.client import HttpClient
 from bergamotdoor.http.messages import (
     BodyBrokenError,
@@ -33,36 +38,8 @@
 _ENTRIES: Final = 'entries'
 
 
-class Upstream(msgspec.Struct, frozen=True):
-    """What one entry thinks of an upstream."""
-
-    upstream: str
-    service: str
-    draining: bool
-    in_flight: int
-    resting: bool
-    versions: dict[str, int]
-
-
-class Job(msgspec.Struct, frozen=True):
-    """A job that one entry owns."""
-
-    job: str
-    ended: bool
-    items: int
-    listed: int
-
-
-class Entry(msgspec.Struct, frozen=True):
-    """The state of one entry."""
-
-    generation: int | None
-    upstreams: tuple[Upstream, ...]
-    jobs: tuple[Job, ...]
-
-
 class _Dump(msgspec.Struct, frozen=True):
-    gateway: Entry
+    gateway: GatewayState
 
 
 class Seen(msgspec.Struct, frozen=True):
@@ -112,7 +89,7 @@
 async def _ask(client: HttpClient, address: Address) -> Seen:
     response = await client.send(
         ClientRequest(
-            address=address, method='GET', target='/state', timeout=_TIMEOUT
+            address=address, method='GET', target=STATE_PATH, timeout=_TIMEOUT
         )
     )
     if not isinstance(response, ClientResponse):
@@ -142,8 +119,8 @@
     yield from _job_lines(entries)
 
 
-def _upstream_lines(entries: list[Entry]) -> Iterator[str]:
-    views: defaultdict[str, list[Upstream]] = defaultdict(list)
+def _upstream_lines(entries: list[GatewayState]) -> Iterator[str]:
+    views: defaultdict[str, list[UpstreamState]] = defaultdict(list)
     for entry in entries:
         for upstream in entry.upstreams:
             views[upstream.upstream].append(upstream)
@@ -152,7 +129,7 @@
         yield f'  {name} ({known[0].service}): {_described(known)}'
 
 
-def _described(known: list[Upstream]) -> str:
+def _described(known: list[UpstreamState]) -> str:
     load = sum(view.in_flight for view in known)
     resting = sum(1 for view in known if view.resting)
     parts = [
@@ -168,7 +145,7 @@
     return ', '.join(parts)
 
 
-def _job_lines(entries: list[Entry]) -> Iterator[str]:
+def _job_lines(entries: list[GatewayState]) -> Iterator[str]:
     jobs = [job for entry in entries for job in entry.jobs if not job.ended]
     yield f'jobs in progress: {len(jobs)}'
     for job in jobs:
--- a/features/steps/cli_main_steps.py
+++ b/features/steps/cli_main_steps.py
@@ -70,18 +70,31 @@
         'service': 'lm',
         'draining': not resting,
         'in_flight': 2 if resting else 3,
+        'busy': 3,
         'resting': resting,
+        'event_interval_s': 0.04,
         'versions': {'m': 4},
     }
     entry = {'generation': generation, 'upstreams': [upstream], 'jobs': jobs}
     return json.dumps({'gateway': entry}).encode()
 
 
+def job_state(job: str, listed: int) -> dict[str, Any]:
+    return {
+        'job': job,
+        'term': 1,
+        'ended': listed == 8,
+        'items': 8,
+        'listed': listed,
+        'running': 0,
+    }
+
+
 @then('the status of the entries is')
 def check_status(context: Any) -> None:
     jobs = [
-        {'job': 'j-1', 'ended': False, 'items': 8, 'listed': 3},
-        {'job': 'j-2', 'ended': True, 'items': 8, 'listed': 8},
+        job_state('j-1', listed=3),
+        job_state('j-2', listed=8),
     ]
     bodies = (state(7, True, []), state(9, False, jobs), None)
     seen = tuple(
--- a/features/steps/objects_watcher_steps.py
+++ b/features/steps/objects_watcher_steps.py
@@ -11,19 +11,24 @@
 from lab.store import StoreMode
 
 
+async def change_and_cut(site: Site) -> None:
+    """Change the manifest, tell no watch of it, and cut all watches."""
+    site.store.deaf = True
+    site.put_manifest()
+    await asyncio.sleep(1)
+    site.store.cut_watches()
+    # A watch that begins now is told of later changes only.
+    await asyncio.sleep(0.05)
+    site.store.drop_history()
+    site.store.table.forgotten = 0
+    site.store.deaf = False
+
+
 @given('a site whose store becomes deaf, changes and cuts its watches')
 def deaf(context: Any) -> None:
     async def scene(site: Site) -> list[int]:
         await site.start()
-        site.store.deaf = True
-        site.put_manifest()
-        await asyncio.sleep(1)
-        site.store.cut_watches()
-        # A watch that begins now is told of later changes only.
-        await asyncio.sleep(0.05)
-        site.store.drop_history()
-        site.store.table.forgotten = 0
-        site.store.deaf = False
+        await change_and_cut(site)
         await asyncio.sleep(2)
         return generations(site)
 
@@ -99,14 +104,7 @@
         await asyncio.sleep(1.5)
         access.direct.address = direct
         # Its watch waits at another entry now.
-        site.store.deaf = True
-        site.put_manifest()
-        await asyncio.sleep(1)
-        site.store.cut_watches()
-        await asyncio.sleep(0.05)
-        site.store.drop_history()
-        site.store.table.forgotten = 0
-        site.store.deaf = False
+        await change_and_cut(site)
         await asyncio.sleep(2)
         return generations(site)
 
