--- a/lab/callers.py
+++ b/lab/callers.py
@@ -48,8 +48,6 @@
         #: Requests that may run once.
         self._unsafe: set[str] = set()
         self.answered = 0
-        #: Entries that stop in turn and were not harmed otherwise.
-        self.stopping: set[str] = set()
 
     async def run(self) -> None:
         """Call until cancelled."""
--- a/lab/play.py
+++ b/lab/play.py
@@ -7,6 +7,7 @@
 import json
 import pathlib
 import random
+import shutil
 import tempfile
 import time
 from typing import TYPE_CHECKING, Final
@@ -70,7 +71,10 @@
         await run.play(harm)
     finally:
         await run.stop()
-    return run.outcome(time.monotonic() - began)
+    outcome = run.outcome(time.monotonic() - began)
+    if not outcome.broken:
+        shutil.rmtree(folder, ignore_errors=True)
+    return outcome
 
 
 class _Run:
