--- a/features/gateway_jobs.feature
+++ b/features/gateway_jobs.feature
@@ -134,6 +134,20 @@
     Then the first engine gets none of the job's items
     And every result names the newer version only
 
+  Scenario: items that can't be run in time are listed as lost
+    All engines hang. The route gives items up after 3 s; a trainer that
+    waited for them longer would wait for nothing.
+
+    Given a site whose engines hang and whose route gives up after 3 s
+    Then every item is listed as lost after 3 to 5 s
+
+  Scenario: items whose route is gone are listed as lost
+    The operator takes the route away while a step runs at engines that
+    hang. Nothing can be started for it any more.
+
+    Given a site whose route is taken away while its engines hang
+    Then every item is listed as lost after 10 to 14 s
+
   Scenario: a slow store is no reason to take a job from its owner
     The store takes half a second an answer. The owner has to ask it before
     it says that there is nothing more yet, and answers its readers too late:
--- a/features/steps/gateway_jobs_steps.py
+++ b/features/steps/gateway_jobs_steps.py
@@ -554,6 +554,46 @@
     play(scene)
 
 
+async def until_listed(context: Any, site: Site) -> None:
+    began = site.clock.elapsed()
+    context.results = await site.all_results('entry-0', JOB, within_s=100)
+    context.took_s = (site.clock.elapsed() - began).total_seconds()
+
+
+@given('a site whose engines hang and whose route gives up after 3 s')
+def given_up(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        site.routes[0]['max_wait_s'] = 3
+        await site.start()
+        for engine in site.engines.values():
+            engine.mode = UpstreamMode.DARK
+        await handed_in(site, [[3, 3], [3, 3]])
+        await until_listed(context, site)
+
+    play(scene)
+
+
+@given('a site whose route is taken away while its engines hang')
+def route_gone(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        for engine in site.engines.values():
+            engine.mode = UpstreamMode.DARK
+        await handed_in(site, [[3, 3], [3, 3]])
+        site.put_manifest(routes=site.routes[1:])
+        await until_listed(context, site)
+
+    play(scene)
+
+
+@then('every item is listed as lost after {least_s:d} to {most_s:d} s')
+def all_lost(context: Any, least_s: int, most_s: int) -> None:
+    states = [result['state'] for result in context.results]
+    assert len(states) == 4, states
+    assert set(states) == {'lost'}, states
+    assert least_s <= context.took_s <= most_s, context.took_s
+
+
 @given('a site whose store turns slow while a job of long items runs')
 def slow_store(context: Any) -> None:
     async def scene(site: Site) -> None:
