--- a/features/steps/gateway_calls_steps.py
+++ b/features/steps/gateway_calls_steps.py
@@ -9,7 +9,8 @@
 from behave import given, then, when
 
 from bergamotdoor.http.messages import ClientRequest, ClientResponse
-from lab.site import Site, at, play
+from lab.site import HOST, Site, at, play
+from lab.site_parts import plain_route
 from lab.store import StoreMode
 from lab.upstreams import UpstreamMode
 
@@ -63,7 +64,7 @@
     a_site(context)
 
     def prepare(site: Site) -> None:
-        site.routes.append({**site.route('/long/', 'safe', 1)})
+        site.routes.append({**plain_route(HOST, '/long/', 'safe', 1)})
         site.routes[-1]['timeout_ms'] = 5000
         site.put_manifest()
         for service in site.services.values():
@@ -313,7 +314,7 @@
         for resumable in (True, False):
             site.routes.append(
                 {
-                    **site.route(f'/stream-{resumable}/', 'stream', 3),
+                    **plain_route(HOST, f'/stream-{resumable}/', 'stream', 3),
                     'service': 'lm',
                     'timeout_ms': 9000,
                     'can_resume': resumable,
--- a/lab/site.py
+++ b/lab/site.py
@@ -22,6 +22,7 @@
 from bergamotdoor.platform.settings import NodeSettings
 from bergamotdoor.settings.document import Address
 from bergamotdoor.types import NodeId, ZoneId
+from lab.site_parts import Reply, routes
 from lab.store import Store
 from lab.upstreams import Engine, Upstream
 from lab.virtual import run_virtual, virtual_clock
@@ -54,20 +55,6 @@
     return Address(ip=IP, port=port)
 
 
-class Reply:
-    """What a client got."""
-
-    def __init__(self, status: int, headers: Headers, body: bytes) -> None:
-        self.status = status
-        self.headers = headers
-        self.body = body
-
-    @property
-    def json(self) -> Any:
-        """The body, decoded."""
-        return json.loads(self.body)
-
-
 class Site:
     """Starts and stops the parts of a deployment."""
 
@@ -81,34 +68,7 @@
         self.agents: dict[str, AgentDaemon] = {}
         self.ports: dict[str, int] = {}
         self.version = 3
-        self.routes: list[dict[str, Any]] = [
-            {
-                'name': 'roster',
-                'host': HOST,
-                'path_prefix': '/roll/',
-                'kind': 'rollout',
-                'service': 'lm',
-                'timeout_ms': 10_000,
-                'goal_ms': 400,
-                'due_ms': 7500,
-                'max_attempts': 3,
-            },
-            self.route('/book/', 'safe', 2),
-            self.route('/once/', 'unsafe', 2),
-        ]
-
-    def route(self, prefix: str, kind: str, attempts: int) -> dict[str, Any]:
-        """Return a route to the plain service."""
-        return {
-            'name': prefix,
-            'host': HOST,
-            'path_prefix': prefix,
-            'kind': kind,
-            'service': 'desk',
-            'timeout_ms': 1500,
-            'goal_ms': 200,
-            'max_attempts': attempts,
-        }
+        self.routes = routes(HOST)
 
     def put_manifest(self, **changes: Any) -> None:
         """Put the next manifest in force."""
