One client, one job body, one route and one registration in the lab

The soak and the site of the tests each had a client, the body of a job, the fields of a route and a manifest, and a loop that registers what has changed. Now lab/client.py, lab/wire.py and upstreams.register serve both; the probes of two features use that client too, with their assertions as they were. Nothing on the machines changed.

--- a/features/steps/gateway_calls_steps.py
+++ b/features/steps/gateway_calls_steps.py
@@ -8,9 +8,8 @@
 
 from behave import given, then, when
 
-from bergamotdoor.http.messages import ClientRequest, ClientResponse
-from lab.site import HOST, Site, at, play
-from lab.site_parts import plain_route
+from lab.client import Call
+from lab.site import Site, at, plain_route, play
 from lab.store import StoreMode
 from lab.upstreams import UpstreamMode
 
@@ -64,7 +63,7 @@
     a_site(context)
 
     def prepare(site: Site) -> None:
-        site.routes.append({**plain_route(HOST, '/long/', 'safe', 1)})
+        site.routes.append({**plain_route('/long/', 'safe', 1)})
         site.routes[-1]['timeout_ms'] = 5000
         site.put_manifest()
         for service in site.services.values():
@@ -189,17 +188,12 @@
 
 
 async def probe(site: Site) -> int:
-    response = await site.client.send(
-        ClientRequest(
-            address=at(site.ports['entry-0'] + 1),
-            method='GET',
-            target='/-/readyz',
-            timeout=dt.timedelta(seconds=1),
-        )
+    reply = await site.client.send(
+        at(site.ports['entry-0'] + 1),
+        Call('GET', '/-/readyz', idempotent=True),
     )
-    assert isinstance(response, ClientResponse), response
-    await response.read_body(1000)
-    return response.status
+    assert reply is not None
+    return reply.status
 
 
 @then('the caller gets 200 with the proof of an upstream')
@@ -314,7 +308,7 @@
         for resumable in (True, False):
             site.routes.append(
                 {
-                    **plain_route(HOST, f'/stream-{resumable}/', 'stream', 3),
+                    **plain_route(f'/stream-{resumable}/', 'stream', 3),
                     'service': 'lm',
                     'timeout_ms': 9000,
                     'can_resume': resumable,
--- a/features/steps/gateway_inspection_steps.py
+++ b/features/steps/gateway_inspection_steps.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-import datetime as dt
 import json
 from typing import Any
 
 from behave import given, then
 
-from bergamotdoor.http.messages import ClientRequest, ClientResponse
+from lab.client import Call
 from lab.site import Site, at, play
 
 
@@ -28,16 +27,11 @@
 
 
 async def shown(site: Site, path: str) -> str:
-    response = await site.client.send(
-        ClientRequest(
-            address=at(site.ports['entry-0'] + 3),
-            method='GET',
-            target=path,
-            timeout=dt.timedelta(seconds=1),
-        )
+    reply = await site.client.send(
+        at(site.ports['entry-0'] + 3), Call('GET', path, idempotent=True)
     )
-    assert isinstance(response, ClientResponse), response
-    return (await response.read_body(1_000_000)).decode()
+    assert reply is not None
+    return reply.body.decode()
 
 
 @then('its metrics count the calls and items, with their latencies')
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -14,15 +14,15 @@
 from bergamotdoor.settings.problems import SettingsError
 from lab.demo import demo
 from lab.deployment import Size
+from lab.experiment import run_scenario
+from lab.report import summarize, table, write_report
+from lab.scenario import load_scenario
 from lab.soak import soak
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from lab.play import Outcome
-from lab.experiment import run_scenario
-from lab.report import summarize, table, write_report
-from lab.scenario import load_scenario
 
 _EXPERIMENT: Final = 'experiment'
 _COMMANDS: Final = frozenset(('soak', 'demo', _EXPERIMENT))
--- a/lab/callers.py
+++ b/lab/callers.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.platform.headers import REQUEST_ID
-from lab.client import Call, Client, Reply
-from lab.deployment import SAFE_PATH, UNSAFE_PATH
+from lab.client import Call, Reply
+from lab.deployment import SAFE_PATH, UNSAFE_PATH, new_client
 from lab.promises import Promise, Promises
 
 if TYPE_CHECKING:
@@ -41,7 +41,7 @@
         self._deployment = deployment
         self._promises = promises
         self._rng = rng
-        self._client = Client()
+        self._client = new_client()
         self._sent = 0
         #: Requests that were refused as not run.
         self._refused: set[str] = set()
@@ -86,7 +86,7 @@
         path = f'{prefix}{request}'
         if unsafe:
             self._unsafe.add(request)
-        call = Call('POST', path, request.encode(), request)
+        call = Call('POST', path, request.encode(), ((REQUEST_ID, request),))
         reply = await self._client.send(entry.front, call)
         if reply is not None:
             self._take(request, path, reply)
--- a/lab/client.py
+++ b/lab/client.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import datetime as dt
-from typing import TYPE_CHECKING, Final, NamedTuple
+import json
+from typing import TYPE_CHECKING, Any, Final, NamedTuple
 
-from bergamotdoor.clock import LoopClock
 from bergamotdoor.http.client import HttpClient
 from bergamotdoor.http.messages import (
     BodyBrokenError,
@@ -13,10 +13,9 @@
     ClientResponse,
     Headers,
 )
-from bergamotdoor.platform.headers import REQUEST_ID, WAIT_MS
-from lab.deployment import HOST
 
 if TYPE_CHECKING:
+    from bergamotdoor.clock import Clock
     from bergamotdoor.settings.document import Address
 
 _TIMEOUT: Final = dt.timedelta(seconds=4)
@@ -29,8 +28,10 @@
     method: str
     path: str
     body: bytes = b''
-    request_id: str = ''
-    wait_ms: int = 0
+    headers: tuple[tuple[str, str], ...] = ()
+    timeout: dt.timedelta = _TIMEOUT
+    #: Whether it may go on a kept connection that was not proved alive.
+    idempotent: bool = False
 
 
 class Reply(NamedTuple):
@@ -40,29 +41,38 @@
     headers: Headers
     body: bytes
 
+    @property
+    def json(self) -> Any:
+        """The body, decoded."""
+        return json.loads(self.body)
+
 
 class Client:
-    """Sends calls on connections that it keeps."""
+    """Sends calls on connections that it keeps.
+
+    Parameters
+    ----------
+    clock
+        For timeouts.
+    host
+        The host that all calls name.
+    """
 
-    def __init__(self) -> None:
-        self._client = HttpClient(LoopClock())
+    def __init__(self, clock: Clock, host: str) -> None:
+        self._client = HttpClient(clock)
+        self._host = host
 
     async def send(self, address: Address, call: Call) -> Reply | None:
         """Return the whole answer, None if there is none."""
-        fields = [('host', HOST)]
-        if call.request_id:
-            fields.append((REQUEST_ID, call.request_id))
-        if call.wait_ms:
-            fields.append((WAIT_MS, str(call.wait_ms)))
         response = await self._client.send(
             ClientRequest(
                 address=address,
                 method=call.method,
                 target=call.path,
-                headers=Headers.of(fields),
+                headers=Headers.of([('host', self._host), *call.headers]),
                 body=call.body,
-                timeout=_TIMEOUT,
-                idempotent=call.method == 'GET',
+                timeout=call.timeout,
+                idempotent=call.idempotent,
             )
         )
         if not isinstance(response, ClientResponse):
--- a/lab/deployment.py
+++ b/lab/deployment.py
@@ -9,16 +9,17 @@
 from bergamotdoor.clock import LoopClock
 from bergamotdoor.settings.document import Address
 from bergamotdoor.tasks import Tasks
+from lab.client import Client
 from lab.processes import ProductProcess
 from lab.proxy import Proxy
 from lab.store import Store
-from lab.upstreams import Engine, Upstream, written
+from lab.upstreams import Engine, Upstream, register, written
+from lab.wire import DESKS, ENGINES, MODEL, manifest, route
 
 if TYPE_CHECKING:
     import pathlib
 
 HOST: Final = 'lab.example'
-MODEL: Final = 'm'
 STEP_PATH: Final = '/steps/'
 SAFE_PATH: Final = '/safe/'
 UNSAFE_PATH: Final = '/unsafe/'
@@ -71,11 +72,11 @@
         store = Address(ip=self._next_ip(), port=_STORE_PORT)
         self.store = Store(store, clock)
         self.engines = [
-            Engine(f'engine-{number}', 'lm', self._upstream_address(), clock)
+            Engine(f'engine-{number}', ENGINES, self._upstream_address(), clock)
             for number in range(size.engines)
         ]
         self.services = [
-            Upstream(f'desk-{number}', 'desk', self._upstream_address(), clock)
+            Upstream(f'desk-{number}', DESKS, self._upstream_address(), clock)
             for number in range(size.services)
         ]
         self.store_ways: dict[str, Proxy] = {}
@@ -138,17 +139,12 @@
     def put_manifest(self) -> None:
         """Put the next manifest in force."""
         self.generation += 1
-        manifest = {
-            'version': self.generation,
-            'routes': [
-                _route(SAFE_PATH, 'safe', service='desk'),
-                _route(UNSAFE_PATH, 'unsafe', service='desk'),
-                _route(STEP_PATH, 'rollout', service='lm', due_ms=_JOB_MS),
-            ],
-            'services': [{'name': 'lm'}, {'name': 'desk'}],
-            'limits': {},
-        }
-        self.store.put('config', 'main', manifest)
+        routes = [
+            _route(SAFE_PATH, 'safe', DESKS),
+            _route(UNSAFE_PATH, 'unsafe', DESKS),
+            _route(STEP_PATH, 'rollout', ENGINES, due_ms=_JOB_MS),
+        ]
+        self.store.put('config', 'main', manifest(self.generation, routes))
 
     def publish(self) -> None:
         """Name the next version of the weights, as a trainer does."""
@@ -175,9 +171,7 @@
 
     def _register(self, upstream: Upstream) -> None:
         way = self.upstream_ways[upstream.name]
-        registration = upstream.registration(address=written(way.listen))
-        if self.store.table.specs('servers').get(upstream.name) != registration:
-            self.store.put('servers', upstream.name, registration)
+        register(self.store, upstream, address=written(way.listen))
 
     def _process(
         self, name: str, command: str, engine: Address | None = None
@@ -197,6 +191,11 @@
         return f'127.{self._network}.0.{self._hosts}'
 
 
+def new_client() -> Client:
+    """Return a client with connections of its own."""
+    return Client(LoopClock(), HOST)
+
+
 async def listens(process: ProductProcess) -> None:
     """Return once a process takes connections."""
     while process.running:
@@ -213,14 +212,13 @@
 
 
 def _route(path: str, kind: str, service: str, **more: int) -> dict[str, Any]:
-    return {
-        'name': path,
-        'host': HOST,
-        'path_prefix': path,
-        'kind': kind,
-        'service': service,
-        'timeout_ms': _CALL_MS,
-        'goal_ms': _CALL_MS,
-        'max_attempts': _ATTEMPTS,
+    return route(
+        HOST,
+        path,
+        kind,
+        service,
+        timeout_ms=_CALL_MS,
+        goal_ms=_CALL_MS,
+        max_attempts=_ATTEMPTS,
         **more,
-    }
+    )
--- a/lab/experiment.py
+++ b/lab/experiment.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from lab.site import Site, play
+from lab.upstreams import register
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -136,13 +137,9 @@
 
     async def _register(self) -> None:
         """Register engines again when their weights have changed."""
-        store = self._site.store
         while True:
             for engine in self._site.engines.values():
-                registration = engine.registration()
-                known = store.table.specs('servers')
-                if known.get(engine.name) != registration:
-                    store.put('servers', engine.name, registration)
+                register(self._site.store, engine)
             await asyncio.sleep(_REGISTER_S)
 
     async def _slow_down(self) -> None:
--- a/lab/play.py
+++ b/lab/play.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-import json
 import pathlib
 import random
 import shutil
@@ -14,9 +13,10 @@
 
 import msgspec
 
+from bergamotdoor.gateway.inspection import STATE_PATH
 from lab.callers import Callers
-from lab.client import Call, Client
-from lab.deployment import Deployment, Size
+from lab.client import Call
+from lab.deployment import Deployment, Size, new_client
 from lab.faults import Faults
 from lab.promises import Promise, Promises
 from lab.trainer import Trainer
@@ -97,7 +97,7 @@
         self._faults = Faults(
             self._deployment, self._promises, random.Random(rng.random())
         )
-        self._client = Client()
+        self._client = new_client()
         #: The manifest that each process was last seen with.
         self._seen: dict[str, int] = {}
 
@@ -209,8 +209,10 @@
         )
 
     async def _generation(self, address: Address) -> int | None:
-        reply = await self._client.send(address, Call('GET', '/state'))
+        reply = await self._client.send(
+            address, Call('GET', STATE_PATH, idempotent=True)
+        )
         if reply is None:
             return None
-        found = json.loads(reply.body)['gateway']['generation']
+        found = reply.json['gateway']['generation']
         return None if found is None else int(found)
--- a/lab/site.py
+++ b/lab/site.py
@@ -3,32 +3,32 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import datetime as dt
-import json
 import logging
 import warnings
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, Final
 
 from bergamotdoor.agent.daemon import AgentDaemon
 from bergamotdoor.gateway.daemon import GatewayDaemon
-from bergamotdoor.http.client import HttpClient
-from bergamotdoor.http.messages import (
-    BodyBrokenError,
-    ClientRequest,
-    ClientResponse,
-    Headers,
-)
 from bergamotdoor.platform.settings import NodeSettings
 from bergamotdoor.settings.document import Address
 from bergamotdoor.types import NodeId, ZoneId
-from lab.site_parts import Reply, routes
+from lab.client import Call, Client, Reply
 from lab.store import Store
 from lab.upstreams import Engine, Upstream
 from lab.virtual import run_virtual, virtual_clock
+from lab.wire import (
+    DESKS,
+    ENGINES,
+    JobItem,
+    job_body,
+    manifest,
+    route,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Mapping
 
 logging.getLogger('bergamotdoor').addHandler(logging.NullHandler())
 warnings.filterwarnings('ignore', message='Ignoring socket option')
@@ -44,7 +44,18 @@
 _AGENT_PORT: Final = 9500
 _OBJECT_BYTES: Final = 1_000_000
 _RETENTION_S: Final = 120
-_MAX_BODY_BYTES: Final = 10_000_000
+_JOB_PATH: Final = '/roll/'
+_JOB_BOUNDS: Final[Mapping[str, int]] = MappingProxyType(
+    {
+        'timeout_ms': 10_000,
+        'goal_ms': 400,
+        'due_ms': 7500,
+        'max_attempts': 3,
+    }
+)
+_CALL_BOUNDS: Final[Mapping[str, int]] = MappingProxyType(
+    {'timeout_ms': 1500, 'goal_ms': 200}
+)
 _OK: Final = 200
 #: Readers come again after this.
 _READ_S: Final = 0.2
@@ -61,26 +72,20 @@
     def __init__(self) -> None:
         self.clock = virtual_clock()
         self.store = Store(at(_STORE_PORT), self.clock)
-        self.client = HttpClient(self.clock)
+        self.client = Client(self.clock, HOST)
         self.engines: dict[str, Engine] = {}
         self.services: dict[str, Upstream] = {}
         self.entries: dict[str, GatewayDaemon] = {}
         self.agents: dict[str, AgentDaemon] = {}
         self.ports: dict[str, int] = {}
         self.version = 3
-        self.routes = routes(HOST)
+        self.routes = _routes()
 
     def put_manifest(self, **changes: Any) -> None:
         """Put the next manifest in force."""
         self.version += 2
-        manifest = {
-            'version': self.version,
-            'routes': self.routes,
-            'services': [{'name': 'lm'}, {'name': 'desk'}],
-            'limits': {},
-            **changes,
-        }
-        self.store.put('config', 'main', manifest)
+        written = manifest(self.version, self.routes)
+        self.store.put('config', 'main', {**written, **changes})
 
     async def start(
         self, engines: int = 2, services: int = 2, entries: int = 2
@@ -100,7 +105,7 @@
     async def add_engine(self, name: str) -> Engine:
         """Start and register an engine."""
         engine = Engine(
-            name, 'lm', at(_ENGINE_PORT + len(self.engines)), self.clock
+            name, ENGINES, at(_ENGINE_PORT + len(self.engines)), self.clock
         )
         await engine.start()
         self.engines[name] = engine
@@ -110,7 +115,7 @@
     async def add_service(self, name: str) -> Upstream:
         """Start and register a plain service."""
         address = at(_SERVICE_PORT + len(self.services))
-        service = Upstream(name, 'desk', address, self.clock)
+        service = Upstream(name, DESKS, address, self.clock)
         await service.start()
         self.services[name] = service
         self.store.put('servers', name, service.registration())
@@ -183,57 +188,29 @@
         **headers: str,
     ) -> Reply | None:
         """Send one request; None if no whole answer came."""
-        fields = [('Host', HOST)]
-        fields.extend(
+        fields = tuple(
             (f'X-Bergamotdoor-{name.replace("_", "-")}', text)
             for name, text in headers.items()
         )
-        response = await self.client.send(
-            ClientRequest(
-                address=at(self.ports[entry]),
-                method=method,
-                target=target,
-                headers=Headers.of(fields),
-                body=body,
-                timeout=dt.timedelta(seconds=timeout_s),
-                idempotent=False,
-            )
-        )
-        if not isinstance(response, ClientResponse):
-            return None
-        try:
-            whole = await response.read_body(_MAX_BODY_BYTES)
-        except BodyBrokenError:
-            return None
-        return Reply(response.status, response.headers, whole)
+        timeout = dt.timedelta(seconds=timeout_s)
+        call = Call(method, target, body, fields, timeout)
+        return await self.client.send(at(self.ports[entry]), call)
 
     async def submit(
         self, entry: str, job: str, lengths: list[list[int]], least: int = 1
     ) -> Reply | None:
         """Hand in a job: a list of groups, each of lengths in events."""
-        items = [
-            {
-                'id': f'{job}.{group}.{number}',
-                'path': f'/roll/{job}/{group}/{number}',
-                'headers': {'X-Bergamotdoor-Model': 'm'},
-                'body': base64.b64encode(str(length).encode()).decode(),
-                'group': f'g{group}',
-            }
+        items = (
+            JobItem(f'{job}.{group}.{number}', length, f'g{group}')
             for group, members in enumerate(lengths)
             for number, length in enumerate(members)
-        ]
-        sent = {
-            'step': 1,
-            'model': 'm',
-            'min_version': least,
-            'target_groups': len(lengths),
-            'items': items,
-        }
+        )
+        body = job_body(_JOB_PATH, items, least, len(lengths))
         return await self.ask(
             entry,
             'POST',
-            f'/roll/{job}',
-            json.dumps(sent).encode(),
+            f'{_JOB_PATH}{job}',
+            body,
             Request_Id=job,
         )
 
@@ -265,6 +242,21 @@
         return found
 
 
+def plain_route(prefix: str, kind: str, attempts: int) -> dict[str, Any]:
+    """Return a route to the plain service."""
+    return route(
+        HOST, prefix, kind, DESKS, max_attempts=attempts, **_CALL_BOUNDS
+    )
+
+
+def _routes() -> list[dict[str, Any]]:
+    return [
+        route(HOST, _JOB_PATH, 'rollout', ENGINES, **_JOB_BOUNDS),
+        plain_route('/book/', 'safe', 2),
+        plain_route('/once/', 'unsafe', 2),
+    ]
+
+
 def play(scene: Callable[[Site], Awaitable[Any]]) -> Any:
     """Run a scene on a new site; nothing may fail in the background."""
     failures: list[Any] = []
--- a/lab/trainer.py
+++ b/lab/trainer.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import base64
 import json
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Final
 
-from lab.client import Call, Client
-from lab.deployment import MODEL, STEP_PATH
+from bergamotdoor.platform.headers import REQUEST_ID, WAIT_MS
+from lab.client import Call
+from lab.deployment import STEP_PATH, new_client
 from lab.promises import Promise, Promises
+from lab.wire import JobItem, job_body
 
 if TYPE_CHECKING:
     import random
@@ -24,7 +25,6 @@
 _MOST_EVENTS: Final = 40
 _READ_S: Final = 0.3
 _WAIT_MS: Final = 500
-_MODEL_HEADER: Final = 'X-Bergamotdoor-Model'
 #: How many steps are open at a time.
 _AHEAD: Final = 2
 
@@ -55,24 +55,11 @@
 
     def body(self) -> bytes:
         """Return the job as it is handed in."""
-        items = [
-            {
-                'id': item,
-                'path': f'{STEP_PATH}{item}',
-                'headers': {_MODEL_HEADER: MODEL},
-                'body': base64.b64encode(str(length).encode()).decode(),
-                'group': _group(self.job, order),
-            }
+        items = (
+            JobItem(item, length, _group(self.job, order))
             for order, (item, length) in enumerate(self.lengths.items())
-        ]
-        job = {
-            'step': 1,
-            'model': MODEL,
-            'min_version': self.least_version,
-            'target_groups': _GROUPS,
-            'items': items,
-        }
-        return json.dumps(job).encode()
+        )
+        return job_body(STEP_PATH, items, self.least_version, _GROUPS)
 
 
 class Trainer:
@@ -84,7 +71,7 @@
         self._deployment = deployment
         self._promises = promises
         self._rng = rng
-        self._client = Client()
+        self._client = new_client()
         self.steps: list[Step] = []
         #: Set once no new step should begin.
         self.ending = False
@@ -131,7 +118,12 @@
         return step
 
     async def _hand_in(self, step: Step) -> None:
-        call = Call('POST', f'{STEP_PATH}{step.job}', step.body(), step.job)
+        call = Call(
+            'POST',
+            f'{STEP_PATH}{step.job}',
+            step.body(),
+            ((REQUEST_ID, step.job),),
+        )
         while not step.kept:
             reply = await self._client.send(self._entry(), call)
             step.kept = (
@@ -142,7 +134,12 @@
 
     async def _read(self, step: Step, entry: Address, after: int) -> None:
         path = f'/-/lots/{step.job}?after={after}'
-        call = Call('GET', path, wait_ms=_WAIT_MS)
+        call = Call(
+            'GET',
+            path,
+            headers=((WAIT_MS, str(_WAIT_MS)),),
+            idempotent=True,
+        )
         reply = await self._client.send(entry, call)
         if reply is not None:
             self._take(step, after, reply)
@@ -151,7 +148,7 @@
         known = reply.status != HTTPStatus.NOT_FOUND
         self._promises.check(Promise.KEPT, known, f'{step.job} is not known')
         if reply.status == HTTPStatus.OK:
-            results = json.loads(reply.body)['results']
+            results = reply.json['results']
             for position, result in enumerate(results, start=after):
                 self._check(step, position, result)
 
--- a/lab/upstreams.py
+++ b/lab/upstreams.py
@@ -11,7 +11,7 @@
 
 from bergamotdoor.http.messages import Headers, HttpRequest, HttpResponse
 from bergamotdoor.http.server import HttpServer
-from lab.store import LIMITS, LostError, cut_off
+from lab.store import LIMITS, LostError, Store, cut_off
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -253,3 +253,10 @@
 def written(address: Address) -> str:
     """Write an address as registrations do."""
     return f'{address.ip}:{address.port}'
+
+
+def register(store: Store, upstream: Upstream, **extra: Any) -> None:
+    """Register an upstream, unless it is registered just so."""
+    registration = upstream.registration(**extra)
+    if store.table.specs('servers').get(upstream.name) != registration:
+        store.put('servers', upstream.name, registration)
