Decide about a call apart from its sockets, and send from a package of its own

Cause: what is decided about a plain call (who is asked, when a second one beside it, when none) stood in gateway/forwarding.py between sockets, and the scoring calls that batch jobs are about to need would have wanted a second copy of it.

An attempt tells how many upstreams answered 500. Behaviour of plain calls is unchanged.

Ruled out: a second sender in steps; a sender in gateway, which steps may not import.

The mutation that switches off at-most-once now names calls/tries.py.

--- a/bergamotdoor/gateway/answers.py
+++ b/bergamotdoor/forwarding/answers.py
@@ -7,8 +7,8 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.calls.manifest import RouteKind
-from bergamotdoor.gateway.call import Attempt
-from bergamotdoor.gateway.relayed_stream import relayed_stream
+from bergamotdoor.forwarding.call import Attempt
+from bergamotdoor.forwarding.relayed_stream import relayed_stream
 from bergamotdoor.http import close_body
 from bergamotdoor.http.messages import (
     BodyBrokenError,
@@ -21,7 +21,7 @@
 if TYPE_CHECKING:
     from bergamotdoor.entry.context import Context
     from bergamotdoor.fleet.upstreams import Upstream
-    from bergamotdoor.gateway.call import Call
+    from bergamotdoor.forwarding.call import Call
     from bergamotdoor.http.messages import ClientResponse
 
 #: Answers up to this are read whole before anything is passed on, so that
@@ -97,6 +97,7 @@
             status=response.status, headers=response.headers, body=body
         ),
         failed=response.status >= HTTPStatus.INTERNAL_SERVER_ERROR,
+        failures=int(response.status == HTTPStatus.INTERNAL_SERVER_ERROR),
     )
 
 
--- a/bergamotdoor/gateway/attempt.py
+++ b/bergamotdoor/forwarding/attempt.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from bergamotdoor.gateway.answers import judge
-from bergamotdoor.gateway.call import Attempt, Call
-from bergamotdoor.gateway.call_request import call_request
+from bergamotdoor.forwarding.answers import judge
+from bergamotdoor.forwarding.call import Attempt, Call
+from bergamotdoor.forwarding.call_request import call_request
 from bergamotdoor.http.messages import ClientFailure
 from bergamotdoor.http.sending import send
 from bergamotdoor.platform import headers as names
--- a/bergamotdoor/gateway/call.py
+++ b/bergamotdoor/forwarding/call.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bergamotdoor.calls.manifest import Route, RouteKind
+from bergamotdoor.calls.tries import HEDGE_SHARE, CallRules
 from bergamotdoor.http.messages import Headers, HttpResponse
 from bergamotdoor.verdict import Verdict
 
@@ -31,6 +32,17 @@
         resumes = kind is RouteKind.STREAM and self.route.resumable
         return resumes or kind is RouteKind.IDEMPOTENT
 
+    @property
+    def rules(self) -> CallRules:
+        """What may be done to have it answered."""
+        return CallRules(
+            repeatable=self.repeatable,
+            hedged=self.route.kind is RouteKind.IDEMPOTENT,
+            max_attempts=self.route.max_attempts,
+            patience=self.route.objective * HEDGE_SHARE,
+            deadline=self.deadline,
+        )
+
 
 class Attempt(msgspec.Struct, frozen=True):
     """What one upstream made of a call; `answer` only if it is whole."""
@@ -45,3 +57,5 @@
     replaced: bool = False
     #: The upstream itself said that it did not run the call.
     refused: bool = False
+    #: How many upstreams ran the call and answered that they failed.
+    failures: int = 0
--- a/bergamotdoor/gateway/call_request.py
+++ b/bergamotdoor/forwarding/call_request.py
@@ -13,7 +13,7 @@
     import datetime as dt
 
     from bergamotdoor.fleet.upstreams import Upstream
-    from bergamotdoor.gateway.call import Call
+    from bergamotdoor.forwarding.call import Call
 
 
 def call_request(
--- a/bergamotdoor/gateway/relayed_stream.py
+++ b/bergamotdoor/forwarding/relayed_stream.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from bergamotdoor.fleet.choice import fastest
-from bergamotdoor.gateway.call_request import call_request
+from bergamotdoor.forwarding.call_request import call_request
 from bergamotdoor.http import close_body
 from bergamotdoor.http.messages import BodyBrokenError, ClientResponse
 from bergamotdoor.platform import headers as names
@@ -20,7 +20,7 @@
 
     from bergamotdoor.entry.context import Context
     from bergamotdoor.fleet.upstreams import Upstream
-    from bergamotdoor.gateway.call import Call
+    from bergamotdoor.forwarding.call import Call
     from bergamotdoor.jobs import GeneratedEvent
 
 _log = logging.getLogger('bergamotdoor.gateway')
--- a/bergamotdoor/gateway/front.py
+++ b/bergamotdoor/gateway/front.py
@@ -8,8 +8,8 @@
 
 from bergamotdoor import utils
 from bergamotdoor.calls.manifest import RouteKind
+from bergamotdoor.forwarding import Call
 from bergamotdoor.gateway.batch_front import number_of
-from bergamotdoor.gateway.call import Call
 from bergamotdoor.gateway.refusals import plain, refusal
 from bergamotdoor.observe.events import Counted
 from bergamotdoor.platform import headers as names
@@ -21,8 +21,8 @@
     from bergamotdoor.calls.manifest import Manifest, Route
     from bergamotdoor.entry.context import Context
     from bergamotdoor.entry.views import ManifestView
+    from bergamotdoor.forwarding import Forwarder
     from bergamotdoor.gateway.batch_front import BatchFront
-    from bergamotdoor.gateway.forwarding import Forwarder
     from bergamotdoor.http.messages import HttpRequest, HttpResponse
 
 _log = logging.getLogger('bergamotdoor.gateway')
@@ -72,7 +72,10 @@
         if route.kind is RouteKind.BATCH and request.method == 'POST':
             return await self._batches.submit(request, host, body)
         call = _call(request, body, route, began)
-        return await self._forwarder.forward(call)
+        outcome = await self._forwarder.forward(call)
+        if outcome.answer is not None:
+            return outcome.answer
+        return refusal(outcome.verdict, outcome.detail, request_id)
 
 
 def _call(
--- a/bergamotdoor/gateway/wiring.py
+++ b/bergamotdoor/gateway/wiring.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from bergamotdoor.forwarding import Forwarder
 from bergamotdoor.gateway.batch_front import BatchFront
-from bergamotdoor.gateway.forwarding import Forwarder
 from bergamotdoor.gateway.front import Front
 from bergamotdoor.objects.job_store import JobStore
 from bergamotdoor.steps.job_finder import JobFinder
--- /dev/null
+++ b/features/steps/calls_tries_steps.py
@@ -0,0 +1,143 @@
+"""Steps for the decisions about one call."""
+
+from __future__ import annotations
+
+import datetime as dt
+from typing import Any, NamedTuple
+
+import hypothesis
+from behave import given, then
+
+from bergamotdoor.calls.tries import CallRules, Tries
+from bergamotdoor.fleet.loads import Loads
+from bergamotdoor.fleet.upstreams import Upstream
+from bergamotdoor.settings.document import Address
+from bergamotdoor.types import ServiceId, UpstreamId, ZoneId
+from bergamotdoor.verdict import Verdict
+
+ZONE = ZoneId('here')
+NOW = dt.timedelta(seconds=100)
+DEADLINE = NOW + dt.timedelta(seconds=1)
+
+
+def upstreams(count: int) -> list[Upstream]:
+    return [
+        Upstream(
+            upstream=UpstreamId(f'u{number}'),
+            service=ServiceId('desk'),
+            address=Address(ip='127.0.0.1', port=1000 + number),
+            zone=ZONE,
+            slots=2,
+        )
+        for number in range(count)
+    ]
+
+
+def rules(repeatable: bool, max_attempts: int = 2) -> CallRules:
+    return CallRules(
+        repeatable=repeatable,
+        hedged=repeatable,
+        max_attempts=max_attempts,
+        patience=dt.timedelta(milliseconds=100),
+        deadline=DEADLINE,
+    )
+
+
+class Event(NamedTuple):
+    """What happens next: time passes, and maybe one that was asked ends."""
+
+    passes_ms: int
+    verdict: Verdict | None
+
+
+draws = hypothesis.strategies
+EVENTS = draws.lists(
+    draws.tuples(
+        draws.integers(0, 200), draws.sampled_from([None, *Verdict])
+    ).map(lambda drawn: Event(*drawn)),
+    max_size=20,
+)
+
+
+def check_history(
+    repeatable: bool, max_attempts: int, count: int, events: list[Event]
+) -> None:
+    """Play one history; a call is asked for whenever it may be."""
+    tries = Tries(rules(repeatable, max_attempts), ZONE)
+    loads = Loads()
+    now = NOW
+    asked: list[str] = []
+    running = 0
+    ran = 0
+    for event in events:
+        upstream = tries.begin(upstreams(count), loads, now)
+        if upstream is not None:
+            assert upstream.upstream not in asked, asked
+            assert now < DEADLINE
+            assert repeatable or (not ran and not running)
+            asked.append(upstream.upstream)
+            running += 1
+        assert running + ran <= max_attempts
+        assert tries.patience(now) >= dt.timedelta()
+        if event.verdict is not None and running:
+            tries.end(event.verdict)
+            running -= 1
+            ran += event.verdict is not Verdict.NOT_RUN
+        clear = not ran and not running
+        assert (tries.verdict is Verdict.NOT_RUN) == clear
+        now += dt.timedelta(milliseconds=event.passes_ms)
+
+
+@then('{count:d} histories of a call keep to the rules of its route')
+def histories(context: Any, count: int) -> None:
+    settings = hypothesis.settings(
+        derandomize=True, max_examples=count, deadline=None, database=None
+    )
+    settings(
+        hypothesis.given(
+            draws.booleans(),
+            draws.integers(1, 4),
+            draws.integers(0, 5),
+            EVENTS,
+        )(check_history)
+    )()
+
+
+@given('two upstreams and a call with a patience of 100 ms')
+def two(context: Any) -> None:
+    context.upstreams = upstreams(2)
+
+
+def begun(context: Any, repeatable: bool) -> Tries:
+    tries = Tries(rules(repeatable), ZONE)
+    assert tries.begin(context.upstreams, Loads(), NOW) is not None
+    return tries
+
+
+@then('a repeatable call waits 100 ms before it asks the second')
+def hedges(context: Any) -> None:
+    tries = begun(context, repeatable=True)
+    assert tries.patience(NOW) == dt.timedelta(milliseconds=100)
+    assert tries.begin(context.upstreams, Loads(), NOW) is not None
+
+
+@then('a call that may run once waits for the first to its deadline')
+def waits(context: Any) -> None:
+    tries = begun(context, repeatable=False)
+    assert tries.patience(NOW) == tries.left(NOW)
+    assert tries.begin(context.upstreams, Loads(), NOW) is None
+
+
+@then('a call that may run once is sent on after a refusal')
+def sent_on(context: Any) -> None:
+    tries = begun(context, repeatable=False)
+    tries.end(Verdict.NOT_RUN)
+    assert tries.begin(context.upstreams, Loads(), NOW) is not None
+
+
+@then('it is not sent on after a broken answer')
+def not_sent_on(context: Any) -> None:
+    tries = begun(context, repeatable=False)
+    tries.end(Verdict.MAY_HAVE_RUN)
+    assert tries.begin(context.upstreams, Loads(), NOW) is None
+    assert tries.verdict is Verdict.MAY_HAVE_RUN
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -109,9 +109,9 @@
     ),
     Mutation(
         'what may run once is not sent again after a doubt',
-        'gateway/forwarding.py',
-        'if not self._call.repeatable and (self._ran or self._running):',
-        'if False and not self._call.repeatable:',
+        'calls/tries.py',
+        'if not rules.repeatable and (self.ran or self.running):',
+        'if False and not rules.repeatable:',
         'gateway_calls',
     ),
     Mutation(
