Have texts scored by the service that their trainer names

Cause: items of the third customer name a request that scores their text; a result counts only with the proof of its answer.

Ruled out: a second sender in steps (plain calls and score calls go through one forwarder, one layer below); sending all calls at once (they fill slots and queue of the service, and callers wait behind them); listing without a score and adding it later (a position holds one result for good).

Change: the adapter decodes the request; jobs/scoring.py decides which calls go, when and how many (a quarter of each upstream's slots is left to callers, the group that is nearest to being whole first, pauses that double); steps/scorer.py sends them by the route in force; jobs/open_items.py holds what an item has on its way from the board over text and score to a result, and what the next owner gets of it, scores and counts of 500 included. A request is counted in its upstream's load from the choice on and by its task's end, so calls that start together spread, and none is counted for good when its task is cancelled before its first step.

--- a/bergamotdoor/calls/tries.py
+++ b/bergamotdoor/calls/tries.py
@@ -15,12 +15,14 @@
 
 import msgspec
 
+from bergamotdoor.calls.manifest import RouteKind
 from bergamotdoor.fleet.choice import fastest
 from bergamotdoor.verdict import Verdict
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from bergamotdoor.calls.manifest import Route
     from bergamotdoor.fleet.loads import Loads
     from bergamotdoor.fleet.upstreams import Upstream
     from bergamotdoor.types import UpstreamId, ZoneId
@@ -28,6 +30,9 @@
 #: The share of the objective after which a second upstream is asked. By
 #: then nine in ten have answered, and enough is left for the second one.
 HEDGE_SHARE: Final = 0.55
+#: A score call waits for an upstream at least so long: four usual answers.
+_SCORE_PATIENCE_MS: Final = 200
+_SCORE_PATIENCE: Final = dt.timedelta(milliseconds=_SCORE_PATIENCE_MS)
 #: Of the time left, kept to tell the caller of a failure in time.
 _ANSWER_MARGIN_MS: Final = 20
 _ANSWER_MARGIN: Final = dt.timedelta(milliseconds=_ANSWER_MARGIN_MS)
@@ -41,8 +46,9 @@
 
     #: May run at more than one upstream.
     repeatable: bool
-    #: A second upstream may be asked beside one that has not answered.
-    hedged: bool
+    #: Runs alike wherever and however often: a second upstream may be asked
+    #: beside one that has not answered, and kept connections may be used.
+    idempotent: bool
     #: How many upstreams may run it.
     max_attempts: int
     #: How long an upstream is waited for alone.
@@ -50,6 +56,36 @@
     #: When the caller stops waiting, in the clock's time.
     deadline: dt.timedelta
 
+    @classmethod
+    def of_caller(cls, route: Route, deadline: dt.timedelta) -> CallRules:
+        """Return what a caller's route allows."""
+        kind = route.kind
+        resumes = kind is RouteKind.STREAM and route.resumable
+        return cls(
+            repeatable=resumes or kind is RouteKind.IDEMPOTENT,
+            idempotent=kind is RouteKind.IDEMPOTENT,
+            max_attempts=route.max_attempts,
+            patience=route.objective * HEDGE_SHARE,
+            deadline=deadline,
+        )
+
+    @classmethod
+    def of_score(cls, route: Route, deadline: dt.timedelta) -> CallRules:
+        """Return what may be done for a score call.
+
+        It may be repeated whatever its route says of callers' calls. A step
+        can wait for longer than a caller, so a second upstream is asked
+        later: a service that is busy with a step's calls would otherwise
+        get a part of them twice.
+        """
+        return cls(
+            repeatable=True,
+            idempotent=True,
+            max_attempts=route.max_attempts,
+            patience=max(route.objective, _SCORE_PATIENCE),
+            deadline=deadline,
+        )
+
 
 class Tries:
     """The upstreams that were asked for one call, and what they made of it.
@@ -107,7 +143,7 @@
         rules = self._rules
         if len(self._asked) >= _MOST_TRIES or self.out_of_time(now):
             return False
-        if self.running and not rules.hedged:
+        if self.running and not rules.idempotent:
             return False
         if not rules.repeatable and (self.ran or self.running):
             return False
--- a/bergamotdoor/fleet/loads.py
+++ b/bergamotdoor/fleet/loads.py
@@ -50,6 +50,14 @@
         #: Refusals since it last took a request.
         self._refusals = 0
 
+    def enter(self) -> None:
+        """Take that a request is on its way, before it is sent."""
+        self.in_flight += 1
+
+    def leave(self) -> None:
+        """Take that a request has ended, however it did."""
+        self.in_flight -= 1
+
     def told(self, busy: int, now: dt.timedelta) -> None:
         """Take how many requests it says to have, running and waiting."""
         self._others = max(busy - self.in_flight, 0)
@@ -110,9 +118,11 @@
 
     def busy(self, now: dt.timedelta) -> int:
         """Return how many requests it probably has."""
-        if now - self._told_at < _TOLD_AGE:
-            return self.in_flight + self._others
-        return self.in_flight
+        return self.in_flight + self.others(now)
+
+    def others(self, now: dt.timedelta) -> int:
+        """Return how many of these are probably of other processes."""
+        return self._others if now - self._told_at < _TOLD_AGE else 0
 
 
 class Loads:
--- a/bergamotdoor/forwarding/attempt.py
+++ b/bergamotdoor/forwarding/attempt.py
@@ -37,13 +37,8 @@
     left
         How long the caller still waits.
     """
-    load = context.loads.of(upstream.upstream)
-    load.in_flight += 1
     began = context.clock.elapsed()
-    try:
-        attempt = await _send(context, call, upstream, left)
-    finally:
-        load.in_flight -= 1
+    attempt = await _send(context, call, upstream, left)
     _learn(context, attempt, upstream, context.clock.elapsed() - began)
     return attempt
 
--- a/bergamotdoor/forwarding/call.py
+++ b/bergamotdoor/forwarding/call.py
@@ -1,4 +1,4 @@
-"""A plain call and what became of its attempts."""
+"""A call and what became of its attempts."""
 
 from __future__ import annotations
 
@@ -6,14 +6,14 @@
 
 import msgspec
 
-from bergamotdoor.calls.manifest import Route, RouteKind
-from bergamotdoor.calls.tries import HEDGE_SHARE, CallRules
+from bergamotdoor.calls.manifest import Route
+from bergamotdoor.calls.tries import CallRules
 from bergamotdoor.http.messages import Headers, HttpResponse
 from bergamotdoor.verdict import Verdict
 
 
 class Call(msgspec.Struct):
-    """A request as it was read from its caller."""
+    """A request as its caller, or a trainer, wants it sent."""
 
     request_id: str
     method: str
@@ -21,28 +21,10 @@
     headers: Headers
     body: bytes
     route: Route
+    rules: CallRules
     #: In the clock's time.
-    deadline: dt.timedelta
     began: dt.timedelta
 
-    @property
-    def repeatable(self) -> bool:
-        """Whether it may run more than once."""
-        kind = self.route.kind
-        resumes = kind is RouteKind.STREAM and self.route.resumable
-        return resumes or kind is RouteKind.IDEMPOTENT
-
-    @property
-    def rules(self) -> CallRules:
-        """What may be done to have it answered."""
-        return CallRules(
-            repeatable=self.repeatable,
-            hedged=self.route.kind is RouteKind.IDEMPOTENT,
-            max_attempts=self.route.max_attempts,
-            patience=self.route.objective * HEDGE_SHARE,
-            deadline=self.deadline,
-        )
-
 
 class Attempt(msgspec.Struct, frozen=True):
     """What one upstream made of a call; `answer` only if it is whole."""
--- a/bergamotdoor/forwarding/call_request.py
+++ b/bergamotdoor/forwarding/call_request.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from bergamotdoor import utils
-from bergamotdoor.calls.manifest import RouteKind
 from bergamotdoor.http.messages import ClientRequest
 from bergamotdoor.platform import headers as names
 
@@ -31,6 +30,6 @@
         ),
         body=call.body,
         timeout=left,
-        idempotent=call.route.kind is RouteKind.IDEMPOTENT,
+        idempotent=call.rules.idempotent,
         close_ends_body=True,
     )
--- a/bergamotdoor/forwarding/forwarder.py
+++ b/bergamotdoor/forwarding/forwarder.py
@@ -14,6 +14,7 @@
 from bergamotdoor.calls.tries import Tries
 from bergamotdoor.forwarding.attempt import send_call
 from bergamotdoor.forwarding.call import Attempt, Call
+from bergamotdoor.forwarding.counted import start_counted
 from bergamotdoor.observe.events import Counted
 from bergamotdoor.observe.metrics import Stage
 from bergamotdoor.verdict import Verdict
@@ -106,7 +107,10 @@
         work = send_call(
             self._context, self._call, upstream, self._tries.left(now)
         )
-        self._running.add(asyncio.create_task(work))
+        # Counted before the task begins: calls that start together would
+        # all choose the same upstream.
+        load = self._context.loads.of(upstream.upstream)
+        self._running.add(start_counted(load, work))
         return True
 
     async def _ended(self) -> list[Attempt]:
--- a/bergamotdoor/forwarding/relayed_stream.py
+++ b/bergamotdoor/forwarding/relayed_stream.py
@@ -94,7 +94,7 @@
     async def _next_response(self, error: Exception) -> ClientResponse:
         while len(self._asked) < self._call.route.max_attempts:
             upstream = self._choose()
-            left = self._call.deadline - self._context.clock.elapsed()
+            left = self._call.rules.deadline - self._context.clock.elapsed()
             if upstream is None:
                 break
             self._asked.append(upstream)
--- a/bergamotdoor/gateway/front.py
+++ b/bergamotdoor/gateway/front.py
@@ -8,6 +8,7 @@
 
 from bergamotdoor import utils
 from bergamotdoor.calls.manifest import RouteKind
+from bergamotdoor.calls.tries import CallRules
 from bergamotdoor.forwarding import Call
 from bergamotdoor.gateway.batch_front import number_of
 from bergamotdoor.gateway.refusals import plain, refusal
@@ -92,6 +93,6 @@
         headers=request.headers,
         body=body,
         route=route,
-        deadline=began + wait,
+        rules=CallRules.of_caller(route, began + wait),
         began=began,
     )
--- a/bergamotdoor/jobs/__init__.py
+++ b/bergamotdoor/jobs/__init__.py
@@ -7,6 +7,7 @@
 from bergamotdoor.jobs.messages import ItemResult, ItemState, JobSpec
 from bergamotdoor.jobs.placement import free_slots, place_item
 from bergamotdoor.jobs.progress import Progress, Speeds, moves
+from bergamotdoor.jobs.scoring import ScoreEnd, ScoreQueue, score_room
 from bergamotdoor.jobs.transcript import GeneratedEvent, Transcript
 
 __all__ = (
@@ -18,9 +19,12 @@
     'Ledger',
     'Progress',
     'RunEnd',
+    'ScoreEnd',
+    'ScoreQueue',
     'Speeds',
     'Transcript',
     'free_slots',
     'moves',
     'place_item',
+    'score_room',
 )
--- a/bergamotdoor/jobs/board.py
+++ b/bergamotdoor/jobs/board.py
@@ -63,6 +63,8 @@
     spec: ItemSpec
     order: int
     running: int = 0
+    #: Its text is whole and has no score yet.
+    generated: bool = False
     failures: int = 0
     #: Upstreams where it broke or failed last.
     avoid: frozenset[UpstreamId] = frozenset()
@@ -115,7 +117,7 @@
         self._wake(now)
         while self._waiting:
             slot = self._slots[self._waiting[0][1]]
-            if slot.result is None:
+            if slot.result is None and not slot.generated:
                 return slot
             heapq.heappop(self._waiting)
         return None
@@ -126,6 +128,12 @@
         assert taken[1] == slot.spec.item, taken
         slot.running += 1
 
+    def generated(self, item: ItemId) -> None:
+        """Take that an item's text is whole; it runs no more."""
+        slot = self._slots[item]
+        slot.running = max(slot.running - 1, 0)
+        slot.generated = True
+
     def finish(self, result: ItemResult) -> None:
         """Take a result; a second one of the same item is dropped."""
         slot = self._slots[result.item]
@@ -154,6 +162,10 @@
         else:
             heapq.heappush(self._waiting, (slot.order, item))
 
+    def open_in_group(self, group: GroupId) -> int:
+        """Return how many items of a group have no result."""
+        return self._open_in_group[group]
+
     def unlisted(self) -> Iterator[ItemResult]:
         """Return the texts that are whole and wait for their group."""
         for results in self._partial.values():
--- a/bergamotdoor/jobs/messages.py
+++ b/bergamotdoor/jobs/messages.py
@@ -17,6 +17,18 @@
 )
 
 
+class ScoreCall(msgspec.Struct, frozen=True):
+    """The call that scores an item's text, sent once the text is whole.
+
+    It may run more than once.
+    """
+
+    request_id: str
+    host: str
+    path: str
+    body: bytes
+
+
 class ItemSpec(msgspec.Struct, frozen=True):
     """One request for tokens, as the trainer wants it sent."""
 
@@ -30,6 +42,8 @@
     expected_tokens: int = 0
     #: The most it may have, in tokens; 0 is not told.
     most_tokens: int = 0
+    #: None where texts are taken as they are.
+    score_call: ScoreCall | None = None
 
 
 class JobSpec(msgspec.Struct, frozen=True):
@@ -62,6 +76,8 @@
     text: str = ''
     #: Every version that generated a part of the text.
     versions: tuple[WeightVersion, ...] = ()
+    #: The scoring service's proof of its answer; empty without a score call.
+    score: str = ''
 
 
 class ResultRecord(msgspec.Struct, frozen=True):
--- a/bergamotdoor/jobs/transcript.py
+++ b/bergamotdoor/jobs/transcript.py
@@ -33,6 +33,10 @@
     last_number: int
     #: Whether the text is whole, and only its group is not.
     whole: bool = False
+    #: Of a whole text, where it is known already.
+    score: str = ''
+    #: How often its score call was answered with a failure.
+    score_failures: int = 0
 
 
 class Transcript:
--- a/bergamotdoor/platform/batch_wire.py
+++ b/bergamotdoor/platform/batch_wire.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from bergamotdoor.jobs.messages import ItemSpec, JobSpec
+from bergamotdoor.jobs.messages import ItemSpec, JobSpec, ScoreCall
 from bergamotdoor.platform.headers import LENGTH_HINT, TOKEN_COUNT
 from bergamotdoor.types import (
     GroupId,
@@ -22,6 +22,14 @@
     from bergamotdoor.jobs.messages import ItemResult
 
 
+class _ScoreCall(msgspec.Struct, frozen=True):
+    id: str
+    host: str
+    path: str
+    #: In base64.
+    body: str = ''
+
+
 class _Item(msgspec.Struct, frozen=True):
     id: ItemId
     path: str
@@ -29,6 +37,8 @@
     #: In base64.
     body: str = ''
     group: GroupId = GroupId('')
+    #: Despite its name a whole request, not an address.
+    scorer_url: _ScoreCall | None = None
 
 
 class _Job(msgspec.Struct, frozen=True):
@@ -38,11 +48,13 @@
     target_groups: int = 0
 
 
-class _Result(msgspec.Struct, frozen=True):
+class _Result(msgspec.Struct, frozen=True, omit_defaults=True):
     id: ItemId
     state: str
     text: str
     versions: tuple[WeightVersion, ...]
+    #: The stamp of the answer to the score call.
+    score: str = ''
 
 
 class _Page(msgspec.Struct, frozen=True):
@@ -83,29 +95,47 @@
     page = _Page(
         total,
         after + len(results),
-        tuple(
-            _Result(
-                result.item, result.state.value, result.text, result.versions
-            )
-            for result in results
-        ),
+        tuple(_result(result) for result in results),
     )
     return msgspec.json.encode(page)
 
 
+def _result(result: ItemResult) -> _Result:
+    return _Result(
+        result.item,
+        result.state.value,
+        result.text,
+        result.versions,
+        result.score,
+    )
+
+
 def _item(written: _Item) -> ItemSpec:
     return ItemSpec(
         written.id,
         written.path,
         tuple(written.headers.items()),
-        base64.b64decode(written.body, validate=True),
+        _bytes(written.body),
         written.group or GroupId(written.id),
         _number(_field(written.headers, LENGTH_HINT)),
         # The prompt's tokens, then the most that may be generated.
         _number(_field(written.headers, TOKEN_COUNT).partition(',')[-1]),
+        _score_call(written.scorer_url),
+    )
+
+
+def _score_call(written: _ScoreCall | None) -> ScoreCall | None:
+    if written is None:
+        return None
+    return ScoreCall(
+        written.id, written.host, written.path, _bytes(written.body)
     )
 
 
+def _bytes(text: str) -> bytes:
+    return base64.b64decode(text, validate=True)
+
+
 def _field(headers: dict[str, str], wanted: str) -> str:
     return next(
         (text for name, text in headers.items() if name.lower() == wanted),
--- a/bergamotdoor/steps/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.calls.manifest import pick_service
+from bergamotdoor.forwarding.counted import start_counted
 from bergamotdoor.jobs import (
     ItemResult,
     Progress,
@@ -57,14 +58,14 @@
         """Start as many items as the engines have room for."""
         now = self._context.clock.elapsed()
         upstreams = self._engines(run, route)
-        slot = run.board.ready(now)
+        slot = run.items.board.ready(now)
         while slot is not None:
             upstream = self._place(run, slot, upstreams, now)
             if upstream is None:
                 return
-            run.board.start(slot)
+            run.items.board.start(slot)
             self._start_item(run, route, slot, upstream)
-            slot = run.board.ready(now)
+            slot = run.items.board.ready(now)
 
     def move_items(self, run: JobRun, route: Route) -> None:
         """Stop items that should go on at another engine."""
@@ -103,19 +104,19 @@
             upstreams,
             self._context.loads,
             self._context.speeds,
-            run.board.homes.get(group),
+            run.items.board.homes.get(group),
             slot.avoid,
             now,
         )
         if found is not None:
-            run.board.homes[group] = found.upstream
+            run.items.board.homes[group] = found.upstream
         return found
 
     def _start_item(
         self, run: JobRun, route: Route, slot: Slot, upstream: Upstream
     ) -> None:
         now = self._context.clock.elapsed()
-        transcript = run.transcript(slot)
+        transcript = run.items.transcript(slot)
         progress = Progress(
             slot.spec.item,
             upstream.upstream,
@@ -129,9 +130,10 @@
         )
         # Counted before the task begins, so that the next choice sees it.
         load = self._context.loads.of(upstream.upstream)
-        load.in_flight += 1
         load.placed(now)
-        task = asyncio.create_task(self._run_item(run, slot, item))
+        task = start_counted(load, self._run_item(run, slot, item))
+        # Behind the callback that counts the slot as free.
+        task.add_done_callback(lambda _: self._poke())
         run.running[slot.spec.item] = RunningItem(progress, task)
 
     async def _run_item(self, run: JobRun, slot: Slot, item: ItemRun) -> None:
@@ -145,14 +147,13 @@
         finally:
             self._leave(run, item)
         if isinstance(end, ItemResult):
-            run.finish(end)
+            run.items.take_text(end)
         else:
-            run.give_back(slot, end, upstream)
-        self._poke()
+            now = self._context.clock.elapsed()
+            run.items.give_back(slot, end, upstream, now)
 
     def _leave(self, run: JobRun, item: ItemRun) -> None:
         run.running.pop(item.spec.item, None)
-        self._context.loads.of(item.upstream.upstream).in_flight -= 1
         self._context.speeds.learn(item.progress)
 
     def _move(self, run: JobRun, move: Move) -> None:
--- a/bergamotdoor/steps/job_run.py
+++ b/bergamotdoor/steps/job_run.py
@@ -3,14 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from typing import TYPE_CHECKING
 
 import msgspec
 
-from bergamotdoor.jobs.board import JobBoard, RunEnd, Slot
 from bergamotdoor.jobs.ledger import page_limit_bytes
+from bergamotdoor.jobs.open_items import OpenItems
 from bergamotdoor.jobs.progress import Progress
-from bergamotdoor.jobs.transcript import SavedTranscript, Transcript
+from bergamotdoor.observe.events import Counted
+from bergamotdoor.observe.metrics import Stage
 from bergamotdoor.steps.ledger_sync import LedgerSync
 
 if TYPE_CHECKING:
@@ -21,7 +23,9 @@
     from bergamotdoor.jobs.messages import ItemResult
     from bergamotdoor.objects.job_codec import FoundJob, LoadedJob
     from bergamotdoor.objects.job_store import JobStore
-    from bergamotdoor.types import ItemId, UpstreamId
+    from bergamotdoor.types import ItemId
+
+_log = logging.getLogger('bergamotdoor.gateway')
 
 
 class RunningItem(msgspec.Struct, frozen=True):
@@ -64,19 +68,17 @@
         self.sync = LedgerSync(
             loaded.spec.job, loaded.ledger, store, context.clock
         )
-        self.board = JobBoard(loaded.spec, loaded.ledger)
+        #: Set once results can be listed, or the job is over.
+        self.finished = asyncio.Event()
+        self.items = OpenItems(
+            loaded.spec, loaded.ledger, loaded.partial, self.finished.set
+        )
         self.running: dict[ItemId, RunningItem] = {}
-        self._transcripts: dict[ItemId, Transcript] = {
-            item: Transcript.restored(saved)
-            for item, saved in loaded.partial.items()
-            if item not in loaded.ledger and not saved.whole
-        }
+        self._scoring: set[asyncio.Task[None]] = set()
         self.ended = False
         self._context = context
         #: When its route was last known.
         self._routed_at = self.began
-        #: Set once results can be listed, or the job is over.
-        self.finished = asyncio.Event()
         self._grown = asyncio.Event()
 
     def routeless(self, route: Route | None) -> dt.timedelta:
@@ -89,55 +91,54 @@
     @property
     def active(self) -> bool:
         """Whether items may still be started."""
-        return not self.ended and self.board.open_items > 0
-
-    def transcript(self, slot: Slot) -> Transcript:
-        """Return what an item has so far."""
-        return self._transcripts.setdefault(slot.spec.item, Transcript())
-
-    def finish(self, result: ItemResult) -> None:
-        """Take an item's text; it is listed once its group is whole."""
-        self._transcripts.pop(result.item, None)
-        self.board.finish(result)
-        if self.board.has_finished:
-            self.finished.set()
-
-    def give_back(self, slot: Slot, end: RunEnd, where: UpstreamId) -> None:
-        """Take an item that ran without a text."""
-        item = slot.spec.item
-        if end in {RunEnd.TOO_OLD, RunEnd.FAILED}:
-            # Another engine may begin anew; what was made does not fit.
-            self._transcripts.pop(item, None)
-        now = self._context.clock.elapsed()
-        self.board.give_back(item, end, where, now)
-        if self.board.has_finished:
-            self.finished.set()
+        return not self.ended and self.items.board.open_items > 0
+
+    def take_scoring(self, task: asyncio.Task[None]) -> None:
+        """Take a score call of an item, to be ended with the job."""
+        self._scoring.add(task)
+        task.add_done_callback(self._scoring.discard)
 
     def give_up(self) -> None:
         """List every item that has no result as lost."""
-        self.board.give_up()
-        for item in self.running.values():
-            item.task.cancel()
+        self.items.give_up()
+        self._cancel_all()
         self.finished.set()
 
     def end(self) -> None:
         """Stop all items; what is listed stays listed."""
         self.ended = True
-        for item in tuple(self.running.values()):
-            item.task.cancel()
+        self._cancel_all()
         self.finished.set()
         self.announce()
 
+    def note_end(self) -> None:
+        """Count and log how far it came."""
+        metrics = self._context.metrics
+        listed = len(self.ledger)
+        metrics.record(Stage.STEP, self._context.clock.elapsed() - self.began)
+        metrics.count(Counted.JOB_ENDED)
+        metrics.count(Counted.RESULTS_LISTED, amount=listed)
+        _log.info(
+            'gateway: job %s ended, %d of %d listed',
+            self.spec.job,
+            listed,
+            len(self.spec.items),
+        )
+
     async def catch_up(self, age: dt.timedelta) -> bool:
         """Take what other owners listed; whether all of that is known."""
         before = len(self.ledger)
         known = await self.sync.catch_up(age)
         if len(self.ledger) > before:
-            for result in self.ledger.behind(before):
-                self.board.stored(result)
-            self.announce()
+            self.take_listed(self.ledger.behind(before))
         return known
 
+    def take_listed(self, results: tuple[ItemResult, ...]) -> None:
+        """Take results that have their positions, by whichever owner."""
+        for result in results:
+            self.items.stored(result)
+        self.announce()
+
     async def wait_beyond(self, after: int, timeout_s: float) -> None:
         """Return once there is a result at a position, or it is over."""
         try:
@@ -162,10 +163,8 @@
         self._grown.set()
         self._grown = asyncio.Event()
 
-    def saved(self, least_events: int) -> dict[ItemId, SavedTranscript]:
-        """Return what open items have, from so many events on."""
-        return {
-            item: transcript.saved()
-            for item, transcript in self._transcripts.items()
-            if transcript.count >= least_events
-        }
+    def _cancel_all(self) -> None:
+        for item in self.running.values():
+            item.task.cancel()
+        for task in self._scoring:
+            task.cancel()
--- a/bergamotdoor/steps/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -8,15 +8,11 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.observe.events import Counted
-from bergamotdoor.observe.metrics import Stage
 from bergamotdoor.steps.dispatcher import Dispatcher
-from bergamotdoor.steps.job_keeper import (
-    hand_over,
-    keep_long_items,
-    restore_whole,
-)
+from bergamotdoor.steps.job_keeper import hand_over, keep_open_items
 from bergamotdoor.steps.job_run import JobRun
 from bergamotdoor.steps.result_writer import ResultWriter
+from bergamotdoor.steps.scorer import Scorer
 from bergamotdoor.stored import Outcome
 from bergamotdoor.tasks import Tasks
 
@@ -63,6 +59,7 @@
         self._store = store
         self._manifests = manifests
         self._dispatcher = Dispatcher(context, self.poke)
+        self._scorer = Scorer(context, manifests, self.poke)
         self._runs: dict[JobId, JobRun] = {}
         self._tasks = Tasks()
         #: Whether this process takes no more jobs.
@@ -117,11 +114,10 @@
         if found.status.ended:
             run.end()
         else:
-            restore_whole(run, loaded)
             writer = ResultWriter(run, self._context.rng)
             self._tasks.start(writer.run())
             self._tasks.start(
-                keep_long_items(run, self._store, self._context.clock)
+                keep_open_items(run, self._store, self._context.clock)
             )
         _log.info(
             'gateway: job %s owned, term %d, %d items, %d listed',
@@ -139,17 +135,7 @@
         if run is None or run.ended:
             return
         run.end()
-        took = self._context.clock.elapsed() - run.began
-        self._context.metrics.record(Stage.STEP, took)
-        self._context.metrics.count(Counted.JOB_ENDED)
-        listed = len(run.ledger)
-        self._context.metrics.count(Counted.RESULTS_LISTED, amount=listed)
-        _log.info(
-            'gateway: job %s ended, %d of %d listed',
-            job,
-            listed,
-            len(run.spec.items),
-        )
+        run.note_end()
 
     async def _pump(self) -> None:
         while True:
@@ -166,10 +152,12 @@
 
     def _start_items(self) -> None:
         active = [run for run in self._runs.values() if run.active]
-        for run in sorted(active, key=_due_at):
+        active.sort(key=_due_at)
+        self._scorer.start_calls(active)
+        for run in active:
             route = self._manifests.batch_route(run.spec)
             if route is not None:
-                run.board.max_failures = route.max_attempts
+                run.items.board.max_failures = route.max_attempts
                 self._dispatcher.start_items(run, route)
 
     def _tick(self) -> None:
--- a/bergamotdoor/steps/result_writer.py
+++ b/bergamotdoor/steps/result_writer.py
@@ -45,15 +45,15 @@
             await run.finished.wait()
             if run.ended:
                 return
-            if run.board.open_items:
+            if run.items.board.open_items:
                 await asyncio.sleep(GATHER_S)
             run.finished.clear()
             await self._store_finished()
 
     async def _store_finished(self) -> None:
         run = self._run
-        while run.board.has_finished:
-            batch = run.board.take_finished(RECORD_BYTES)
+        while run.items.board.has_finished:
+            batch = run.items.board.take_finished(RECORD_BYTES)
             await self._append(batch)
 
     async def _append(self, batch: tuple[ItemResult, ...]) -> None:
@@ -71,9 +71,7 @@
             writer = str(nonce)
             record = ResultRecord(writer, batch)
             listed = await run.sync.add(record)
-            for result in listed.results:
-                run.board.stored(result)
-            run.announce()
+            run.take_listed(listed.results)
             if listed.writer == writer:
                 return
             _log.info(
--- a/features/steps/calls_tries_steps.py
+++ b/features/steps/calls_tries_steps.py
@@ -36,7 +36,7 @@
 def rules(repeatable: bool, max_attempts: int = 2) -> CallRules:
     return CallRules(
         repeatable=repeatable,
-        hedged=repeatable,
+        idempotent=repeatable,
         max_attempts=max_attempts,
         patience=dt.timedelta(milliseconds=100),
         deadline=DEADLINE,
--- a/features/steps/gateway_calls_steps.py
+++ b/features/steps/gateway_calls_steps.py
@@ -203,7 +203,8 @@
     assert reply.status == 200, (reply.status, reply.body)
     stamp = reply.headers.first('x-bergamotdoor-server-stamp')
     assert stamp.startswith('proof of desk'), stamp
-    name = stamp.removeprefix('proof of ')
+    name, request = stamp.removeprefix('proof of ').split()
+    assert request == reply.headers.first('x-bergamotdoor-request-id')
     assert reply.body.decode().startswith(name), reply.body
 
 
--- a/features/steps/gateway_jobs_steps.py
+++ b/features/steps/gateway_jobs_steps.py
@@ -11,19 +11,19 @@
 from bergamotdoor.stored import Outcome
 from bergamotdoor.types import JobId
 from bergamotdoor.utils import hrw_order
+from features.job_scenes import (
+    JOB,
+    handed_in,
+    lengths_of,
+    other,
+    owner_of,
+    parsed,
+    starts,
+)
 from lab.site import Site, at, play
 from lab.store import StoreMode
 from lab.upstreams import UpstreamMode
 
-JOB = 'j1'
-
-
-def parsed(text: str) -> list[list[int]]:
-    return [
-        [int(length) for length in group.split(',')]
-        for group in text.split(' and ')
-    ]
-
 
 def whole(result: dict[str, Any], length: int) -> bool:
     item = result['id']
@@ -31,40 +31,6 @@
     return bool(result['text'].split('\n') == expected)
 
 
-def lengths_of(groups: list[list[int]]) -> dict[str, int]:
-    return {
-        f'{JOB}.{group}.{number}': length
-        for group, members in enumerate(groups)
-        for number, length in enumerate(members)
-    }
-
-
-def starts(site: Site, item: str) -> list[dict[str, str]]:
-    """The runs of an item, as the engines saw them."""
-    return [
-        headers
-        for engine in site.engines.values()
-        for request, headers in engine.seen
-        if request == item
-    ]
-
-
-def owner_of(site: Site) -> str:
-    return str(site.store.table.specs('jobs')[JOB]['owner'])
-
-
-def other(site: Site, entry: str) -> str:
-    return next(name for name in sorted(site.ports) if name != entry)
-
-
-async def handed_in(
-    site: Site, groups: list[list[int]], least: int = 1
-) -> None:
-    reply = await site.submit('entry-0', JOB, groups, least)
-    assert reply is not None
-    assert reply.status == 202, reply.status
-
-
 async def listed_at_both(context: Any, site: Site) -> None:
     context.listed = [
         await site.all_results(entry, JOB) for entry in sorted(site.entries)
@@ -89,9 +55,9 @@
         context.again_status = again.status
         await asyncio.sleep(1)
         context.runs = Counter(
-            request
+            seen.request
             for engine in site.engines.values()
-            for request, _ in engine.seen
+            for seen in engine.seen
         )
 
     play(scene)
@@ -477,9 +443,9 @@
         await handed_in(site, parsed(groups))
         context.results = await site.all_results('entry-0', JOB)
         context.runs = Counter(
-            request
+            seen.request
             for engine in site.engines.values()
-            for request, _ in engine.seen
+            for seen in engine.seen
         )
 
     play(scene)
--- a/lab/deployment.py
+++ b/lab/deployment.py
@@ -14,12 +14,11 @@
 from lab.proxy import Proxy
 from lab.store import Store
 from lab.upstreams import Engine, Upstream, register, written
-from lab.wire import DESKS, ENGINES, MODEL, manifest, route
+from lab.wire import DESKS, ENGINES, HOST, MODEL, manifest, route
 
 if TYPE_CHECKING:
     import pathlib
 
-HOST: Final = 'lab.example'
 STEP_PATH: Final = '/steps/'
 SAFE_PATH: Final = '/safe/'
 UNSAFE_PATH: Final = '/unsafe/'
--- a/lab/site.py
+++ b/lab/site.py
@@ -21,6 +21,7 @@
 from lab.wire import (
     DESKS,
     ENGINES,
+    HOST,
     JobItem,
     job_body,
     manifest,
@@ -34,7 +35,6 @@
 warnings.filterwarnings('ignore', message='Ignoring socket option')
 
 IP: Final = '127.0.0.1'
-HOST: Final = 'train.example'
 _STORE_PORT: Final = 8000
 _ENGINE_PORT: Final = 8100
 _SERVICE_PORT: Final = 8200
@@ -197,11 +197,16 @@
         return await self.client.send(at(self.ports[entry]), call)
 
     async def submit(
-        self, entry: str, job: str, lengths: list[list[int]], least: int = 1
+        self,
+        entry: str,
+        job: str,
+        lengths: list[list[int]],
+        least: int = 1,
+        score_path: str = '',
     ) -> Reply | None:
         """Hand in a job: a list of groups, each of lengths in events."""
         items = (
-            JobItem(f'{job}.{group}.{number}', length, f'g{group}')
+            JobItem(f'{job}.{group}.{number}', length, f'g{group}', score_path)
             for group, members in enumerate(lengths)
             for number, length in enumerate(members)
         )
@@ -254,6 +259,7 @@
         route(HOST, _JOB_PATH, 'rollout', ENGINES, **_JOB_BOUNDS),
         plain_route('/book/', 'safe', 2),
         plain_route('/once/', 'unsafe', 2),
+        plain_route('/score/', 'unsafe', 4),
     ]
 
 
--- a/lab/upstreams.py
+++ b/lab/upstreams.py
@@ -43,6 +43,8 @@
     FAILING = 'failing'
     #: Takes requests and never answers.
     DARK = 'dark'
+    #: Answers 504: it ran out of time.
+    LATE = 'late'
     #: Says that the item can never be done.
     IMPOSSIBLE = 'impossible'
 
@@ -52,6 +54,10 @@
 
     request: str
     headers: dict[str, str]
+    target: str = ''
+    body: bytes = b''
+    #: When, in the event loop's time.
+    at_s: float = 0
 
 
 class Upstream:
@@ -68,6 +74,8 @@
         #: Requests that run now.
         self.running: set[str] = set()
         self.mode = UpstreamMode.GOOD
+        #: Requests that fail whenever they run.
+        self.always_fail: set[str] = set()
         self.work_s = _WORK_S
         self._server = HttpServer(address, self.handle, LIMITS, clock, name)
 
@@ -95,10 +103,14 @@
         """Return the header fields of an answer."""
         return [
             (f'{_PREFIX}request-id', request_id),
-            (f'{_PREFIX}server-stamp', f'proof of {self.name}'),
+            (f'{_PREFIX}server-stamp', self.stamp(request_id)),
             (f'{_PREFIX}server-load', f'{len(self.running)},0,4'),
         ]
 
+    def stamp(self, request_id: str) -> str:
+        """Return the proof of an answer."""
+        return f'proof of {self.name} {request_id}'
+
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Run one request, as the mode says."""
         headers = {field.name: field.value for field in request.headers}
@@ -111,7 +123,10 @@
             )
         if self.mode is UpstreamMode.FULL:
             return _refused(HTTPStatus.SERVICE_UNAVAILABLE, 'not-executed', '1')
-        self.seen.append(Seen(request_id, headers))
+        loop = asyncio.get_running_loop()
+        self.seen.append(
+            Seen(request_id, headers, request.target, body, loop.time())
+        )
         if self.mode is UpstreamMode.DARK:
             await asyncio.Event().wait()
         self.running.add(request_id)
@@ -128,9 +143,12 @@
         if self.mode is UpstreamMode.BROKEN:
             return cut_off()
         status = HTTPStatus.OK
-        if self.mode is UpstreamMode.FAILING:
-            status = HTTPStatus.INTERNAL_SERVER_ERROR
         request_id = headers.get(f'{_PREFIX}request-id', '')
+        failing = self.mode is UpstreamMode.FAILING
+        if failing or request_id in self.always_fail:
+            status = HTTPStatus.INTERNAL_SERVER_ERROR
+        elif self.mode is UpstreamMode.LATE:
+            status = HTTPStatus.GATEWAY_TIMEOUT
         return HttpResponse(
             status=int(status),
             headers=Headers.of(self.fields(request_id)),
@@ -148,6 +166,8 @@
         self.version = 1
         self.event_s = EVENT_S
         self.orders: list[dict[str, Any]] = []
+        #: When the last event of each item was made.
+        self.made_at_s: dict[str, float] = {}
         self.loading = False
         #: How many of the next orders get no answer and are done later.
         self.late_orders = 0
@@ -235,6 +255,8 @@
                 if self.version != version:
                     version = self.version
                     event = f'{_PREFIX}weight-versions: {version}\n{event}'
+                loop = asyncio.get_running_loop()
+                self.made_at_s[request_id] = loop.time()
                 yield event.encode()
         finally:
             self.running.discard(request_id)
--- a/lab/wire.py
+++ b/lab/wire.py
@@ -10,6 +10,7 @@
     from collections.abc import Iterable
 
 MODEL: Final = 'm'
+HOST: Final = 'train.example'
 ENGINES: Final = 'lm'
 DESKS: Final = 'desk'
 _MODEL_HEADER: Final = 'X-Bergamotdoor-Model'
@@ -22,6 +23,8 @@
     #: In events.
     length: int
     group: str
+    #: Where its text is scored; empty for one that is taken as it is.
+    score_path: str = ''
 
 
 def route(
@@ -51,7 +54,7 @@
 def job_body(
     prefix: str, items: Iterable[JobItem], least: int, target_groups: int
 ) -> bytes:
-    """Return a job as a trainer hands it in."""
+    """Return a job as a trainer hands it in; scored at the same host."""
     job = {
         'step': 1,
         'model': MODEL,
@@ -62,11 +65,28 @@
     return json.dumps(job).encode()
 
 
+def score_id(item: str) -> str:
+    """Return the id of the call that scores an item."""
+    return f'score-{item}'
+
+
 def _item(prefix: str, item: JobItem) -> dict[str, Any]:
-    return {
+    written = {
         'id': item.item,
         'path': f'{prefix}{item.item}',
         'headers': {_MODEL_HEADER: MODEL},
-        'body': base64.b64encode(str(item.length).encode()).decode(),
+        'body': _base64(str(item.length)),
         'group': item.group,
     }
+    if item.score_path:
+        written['scorer_url'] = {
+            'id': score_id(item.item),
+            'host': HOST,
+            'path': item.score_path,
+            'body': _base64(f'score {item.item}'),
+        }
+    return written
+
+
+def _base64(text: str) -> str:
+    return base64.b64encode(text.encode()).decode()
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -22,6 +22,7 @@
 _PACKAGE: Final = pathlib.Path('bergamotdoor')
 _JOBS: Final = 4
 _TIMEOUT_S: Final = 300
+_SCORING: Final = 'gateway_scoring'
 
 
 class Mutation(msgspec.Struct, frozen=True):
@@ -135,6 +136,55 @@
         'return _LARGEST_BYTES',
         'jobs_pages',
     ),
+    Mutation(
+        'a text that wants a score is not listed without it',
+        'jobs/open_items.py',
+        'if spec.score_call is None or result.score:',
+        'if True:',
+        _SCORING,
+    ),
+    Mutation(
+        'texts without a score are kept for the next owner',
+        'jobs/open_items.py',
+        'saved.update((one.spec.item, one.saved()) for one in self.scores)',
+        '',
+        _SCORING,
+    ),
+    Mutation(
+        'a text that an owner before made whole does not run again',
+        'jobs/open_items.py',
+        '            self.board.generated(result.item)\n',
+        '',
+        _SCORING,
+    ),
+    Mutation(
+        'score calls leave slots to callers',
+        'jobs/scoring.py',
+        'return max(upstream.slots - kept - load.others(now), 0)',
+        'return upstream.slots * 10',
+        _SCORING,
+    ),
+    Mutation(
+        'only answers of 500 count against a score call',
+        'forwarding/answers.py',
+        'failures=int(response.status == HTTPStatus.INTERNAL_SERVER_ERROR),',
+        'failures=1,',
+        _SCORING,
+    ),
+    Mutation(
+        'score calls end with their job',
+        'steps/job_run.py',
+        '        for task in self._scoring:\n            task.cancel()\n',
+        '',
+        _SCORING,
+    ),
+    Mutation(
+        'score calls that gave none are sent again at a pace',
+        'jobs/scoring.py',
+        'text.ready_at = now + dt.timedelta(seconds=pause_s)',
+        'text.ready_at = now',
+        _SCORING,
+    ),
 )
 
 
