--- a/bergamotdoor/agent/daemon.py
+++ b/bergamotdoor/agent/daemon.py
@@ -21,8 +21,8 @@
 from bergamotdoor.tasks import Tasks
 
 if TYPE_CHECKING:
-    from bergamotdoor.platform.settings import NodeSettings
     from bergamotdoor.settings.document import Address
+    from bergamotdoor.settings.node import NodeSettings
     from bergamotdoor.types import ModelId, WeightVersion
 
 #: Versions of several models that are named together are taken together.
--- a/bergamotdoor/agent/engine.py
+++ b/bergamotdoor/agent/engine.py
@@ -18,6 +18,7 @@
 )
 from bergamotdoor.platform import headers as names
 from bergamotdoor.platform.engines import order_body, parse_report
+from bergamotdoor.stored import UnreadableError
 
 if TYPE_CHECKING:
     from bergamotdoor.fleet.orders import EngineReport, LoadOrder
@@ -51,7 +52,7 @@
             return None
         try:
             return parse_report(answer.body)
-        except msgspec.MsgspecError as error:
+        except UnreadableError as error:
             _log.error('agent: report not understood: %s', error)
             return None
 
--- a/bergamotdoor/agent/evacuation.py
+++ b/bergamotdoor/agent/evacuation.py
@@ -10,6 +10,7 @@
 import logging
 from typing import TYPE_CHECKING
 
+from bergamotdoor.objects.reader import ObjectReader
 from bergamotdoor.platform.evacuation import completed_status, is_completed
 from bergamotdoor.platform.headers import EVACUATION_KIND
 from bergamotdoor.stored import Outcome
@@ -18,6 +19,7 @@
     from bergamotdoor.objects.client import ObjectClient
     from bergamotdoor.stored import Change, Listing, StoredObject
 
+#: Between two tries to write that it may be taken away.
 _RETRY_S = 0.5
 
 _log = logging.getLogger('bergamotdoor.agent')
@@ -37,6 +39,7 @@
     def __init__(self, store: ObjectClient, node: str) -> None:
         self._store = store
         self._node = node
+        self._reader = ObjectReader(_log, 'agent')
         self._open: set[str] = set()
         self._wake = asyncio.Event()
 
@@ -63,7 +66,9 @@
                 await self._complete(min(self._open))
 
     def _take(self, stored: StoredObject) -> None:
-        if stored.name == self._node and not is_completed(stored.status):
+        # A status that cannot be read is replaced by one that can.
+        done = self._reader.read(stored, is_completed)
+        if stored.name == self._node and not done:
             self._open.add(stored.name)
             self._wake.set()
 
--- a/bergamotdoor/agent/weights.py
+++ b/bergamotdoor/agent/weights.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import datetime as dt
 import logging
 from typing import TYPE_CHECKING, Final
 
-import msgspec
-
 from bergamotdoor.fleet.orders import LoadMode, LoadOrder
 from bergamotdoor.fleet.swap import Roster
+from bergamotdoor.objects.reader import ObjectReader
 from bergamotdoor.platform import headers as names
 from bergamotdoor.platform.engines import parse_upstream, parse_version
 from bergamotdoor.stored import Listing, Outcome
@@ -22,11 +22,12 @@
     from bergamotdoor.agent.engine import EngineClient
     from bergamotdoor.clock import Clock
     from bergamotdoor.fleet.orders import EngineReport
-    from bergamotdoor.fleet.upstreams import Upstream
     from bergamotdoor.objects.client import ObjectClient
-    from bergamotdoor.stored import Change
+    from bergamotdoor.stored import Change, StoredObject
     from bergamotdoor.types import NodeId
 
+#: How often an engine is looked at that nothing is known to be new for.
+_LOOK_S: Final = 1
 _POLL_MS: Final = 150
 _POLL: Final = dt.timedelta(milliseconds=_POLL_MS)
 #: How long the list of engines is taken as true. Engines come and go
@@ -78,7 +79,10 @@
         self._clock = clock
         self._loaded = loaded
         self._published: dict[ModelId, WeightVersion] = {}
+        self._reader = ObjectReader(_log, 'agent')
         self._token = FencingToken(0)
+        #: The engine's last start that was seen.
+        self._started = dt.timedelta()
         self._changed = asyncio.Event()
         self._roster = Roster((), engine.address)
         self._roster_until = dt.timedelta()
@@ -86,7 +90,7 @@
     def reset(self, listing: Listing) -> None:
         """Take all published versions."""
         for stored in listing.objects:
-            self._take(stored.spec)
+            self._take(stored)
         self._raise_token(listing.revision)
         self._changed.set()
 
@@ -94,7 +98,7 @@
         """Take newly published versions."""
         for change in changes:
             if not change.removed:
-                self._take(change.stored.spec)
+                self._take(change.stored)
                 self._raise_token(change.stored.revision)
         self._changed.set()
 
@@ -104,20 +108,32 @@
     async def run(self) -> None:
         """Follow the published versions until cancelled."""
         while True:
-            await self._changed.wait()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_LOOK_S):
+                    await self._changed.wait()
             self._changed.clear()
-            await self._refresh_roster()
-            for model in sorted(self._roster.models()):
-                await self._catch_up(model)
-
-    def _take(self, spec: bytes) -> None:
-        try:
-            model, version = parse_version(spec)
-        except msgspec.MsgspecError as error:
-            _log.error('agent: version not understood: %s', error)
+            await self._look()
+
+    async def _look(self) -> None:
+        """Bring the engine to the published versions, if it is behind.
+
+        Failure: the engine starts again, or carries an order out that was
+        given to its last start. Symptom: it has old weights until the next
+        version is published, and none of a step's items. It is asked every
+        second; the question does not leave the VM.
+        """
+        if not self._published:
             return
-        known = self._published.get(model, WeightVersion(0))
-        self._published[model] = max(known, version)
+        await self._refresh_roster()
+        for model in sorted(self._roster.models()):
+            await self._catch_up(model)
+
+    def _take(self, stored: StoredObject) -> None:
+        found = self._reader.read(stored, parse_version)
+        if found is None:
+            return
+        known = self._published.get(found.model, WeightVersion(0))
+        self._published[found.model] = max(known, found.version)
 
     def _raise_token(self, revision: int) -> None:
         self._token = FencingToken(max(self._token, revision))
@@ -129,25 +145,44 @@
         listing = await self._store.listing(names.UPSTREAM_KIND, stale=True)
         if isinstance(listing, Outcome):
             return
-        self._roster = Roster(_engines(listing), self._engine.address)
+        found = (
+            self._reader.read(stored, parse_upstream)
+            for stored in listing.objects
+        )
+        engines = (upstream for upstream in found if upstream is not None)
+        self._roster = Roster(engines, self._engine.address)
         self._roster_until = now + _ROSTER_AGE
 
     async def _catch_up(self, model: ModelId) -> None:
         """Give orders until the engine has a model's published version."""
-        report = await self._engine.report()
+        report = await self._report()
         if report is None or not self._behind(report, model):
             return
         await self._clock.sleep(self._roster.turn_delay(model))
         next_order_at = self._clock.elapsed()
+        ordered_start = self._started
         while report is None or self._behind(report, model):
             now = self._clock.elapsed()
-            if report is not None and now >= next_order_at:
+            # What was ordered of its last start it does not know of.
+            due = now >= next_order_at or self._started != ordered_start
+            if report is not None and due:
                 next_order_at = now + _ORDER_PATIENCE
+                ordered_start = self._started
                 await self._order(model, report)
             await self._clock.sleep(_POLL)
-            report = await self._engine.report()
+            report = await self._report()
         self._loaded(model, report.versions[model])
 
+    async def _report(self) -> EngineReport | None:
+        """Return the engine's state; None if it, or its newest, is unknown."""
+        report = await self._engine.report()
+        if report is None or report.started < self._started:
+            return None
+        if report.started > self._started:
+            _log.info('agent: the engine began at %s', report.started)
+            self._started = report.started
+        return report
+
     def _behind(self, report: EngineReport, model: ModelId) -> bool:
         known = report.versions.get(model)
         published = self._published.get(model, WeightVersion(0))
@@ -173,7 +208,3 @@
             order.accepted_orders,
             'no answer' if status is None else status,
         )
-
-
-def _engines(listing: Listing) -> list[Upstream]:
-    return [parse_upstream(item.name, item.spec) for item in listing.objects]
--- a/bergamotdoor/cli/ctl.py
+++ b/bergamotdoor/cli/ctl.py
@@ -24,7 +24,7 @@
     ClientRequest,
     ClientResponse,
 )
-from bergamotdoor.platform.settings import INSPECTION_PORT, parse_address
+from bergamotdoor.platform.settings import INSPECTION_PORT
 from bergamotdoor.settings.document import Address
 
 if TYPE_CHECKING:
@@ -71,7 +71,7 @@
     for part in text.split(','):
         written = part if ':' in part else f'{part}:{INSPECTION_PORT}'
         try:
-            yield parse_address(written)
+            yield Address.parse(written)
         except ValueError as error:
             raise UsageError(str(error)) from error
 
--- a/bergamotdoor/cli/node.py
+++ b/bergamotdoor/cli/node.py
@@ -16,16 +16,15 @@
 from bergamotdoor.cli.serving import run_daemon
 from bergamotdoor.platform.settings import (
     SETTINGS_VARIABLE,
-    load_node_settings,
     parse_node_settings,
 )
-from bergamotdoor.settings.problems import SettingsError
+from bergamotdoor.settings.problems import Problem, SettingsError
 from bergamotdoor.settings.process import LogSettings
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from bergamotdoor.platform.settings import NodeSettings
+    from bergamotdoor.settings.node import NodeSettings
 
 _DEFAULT_PATH: Final = '/etc/bergamotdoor/settings.json'
 #: The file may change without a signal; looking costs a read.
@@ -123,7 +122,7 @@
             return self._usage(asked=words[0] in _HELP)
         path = os.environ.get(SETTINGS_VARIABLE, _DEFAULT_PATH)
         try:
-            settings = load_node_settings(path)
+            settings = _load(path)
         except SettingsError as error:
             sys.stderr.write(f'{error}\n')
             return ExitCode.REFUSED
@@ -161,3 +160,19 @@
 AGENT: Final = NodeCommand(
     'agent', 'run beside an engine, or on a VM with a disk'
 )
+
+
+def _load(path: str) -> NodeSettings:
+    """Read the settings file.
+
+    Raises
+    ------
+    SettingsError
+        The file can't be read, or a field is missing or of another type.
+    """
+    try:
+        body = pathlib.Path(path).read_bytes()
+    except OSError as error:
+        problem = Problem('', str(error.strerror), 'a readable JSON file')
+        raise SettingsError(path, (problem,)) from error
+    return parse_node_settings(body, path)
--- a/bergamotdoor/entry/context.py
+++ b/bergamotdoor/entry/context.py
@@ -15,8 +15,8 @@
 from bergamotdoor.jobs.progress import Speeds
 from bergamotdoor.objects.client import ObjectClient
 from bergamotdoor.observe.metrics import Metrics
-from bergamotdoor.platform.settings import NodeSettings
 from bergamotdoor.settings.document import Address
+from bergamotdoor.settings.node import NodeSettings
 
 if TYPE_CHECKING:
     from bergamotdoor.peers.access import StoreAccess
@@ -45,15 +45,17 @@
         clock: Clock,
     ) -> Context:
         """Return the state of a process that has just started."""
+        loads = Loads()
+        speeds = Speeds()
         return cls(
             settings,
             clock,
             access.rng,
             client,
             access.store,
-            Fleet(),
-            Loads(),
-            Speeds(),
+            Fleet((loads.forget, speeds.forget)),
+            loads,
+            speeds,
             Metrics(),
         )
 
--- a/bergamotdoor/entry/views.py
+++ b/bergamotdoor/entry/views.py
@@ -4,15 +4,14 @@
 
 import datetime as dt
 import logging
-from typing import TYPE_CHECKING, Final
-
-import msgspec
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 from bergamotdoor.calls.manifest import RouteKind
+from bergamotdoor.objects.reader import ObjectReader
 from bergamotdoor.platform.engines import parse_upstream
 from bergamotdoor.platform.headers import MANIFEST_NAME
 from bergamotdoor.platform.manifest import parse_manifest
-from bergamotdoor.types import UpstreamId
+from bergamotdoor.types import RegistrationId, UpstreamId
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -20,7 +19,7 @@
     from bergamotdoor.calls.manifest import Manifest, Route
     from bergamotdoor.clock import Clock
     from bergamotdoor.fleet.fleet import Fleet
-    from bergamotdoor.fleet.loads import Loads
+    from bergamotdoor.fleet.upstreams import Upstream
     from bergamotdoor.jobs.messages import JobSpec
     from bergamotdoor.stored import Change, Listing, StoredObject
 
@@ -43,6 +42,7 @@
 
     def __init__(self, on_change: Callable[[], None]) -> None:
         self.manifest: Manifest | None = None
+        self._reader = ObjectReader(_log, 'gateway')
         self._on_change = on_change
 
     def batch_route(self, spec: JobSpec) -> Route | None:
@@ -71,10 +71,8 @@
     def _take(self, stored: StoredObject) -> None:
         if stored.name != MANIFEST_NAME:
             return
-        try:
-            found = parse_manifest(stored.spec)
-        except msgspec.MsgspecError as error:
-            _log.error('gateway: manifest not understood: %s', error)
+        found = self._reader.read(stored, parse_manifest)
+        if found is None:
             return
         known = self.manifest
         # A view that was delayed must not undo what callers have seen.
@@ -92,8 +90,6 @@
     ----------
     fleet
         Who is there.
-    loads
-        Forgets those that are gone.
     clock
         For registrations that lapse while the store is away.
     on_change
@@ -103,21 +99,20 @@
     def __init__(
         self,
         fleet: Fleet,
-        loads: Loads,
         clock: Clock,
         on_change: Callable[[], None],
     ) -> None:
         self._fleet = fleet
-        self._loads = loads
         self._clock = clock
         self._on_change = on_change
         self._store_failed_at: dt.timedelta | None = None
+        self._reader = ObjectReader(_log, 'gateway')
 
     def reset(self, listing: Listing) -> None:
         """Take all registrations."""
         for stored in listing.objects:
             self._put(stored)
-        present = [UpstreamId(listed.name) for listed in listing.objects]
+        present = [RegistrationId(listed.name) for listed in listing.objects]
         for missing in self._fleet.missing_from(present):
             self._remove(missing)
         self._on_change()
@@ -126,7 +121,7 @@
         """Take changed registrations."""
         for change in changes:
             if change.removed:
-                self._remove(UpstreamId(change.stored.name))
+                self._remove(RegistrationId(change.stored.name))
             else:
                 self._put(change.stored)
         self._on_change()
@@ -136,13 +131,15 @@
         self._store_failed_at = self._clock.elapsed()
 
     def _put(self, stored: StoredObject) -> None:
-        try:
-            upstream = parse_upstream(stored.name, stored.spec)
-        except (msgspec.MsgspecError, ValueError) as error:
-            _log.error('gateway: registration %s: %s', stored.name, error)
+        upstream = self._reader.read(stored, parse_upstream)
+        if upstream is None:
+            # Failure: another writer puts something under an upstream's
+            # name. Symptom: requests go where nobody says any more that it
+            # is. Its own next entry brings a sound one back.
+            self._fleet.remove(RegistrationId(stored.name))
             return
-        known = self._fleet.get(upstream.upstream)
-        if known is None or known.draining != upstream.draining:
+        known = self._fleet.registered(upstream.registration)
+        if known is None or _announced(known) != _announced(upstream):
             _log.info(
                 'gateway: upstream %s of %s at %s:%d, draining: %s',
                 upstream.upstream,
@@ -153,13 +150,23 @@
             )
         self._fleet.put(upstream)
 
-    def _remove(self, upstream: UpstreamId) -> None:
+    def _remove(self, name: RegistrationId) -> None:
         now = self._clock.elapsed()
         failed_at = self._store_failed_at
         if failed_at is not None and now < failed_at + _REGISTER_AGAIN:
-            _log.info('gateway: upstream %s lapsed, kept a while', upstream)
-            self._fleet.lapse(upstream, failed_at + _REGISTER_AGAIN)
+            _log.info('gateway: upstream %s lapsed, kept a while', name)
+            self._fleet.lapse(name, failed_at + _REGISTER_AGAIN)
             return
-        _log.info('gateway: upstream %s is gone', upstream)
-        self._fleet.remove(upstream)
-        self._loads.forget(upstream)
+        _log.info('gateway: upstream %s is gone', name)
+        self._fleet.remove(name)
+
+
+class _Announced(NamedTuple):
+    """What of a registration is worth a line in the log."""
+
+    upstream: UpstreamId
+    draining: bool
+
+
+def _announced(upstream: Upstream) -> _Announced:
+    return _Announced(upstream.upstream, upstream.draining)
--- a/bergamotdoor/fleet/fleet.py
+++ b/bergamotdoor/fleet/fleet.py
@@ -2,48 +2,82 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.types import WeightVersion
 
 if TYPE_CHECKING:
     import datetime as dt
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Callable, Iterable, Iterator
 
     from bergamotdoor.fleet.upstreams import Upstream
     from bergamotdoor.settings.document import Address
-    from bergamotdoor.types import ModelId, ServiceId, UpstreamId
+    from bergamotdoor.types import (
+        ModelId,
+        RegistrationId,
+        ServiceId,
+        UpstreamId,
+    )
+
+#: Registrations whose last start is remembered after they are gone.
+_MOST_STARTS: Final = 4096
 
 
 class Fleet:
-    """Keeps registrations and the weight versions that were seen."""
+    """Keeps registrations and the weight versions that were seen.
+
+    Parameters
+    ----------
+    forget
+        Called with each incarnation that is gone, by whoever keeps
+        something of one.
+    """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, forget: Iterable[Callable[[UpstreamId], None]] = ()
+    ) -> None:
+        self._forget = tuple(forget)
         self._upstreams: dict[UpstreamId, Upstream] = {}
+        self._incarnations: dict[RegistrationId, UpstreamId] = {}
+        #: The newest start that was seen of a registration.
+        self._starts: dict[RegistrationId, dt.timedelta] = {}
         #: Absent from the store, kept until then.
-        self._lapsed: dict[UpstreamId, dt.timedelta] = {}
+        self._lapsed: dict[RegistrationId, dt.timedelta] = {}
         #: Incarnations that another one answered for.
-        self._replaced: set[UpstreamId] = set()
+        self._replaced: dict[RegistrationId, UpstreamId] = {}
         self._seen: dict[tuple[UpstreamId, ModelId], WeightVersion] = {}
 
     def put(self, upstream: Upstream) -> None:
-        """Take a registration, new or changed."""
-        if upstream.upstream in self._replaced:
+        """Take a registration, new or changed.
+
+        Failure: an upstream starts again under its name, and what its last
+        start wrote reaches the store late. Symptom: requests go to where
+        nobody listens, and what was learned of the new start is dropped.
+        An entry of an earlier start than the newest seen is left out.
+        """
+        name = upstream.registration
+        if self._replaced.get(name) == upstream.upstream:
             return
+        if upstream.started < self._starts.get(name, upstream.started):
+            return
+        self._note_start(name, upstream.started)
+        known = self._incarnations.get(name, upstream.upstream)
+        if known != upstream.upstream:
+            self._drop(known)
+        self._incarnations[name] = upstream.upstream
         self._upstreams[upstream.upstream] = upstream
-        self._lapsed.pop(upstream.upstream, None)
+        self._lapsed.pop(name, None)
         for model, version in upstream.versions.items():
             if version > self.version(upstream.upstream, model):
                 self._seen[upstream.upstream, model] = version
 
-    def remove(self, upstream: UpstreamId) -> None:
+    def remove(self, name: RegistrationId) -> None:
         """Drop an upstream that is no longer registered."""
-        self._replaced.discard(upstream)
-        gone = self._upstreams.pop(upstream, None)
-        self._lapsed.pop(upstream, None)
-        if gone is not None:
-            for model in gone.versions:
-                self._seen.pop((upstream, model), None)
+        self._replaced.pop(name, None)
+        self._lapsed.pop(name, None)
+        known = self._incarnations.pop(name, None)
+        if known is not None:
+            self._drop(known)
 
     def replaced(self, upstream: UpstreamId) -> None:
         """Drop an incarnation whose address has another one by now.
@@ -51,10 +85,12 @@
         Its registration stays in the store until it lapses, seconds later;
         each request that went there meanwhile would be refused.
         """
-        self.remove(upstream)
-        self._replaced.add(upstream)
+        gone = self._upstreams.get(upstream)
+        if gone is not None:
+            self.remove(gone.registration)
+            self._replaced[gone.registration] = upstream
 
-    def lapse(self, upstream: UpstreamId, until: dt.timedelta) -> None:
+    def lapse(self, name: RegistrationId, until: dt.timedelta) -> None:
         """Keep an upstream whose registration is missing for a while.
 
         Failure: registrations expire while the store is away. Symptom:
@@ -62,25 +98,26 @@
         request is refused. Whoever lives registers again within that time;
         who does not is gone.
         """
-        if upstream in self._upstreams:
-            self._lapsed.setdefault(upstream, until)
+        if name in self._incarnations:
+            self._lapsed.setdefault(name, until)
 
     def expire(self, now: dt.timedelta) -> None:
         """Drop those that did not register again in time."""
-        for upstream, until in tuple(self._lapsed.items()):
+        for name, until in tuple(self._lapsed.items()):
             if now >= until:
-                self.remove(upstream)
+                self.remove(name)
 
     def missing_from(
-        self, present: Iterable[UpstreamId]
-    ) -> tuple[UpstreamId, ...]:
+        self, present: Iterable[RegistrationId]
+    ) -> tuple[RegistrationId, ...]:
         """Return those that are kept though not among the present."""
         found = frozenset(present)
-        return tuple(name for name in self._upstreams if name not in found)
+        return tuple(name for name in self._incarnations if name not in found)
 
-    def get(self, upstream: UpstreamId) -> Upstream | None:
-        """Return one upstream."""
-        return self._upstreams.get(upstream)
+    def registered(self, name: RegistrationId) -> Upstream | None:
+        """Return the upstream that is registered under a name."""
+        known = self._incarnations.get(name)
+        return None if known is None else self._upstreams[known]
 
     def of_service(self, service: ServiceId) -> Iterator[Upstream]:
         """Return the upstreams of a service that take new work."""
@@ -116,3 +153,16 @@
         """Take the version that an engine's own answer named."""
         if upstream in self._upstreams:
             self._seen[upstream, model] = version
+
+    def _drop(self, upstream: UpstreamId) -> None:
+        gone = self._upstreams.pop(upstream)
+        for model in gone.versions:
+            self._seen.pop((upstream, model), None)
+        for forget in self._forget:
+            forget(upstream)
+
+    def _note_start(self, name: RegistrationId, started: dt.timedelta) -> None:
+        self._starts.pop(name, None)
+        self._starts[name] = started
+        if len(self._starts) > _MOST_STARTS:
+            self._starts.pop(next(iter(self._starts)))
--- a/bergamotdoor/fleet/loads.py
+++ b/bergamotdoor/fleet/loads.py
@@ -11,6 +11,8 @@
 import datetime as dt
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 if TYPE_CHECKING:
     from bergamotdoor.types import UpstreamId
 
@@ -34,6 +36,14 @@
 _ZERO: Final = dt.timedelta()
 
 
+class ToldLoad(msgspec.Struct, frozen=True):
+    """What an upstream says of its load in an answer."""
+
+    running: int
+    waiting: int
+    slots: int
+
+
 class UpstreamLoad:
     """What is known of one upstream now."""
 
--- a/bergamotdoor/fleet/orders.py
+++ b/bergamotdoor/fleet/orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import datetime as dt
 import enum
 
 import msgspec
@@ -20,6 +21,13 @@
     RETAIN = 'retain'
 
 
+class PublishedVersion(msgspec.Struct, frozen=True):
+    """A version of a model's weights that its trainer has named."""
+
+    model: ModelId
+    version: WeightVersion
+
+
 class EngineReport(msgspec.Struct, frozen=True):
     """An engine's state, as it reports it itself."""
 
@@ -30,6 +38,8 @@
     accepted_orders: int
     running: int = 0
     waiting: int = 0
+    #: When it started, by its own word; zero where it does not tell.
+    started: dt.timedelta = dt.timedelta()
 
 
 class LoadOrder(msgspec.Struct, frozen=True, kw_only=True):
--- a/bergamotdoor/forwarding/attempt.py
+++ b/bergamotdoor/forwarding/attempt.py
@@ -10,7 +10,6 @@
 from bergamotdoor.http.messages import ClientFailure
 from bergamotdoor.http.sending import send
 from bergamotdoor.platform import headers as names
-from bergamotdoor.platform.engines import parse_load
 from bergamotdoor.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -51,7 +50,7 @@
     if isinstance(response, ClientFailure):
         verdict = Verdict.MAY_HAVE_RUN if response.sent else Verdict.NOT_RUN
         return Attempt(verdict, response.detail, upstream.upstream)
-    told = parse_load(response.headers.first(names.LOAD))
+    told = names.parse_load(response.headers.first(names.LOAD))
     if told is not None:
         load = context.loads.of(upstream.upstream)
         load.told(told.running + told.waiting, context.clock.elapsed())
--- a/bergamotdoor/forwarding/call_request.py
+++ b/bergamotdoor/forwarding/call_request.py
@@ -19,14 +19,16 @@
     call: Call, upstream: Upstream, left: dt.timedelta
 ) -> ClientRequest:
     """Return the request that an upstream gets."""
-    passed = call.headers.without((names.DEADLINE_MS, names.EXPECT_INCARNATION))
+    passed = call.headers.without(
+        (names.DEADLINE_MS, names.EXPECT_REGISTRATION)
+    )
     return ClientRequest(
         address=upstream.address,
         method=call.method,
         target=call.target,
         headers=passed.plus(
             (names.DEADLINE_MS, str(max(utils.to_ms(left), 1))),
-            (names.EXPECT_INCARNATION, upstream.upstream),
+            (names.EXPECT_REGISTRATION, upstream.registration),
         ),
         body=call.body,
         timeout=left,
--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -22,8 +22,8 @@
 
 if TYPE_CHECKING:
     from bergamotdoor.http.messages import HttpRequest, HttpResponse
-    from bergamotdoor.platform.settings import NodeSettings
     from bergamotdoor.settings.document import Address
+    from bergamotdoor.settings.node import NodeSettings
 
 #: The balancer asks once a second and gives up after two refusals. Until
 #: then new callers still come.
--- a/bergamotdoor/jobs/progress.py
+++ b/bergamotdoor/jobs/progress.py
@@ -161,6 +161,10 @@
         known_s = self._interval_s.get(upstream)
         return self._usual_s() if known_s is None else known_s
 
+    def forget(self, upstream: UpstreamId) -> None:
+        """Drop an engine that is gone."""
+        self._interval_s.pop(upstream, None)
+
     def _usual_s(self) -> float:
         paces_s = sorted(self._interval_s.values())
         return paces_s[len(paces_s) // 2] if paces_s else _USUAL_S
--- a/bergamotdoor/objects/client.py
+++ b/bergamotdoor/objects/client.py
@@ -5,7 +5,7 @@
 import datetime as dt
 import logging
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Final, Protocol
+from typing import TYPE_CHECKING, Final, Protocol, TypeVar
 
 import msgspec
 
@@ -25,11 +25,14 @@
     Listing,
     Outcome,
     StoredObject,
+    UnreadableError,
 )
+from bergamotdoor.types import Revision
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from bergamotdoor.settings.document import Address
-    from bergamotdoor.types import Revision
 
 #: The store answers in milliseconds; even one that is sixty times as slow
 #: as usual does so within a quarter of this.
@@ -43,6 +46,7 @@
 _SHOWN_BYTES: Final = 80
 _WATCH_MARGIN: Final = dt.timedelta(seconds=2)
 _MS: Final = dt.timedelta(milliseconds=1)
+Body = TypeVar('Body')
 _REFUSALS: Final = frozenset(
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 )
@@ -117,7 +121,7 @@
         answer = await self._call('GET', path)
         if isinstance(answer, Outcome):
             return answer
-        return store_wire.parse_object(answer.body)
+        return _read(store_wire.parse_object, answer, Outcome.NOT_DONE)
 
     async def listing(
         self, kind: str, after: str = '', stale: bool = False
@@ -134,6 +138,7 @@
             Whether a view that is seconds old will do; it costs a tenth.
         """
         objects: list[StoredObject] = []
+        revision = Revision(0)
         more = True
         while more:
             path = store_paths.list_path(kind, after, stale)
@@ -142,11 +147,14 @@
                 return Outcome.NOT_DONE
             if isinstance(answer, Outcome):
                 return answer
-            page = store_wire.parse_page(answer.body)
+            page = _read(store_wire.parse_page, answer, Outcome.NOT_DONE)
+            if isinstance(page, Outcome):
+                return page
             objects.extend(page.listing.objects)
+            revision = page.listing.revision
             more = page.more and bool(page.listing.objects)
             after = objects[-1].name if objects else after
-        return Listing(tuple(objects), page.listing.revision)
+        return Listing(tuple(objects), revision)
 
     async def create(
         self, kind: str, name: str, spec: bytes
@@ -188,7 +196,7 @@
             return answer
         if answer.status >= HTTPStatus.MULTIPLE_CHOICES:
             return _outcome('GET', path, answer)
-        return store_wire.parse_changes(answer.body)
+        return _read(store_wire.parse_changes, answer, Outcome.UNCLEAR)
 
     async def _write(
         self, method: str, path: str, body: bytes
@@ -200,7 +208,7 @@
             return Conflict(_conflicting(answer.body))
         if answer.status >= HTTPStatus.MULTIPLE_CHOICES:
             return _outcome(method, path, answer)
-        return store_wire.parse_object(answer.body)
+        return _read(store_wire.parse_object, answer, Outcome.UNCLEAR)
 
     async def _call(
         self, method: str, path: str, timeout: dt.timedelta = CALL_TIMEOUT
@@ -213,10 +221,24 @@
         return answer
 
 
+def _read(
+    parse: Callable[[bytes], Body], answer: Answer, otherwise: Outcome
+) -> Body | Outcome:
+    try:
+        return parse(answer.body)
+    except UnreadableError as error:
+        _log.warning(
+            'objects: an answer is unreadable: %s: %r',
+            error,
+            answer.body[:_SHOWN_BYTES],
+        )
+        return otherwise
+
+
 def _conflicting(body: bytes) -> StoredObject | None:
     try:
         return store_wire.parse_object(body)
-    except msgspec.MsgspecError:
+    except UnreadableError:
         _log.warning(
             'objects: a conflict without the object: %r', body[:_SHOWN_BYTES]
         )
--- a/bergamotdoor/objects/job_codec.py
+++ b/bergamotdoor/objects/job_codec.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -26,20 +27,24 @@
     ResultRecord,
 )
 from bergamotdoor.jobs.transcript import SavedTranscript
-from bergamotdoor.stored import Listing, Outcome, StoredObject
+from bergamotdoor.objects.job_names import numbered, part_name, record_name
+from bergamotdoor.stored import (
+    Listing,
+    Outcome,
+    StoredObject,
+    UnreadableError,
+    reading,
+)
 from bergamotdoor.types import ItemId, JobId, Revision
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-JOB_KIND: Final = 'jobs'
-_PART: Final = 'part-'
-_RESULT: Final = 'result-'
-#: Names of one length sort as their numbers do.
-_DIGITS: Final = 6
 #: An object may take a megabyte; JSON writes bodies in base64.
 PART_BYTES: Final = 600_000
 
+_log = logging.getLogger('bergamotdoor.objects')
+
 
 class FoundJob(msgspec.Struct, frozen=True):
     """A job's record as stored."""
@@ -88,21 +93,6 @@
     return len(entry[1].texts)
 
 
-def part_name(number: int) -> str:
-    """Return the name of a piece of a job's body."""
-    return _PART + str(number).zfill(_DIGITS)
-
-
-def record_name(number: int) -> str:
-    """Return the name of a record of results."""
-    return _RESULT + str(number).zfill(_DIGITS)
-
-
-def parts_kind(job: JobId) -> str:
-    """Return the kind of a job's parts and results."""
-    return f'job-{job}'
-
-
 def split(spec: JobSpec) -> list[bytes]:
     """Cut a job into pieces that fit into an object each."""
     head = msgspec.structs.replace(spec, items=())
@@ -119,49 +109,73 @@
 
 
 def found_job(stored: StoredObject) -> FoundJob:
-    """Read a job's record."""
-    status = msgspec.json.decode(
-        stored.status or b'null', type=JobStatus | None
-    )
+    """Read a job's record.
+
+    Raises
+    ------
+    UnreadableError
+        If it is none.
+    """
+    with reading(f'job {stored.name}'):
+        status = msgspec.json.decode(
+            stored.status or b'null', type=JobStatus | None
+        )
+        record = msgspec.json.decode(stored.spec, type=JobRecord)
     return FoundJob(
-        JobId(stored.name),
-        msgspec.json.decode(stored.spec, type=JobRecord),
-        status or JobStatus(),
-        stored.revision,
+        JobId(stored.name), record, status or JobStatus(), stored.revision
     )
 
 
 def loaded_job(listing: Listing) -> LoadedJob | Outcome:
-    """Read a job's body and results; ABSENT if there is no body."""
-    parts = [
-        msgspec.json.decode(stored.spec, type=_Part)
-        for stored in listing.objects
-        if stored.name.startswith(_PART)
-    ]
+    """Read a job's body and results; ABSENT if there is no body.
+
+    Raises
+    ------
+    UnreadableError
+        If a piece of it is none: nobody can say what the job holds then.
+    """
+    parts = tuple(_parts(listing))
     if not parts:
         return Outcome.ABSENT
     items = tuple(item for part in parts for item in part.items)
     spec = msgspec.structs.replace(parts[0].head, items=items)
-    first = listing.objects[0].status or b'null'
-    partial = msgspec.json.decode(first, type=_Partial | None)
-    return LoadedJob(
-        spec,
-        Ledger(_records(listing)),
-        {} if partial is None else partial.items,
-    )
+    return LoadedJob(spec, Ledger(_records(listing)), _partial(listing))
+
+
+def _parts(listing: Listing) -> Iterator[_Part]:
+    for stored in numbered(listing, part_name):
+        with reading(f'part {stored.name}'):
+            yield msgspec.json.decode(stored.spec, type=_Part)
+
+
+def _records(listing: Listing) -> Iterator[ResultRecord]:
+    return map(record_of, numbered(listing, record_name))
 
 
-def _records(listing: Listing) -> list[ResultRecord]:
-    return [
-        record_of(stored)
-        for stored in listing.objects
-        if stored.name.startswith(_RESULT)
-    ]
+def _partial(listing: Listing) -> dict[ItemId, SavedTranscript]:
+    """Return what running items had; without it they begin anew."""
+    first = next(numbered(listing, part_name))
+    try:
+        with reading(f'status of {first.name}'):
+            partial = msgspec.json.decode(
+                first.status or b'null', type=_Partial | None
+            )
+    except UnreadableError as error:
+        _log.warning('objects: running items begin anew: %s', error)
+        return {}
+    return {} if partial is None else partial.items
 
 
 def record_of(stored: StoredObject) -> ResultRecord:
-    """Read a record of results."""
-    return msgspec.json.decode(stored.spec, type=ResultRecord)
+    """Read a record of results.
+
+    Raises
+    ------
+    UnreadableError
+        If it is none.
+    """
+    with reading(f'record {stored.name}'):
+        return msgspec.json.decode(stored.spec, type=ResultRecord)
 
 
 def partial_body(partial: dict[ItemId, SavedTranscript]) -> bytes:
--- a/bergamotdoor/objects/job_store.py
+++ b/bergamotdoor/objects/job_store.py
@@ -15,19 +15,27 @@
     ResultRecord,
 )
 from bergamotdoor.objects.job_codec import (
-    JOB_KIND,
     FoundJob,
     LoadedJob,
     found_job,
     loaded_job,
-    part_name,
     partial_body,
-    parts_kind,
-    record_name,
     record_of,
     split,
 )
-from bergamotdoor.stored import Conflict, Outcome, StoredObject
+from bergamotdoor.objects.job_names import (
+    JOB_KIND,
+    part_name,
+    parts_kind,
+    record_name,
+)
+from bergamotdoor.objects.reader import ObjectReader
+from bergamotdoor.stored import (
+    Conflict,
+    Outcome,
+    StoredObject,
+    UnreadableError,
+)
 
 if TYPE_CHECKING:
     from bergamotdoor.jobs.transcript import SavedTranscript
@@ -40,6 +48,7 @@
 _PAUSE_S: Final = 0.05
 
 _log = logging.getLogger('bergamotdoor.objects')
+_reader: Final = ObjectReader(_log, 'objects')
 
 
 class JobStore:
@@ -70,22 +79,21 @@
         if isinstance(found, Conflict):
             if found.current is None:
                 return await self.find(spec.job)
-            return found_job(found.current)
-        if isinstance(found, Outcome):
-            return found
-        return found_job(found)
+            return _job(found.current)
+        return found if isinstance(found, Outcome) else _job(found)
 
     async def find(self, job: JobId) -> FoundJob | Outcome:
         """Return who runs a job; ABSENT if there is no such job."""
         found = await self._store.get(JOB_KIND, job)
-        return found if isinstance(found, Outcome) else found_job(found)
+        return found if isinstance(found, Outcome) else _job(found)
 
     async def all_jobs(self, stale: bool) -> tuple[FoundJob, ...] | Outcome:
         """Return all jobs."""
         listing = await self._store.listing(JOB_KIND, stale=stale)
         if isinstance(listing, Outcome):
             return listing
-        return tuple(found_job(stored) for stored in listing.objects)
+        jobs = (_reader.read(one, found_job) for one in listing.objects)
+        return tuple(job for job in jobs if job is not None)
 
     async def claim(
         self, found: FoundJob, record: JobRecord
@@ -98,8 +106,8 @@
         if isinstance(outcome, Conflict):
             if outcome.current is None:
                 return await self.find(found.job)
-            return found_job(outcome.current)
-        return outcome if isinstance(outcome, Outcome) else found_job(outcome)
+            return _job(outcome.current)
+        return outcome if isinstance(outcome, Outcome) else _job(outcome)
 
     async def end(self, job: JobId) -> Outcome | None:
         """Note that a job is ended; None once it is."""
@@ -118,7 +126,11 @@
         listing = await self._store.listing(parts_kind(job))
         if isinstance(listing, Outcome):
             return listing
-        return loaded_job(listing)
+        try:
+            return loaded_job(listing)
+        except UnreadableError as error:
+            _log.error('objects: job %s cannot be loaded: %s', job, error)
+            return Outcome.NOT_DONE
 
     async def remove(self, job: JobId) -> bool:
         """Remove a job; return whether all of it is gone.
@@ -157,16 +169,16 @@
         if isinstance(outcome, Outcome):
             return outcome
         if outcome.current is not None:
-            return record_of(outcome.current)
+            return _record(outcome.current)
         found = await self._store.get(kind, name)
-        return found if isinstance(found, Outcome) else record_of(found)
+        return found if isinstance(found, Outcome) else _record(found)
 
     async def record_at(
         self, job: JobId, number: int
     ) -> ResultRecord | Outcome:
         """Return the record that has a number; ABSENT if none has."""
         found = await self._store.get(parts_kind(job), record_name(number))
-        return found if isinstance(found, Outcome) else record_of(found)
+        return found if isinstance(found, Outcome) else _record(found)
 
     async def keep_partial(
         self, job: JobId, partial: dict[ItemId, SavedTranscript]
@@ -194,3 +206,13 @@
                 return outcome
             await asyncio.sleep(_PAUSE_S)
         return Outcome.UNCLEAR
+
+
+def _job(stored: StoredObject) -> FoundJob | Outcome:
+    """Read a job's record; NOT_DONE if nobody can say what it is."""
+    return _reader.read(stored, found_job) or Outcome.NOT_DONE
+
+
+def _record(stored: StoredObject) -> ResultRecord | Outcome:
+    """Read a record of results; NOT_DONE if nobody can say what it is."""
+    return _reader.read(stored, record_of) or Outcome.NOT_DONE
--- a/bergamotdoor/peers/access.py
+++ b/bergamotdoor/peers/access.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
     from bergamotdoor.http.messages import Client
-    from bergamotdoor.platform.settings import NodeSettings
+    from bergamotdoor.settings.node import NodeSettings
 
 
 _log = logging.getLogger('bergamotdoor.peers')
--- a/bergamotdoor/peers/directory.py
+++ b/bergamotdoor/peers/directory.py
@@ -8,8 +8,9 @@
 
 import msgspec
 
+from bergamotdoor.objects.reader import ObjectReader
 from bergamotdoor.settings.document import Address
-from bergamotdoor.stored import Conflict, Outcome
+from bergamotdoor.stored import Conflict, Outcome, reading
 from bergamotdoor.types import NodeId
 from bergamotdoor.utils import hrw_order
 
@@ -18,6 +19,7 @@
 
     from bergamotdoor.clock import Clock
     from bergamotdoor.objects.client import ObjectClient
+    from bergamotdoor.stored import StoredObject
     from bergamotdoor.types import ModelId
 
 ENTRY_KIND: Final = 'entries'
@@ -62,6 +64,7 @@
         self._node = node
         self._clock = clock
         self.entries: dict[NodeId, Address] = {}
+        self._reader = ObjectReader(_log, 'peers')
 
     async def register(self, address: Address) -> None:
         """Write where this entry listens; tried until it is known."""
@@ -71,7 +74,7 @@
             found = await self._store.create(ENTRY_KIND, self._node, spec)
             done = not isinstance(found, Outcome)
             if isinstance(found, Conflict) and found.current is not None:
-                done = await self._correct(found.current.spec, spec)
+                done = await self._correct(found.current, spec)
             if not done:
                 await self._clock.sleep(_pause(0))
 
@@ -89,16 +92,15 @@
         if isinstance(listing, Outcome):
             return
         self.entries = {
-            NodeId(stored.name): msgspec.json.decode(
-                stored.spec, type=EntryRecord
-            ).address
+            NodeId(stored.name): record.address
             for stored in listing.objects
             if stored.name != self._node
+            and (record := self._reader.read(stored, _record)) is not None
         }
 
-    async def _correct(self, stored: bytes, spec: bytes) -> bool:
+    async def _correct(self, stored: StoredObject, spec: bytes) -> bool:
         """Replace the record of an earlier process at another address."""
-        written = msgspec.json.decode(stored, type=EntryRecord)
+        written = self._reader.read(stored, _record)
         if written == msgspec.json.decode(spec, type=EntryRecord):
             return True
         _log.info('peers: %s had another address', self._node)
@@ -109,5 +111,10 @@
         return not isinstance(again, (Outcome, Conflict))
 
 
+def _record(stored: StoredObject) -> EntryRecord:
+    with reading('entry'):
+        return msgspec.json.decode(stored.spec, type=EntryRecord)
+
+
 def _pause(tries: int) -> dt.timedelta:
     return dt.timedelta(seconds=_REFRESH_S[min(tries, len(_REFRESH_S) - 1)])
--- a/bergamotdoor/platform/engines.py
+++ b/bergamotdoor/platform/engines.py
@@ -2,24 +2,35 @@
 
 from __future__ import annotations
 
-from typing import Final
+import enum
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 
 from bergamotdoor import utils
-from bergamotdoor.fleet.orders import EngineReport, LoadOrder
-from bergamotdoor.fleet.upstreams import Upstream
-from bergamotdoor.platform.settings import parse_address
+from bergamotdoor.fleet.orders import (
+    EngineReport,
+    LoadOrder,
+    PublishedVersion,
+)
+from bergamotdoor.fleet.upstreams import Upstream, incarnation
+from bergamotdoor.settings.document import Address
+from bergamotdoor.stored import reading
 from bergamotdoor.types import (
     ModelId,
+    RegistrationId,
     ServiceId,
-    UpstreamId,
     WeightVersion,
     ZoneId,
 )
 
-_DRAINING: Final = 'draining'
-_LOAD_FIELDS: Final = 3
+if TYPE_CHECKING:
+    from bergamotdoor.stored import StoredObject
+
+
+class _State(enum.Enum):
+    READY = 'ready'
+    DRAINING = 'draining'
 
 
 class _Model(msgspec.Struct, frozen=True):
@@ -28,13 +39,25 @@
 
 
 class _Registration(msgspec.Struct, frozen=True):
+    """What upstreams write; all fields but two are there always.
+
+    An entry that lacks one is another writer's, and names no upstream.
+    """
+
     service: ServiceId
     address: str
-    zone: ZoneId = ZoneId('')
-    slots: int = 1
-    state: str = 'ready'
-    cold_left_ms: float = 0
+    zone: ZoneId
+    #: Of its software; the weights have versions of their own.
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1)]
+    state: _State
+    cold_left_ms: float
+    #: Counts what it writes.
+    seq: int
+    #: Engines only.
     models: tuple[_Model, ...] = ()
+    #: The Unix time of its start in milliseconds; older ones tell none.
+    born: int = 0
 
 
 class _Report(msgspec.Struct, frozen=True):
@@ -45,6 +68,8 @@
     seq: int = 0
     running: int = 0
     waiting: int = 0
+    #: As in a registration.
+    born: int = 0
 
 
 class _Version(msgspec.Struct, frozen=True):
@@ -52,61 +77,66 @@
     version: WeightVersion
 
 
-class ToldLoad(msgspec.Struct, frozen=True):
-    """What an upstream says of its load in an answer."""
-
-    running: int
-    waiting: int
-    slots: int
-
-
-def parse_upstream(name: str, spec: bytes) -> Upstream:
+def parse_upstream(stored: StoredObject) -> Upstream:
     """Read a registration.
 
     Raises
     ------
-    msgspec.MsgspecError, ValueError
-        If it is no registration.
+    UnreadableError
+        If it is none.
     """
-    written = msgspec.json.decode(spec, type=_Registration)
-    return Upstream(
-        upstream=UpstreamId(name),
-        service=written.service,
-        address=parse_address(written.address),
-        zone=written.zone,
-        slots=max(written.slots, 1),
-        draining=written.state == _DRAINING,
-        cold=utils.from_ms(written.cold_left_ms),
-        versions={model.name: model.version for model in written.models},
-    )
+    registration = RegistrationId(stored.name)
+    with reading('registration'):
+        written = msgspec.json.decode(stored.spec, type=_Registration)
+        started = utils.from_ms(written.born)
+        return Upstream(
+            upstream=incarnation(registration, started),
+            registration=registration,
+            service=written.service,
+            address=Address.parse(written.address),
+            zone=written.zone,
+            slots=written.slots,
+            draining=written.state is _State.DRAINING,
+            cold=utils.from_ms(written.cold_left_ms),
+            versions={model.name: model.version for model in written.models},
+            started=started,
+        )
+
+
+def parse_version(stored: StoredObject) -> PublishedVersion:
+    """Read a published version of a model.
 
-
-def parse_version(spec: bytes) -> tuple[ModelId, WeightVersion]:
-    """Read a published version of a model."""
-    written = msgspec.json.decode(spec, type=_Version)
-    return written.model, written.version
+    Raises
+    ------
+    UnreadableError
+        If it is none.
+    """
+    with reading('version'):
+        written = msgspec.json.decode(stored.spec, type=_Version)
+    return PublishedVersion(written.model, written.version)
 
 
 def parse_report(body: bytes) -> EngineReport:
-    """Read an engine's report of itself."""
-    written = msgspec.json.decode(body, type=_Report)
+    """Read an engine's report of itself.
+
+    Raises
+    ------
+    UnreadableError
+        If it is none.
+    """
+    with reading('report'):
+        written = msgspec.json.decode(body, type=_Report)
+        started = utils.from_ms(written.born)
     return EngineReport(
         versions={model.name: model.version for model in written.models},
         loading=written.busy,
         accepted_orders=written.seq,
         running=written.running,
         waiting=written.waiting,
+        started=started,
     )
 
 
-def parse_load(text: str) -> ToldLoad | None:
-    """Read the load header; None if there is none."""
-    numbers = [part for part in text.split(',') if part.strip().isdecimal()]
-    if len(numbers) != _LOAD_FIELDS:
-        return None
-    return ToldLoad(*(int(number) for number in numbers))
-
-
 def order_body(order: LoadOrder) -> bytes:
     """Write an order to load weights."""
     return msgspec.json.encode(
--- a/bergamotdoor/platform/evacuation.py
+++ b/bergamotdoor/platform/evacuation.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 
+from bergamotdoor.stored import reading
+
+if TYPE_CHECKING:
+    from bergamotdoor.stored import StoredObject
+
 _COMPLETED: Final = 'completed'
 
 
@@ -18,7 +23,16 @@
     return msgspec.json.encode(_Status(_COMPLETED))
 
 
-def is_completed(status: bytes) -> bool:
-    """Return whether a status says so."""
-    found = msgspec.json.decode(status or b'null', type=_Status | None)
+def is_completed(stored: StoredObject) -> bool:
+    """Return whether the operator was told so already.
+
+    Raises
+    ------
+    UnreadableError
+        If it is no status.
+    """
+    with reading('status of an evacuation'):
+        found = msgspec.json.decode(
+            stored.status or b'null', type=_Status | None
+        )
     return found is not None and found.state == _COMPLETED
--- a/bergamotdoor/platform/headers.py
+++ b/bergamotdoor/platform/headers.py
@@ -4,6 +4,8 @@
 
 from typing import Final
 
+from bergamotdoor.fleet.loads import ToldLoad
+
 _PREFIX: Final = 'x-bergamotdoor-'
 
 REQUEST_ID: Final = f'{_PREFIX}request-id'
@@ -11,8 +13,9 @@
 DEADLINE_MS: Final = f'{_PREFIX}deadline-ms'
 #: Proof that an upstream made the answer.
 STAMP: Final = f'{_PREFIX}server-stamp'
-#: The upstream's incarnation; another one answers 421 and runs nothing.
-EXPECT_INCARNATION: Final = f'{_PREFIX}expect-instance'
+#: The upstream's registration; one of another name answers 421 and runs
+#: nothing. One that started again under its name runs the request.
+EXPECT_REGISTRATION: Final = f'{_PREFIX}expect-instance'
 #: Present where the upstream did not run the request.
 NOT_RUN: Final = f'{_PREFIX}not-executed'
 #: Running requests, waiting requests and slots, with commas between.
@@ -41,3 +44,13 @@
 VERSION_KIND: Final = 'versions'
 #: Storage VMs that are to be emptied.
 EVACUATION_KIND: Final = 'retirements'
+
+_LOAD_FIELDS: Final = 3
+
+
+def parse_load(text: str) -> ToldLoad | None:
+    """Read the load header; None if there is none."""
+    numbers = [part for part in text.split(',') if part.strip().isdecimal()]
+    if len(numbers) != _LOAD_FIELDS:
+        return None
+    return ToldLoad(*(int(number) for number in numbers))
--- a/bergamotdoor/platform/manifest.py
+++ b/bergamotdoor/platform/manifest.py
@@ -4,7 +4,7 @@
 
 import datetime as dt
 from types import MappingProxyType
-from typing import Final
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 
@@ -17,8 +17,12 @@
     ServiceRules,
     Share,
 )
+from bergamotdoor.stored import reading
 from bergamotdoor.types import Generation, ServiceId
 
+if TYPE_CHECKING:
+    from bergamotdoor.stored import StoredObject
+
 #: The wire's ``safe`` may be repeated and ``rollout`` is a batch job; any
 #: other kind may run once at most.
 _KINDS: Final = MappingProxyType(
@@ -73,24 +77,27 @@
     limits: _Limits = _Limits()
 
 
-def parse_manifest(spec: bytes) -> Manifest:
+def parse_manifest(stored: StoredObject) -> Manifest:
     """Read the operator's object.
 
     Raises
     ------
-    msgspec.MsgspecError
+    UnreadableError
         If it is no manifest.
     """
-    written = msgspec.json.decode(spec, type=_Manifest)
-    return Manifest(
-        written.version,
-        (_route(route) for route in written.routes),
-        {
-            service.name: ServiceRules(service.max_conns, service.health_path)
-            for service in written.services
-        },
-        _limits(written.limits),
-    )
+    with reading('manifest'):
+        written = msgspec.json.decode(stored.spec, type=_Manifest)
+        return Manifest(
+            written.version,
+            [_route(route) for route in written.routes],
+            {
+                service.name: ServiceRules(
+                    service.max_conns, service.health_path
+                )
+                for service in written.services
+            },
+            _limits(written.limits),
+        )
 
 
 def _route(written: _Route) -> Route:
--- a/bergamotdoor/settings/document.py
+++ b/bergamotdoor/settings/document.py
@@ -19,3 +19,17 @@
 
     ip: str
     port: int
+
+    @classmethod
+    def parse(cls, text: str) -> Address:
+        """Read ``IP:PORT``.
+
+        Raises
+        ------
+        ValueError
+            If `text` is something else.
+        """
+        ip, separator, port = text.rpartition(':')
+        if not (separator and ip and port.isdecimal()):
+            raise ValueError(f'address {text!r}, expected IP:PORT')
+        return cls(ip=ip, port=int(port))
--- /dev/null
+++ b/bergamotdoor/settings/node.py
@@ -0,0 +1,41 @@
+"""What a process on the platform's machines is told."""
+
+from __future__ import annotations
+
+import datetime as dt
+
+import msgspec
+
+from bergamotdoor.settings.document import Address
+from bergamotdoor.types import NodeId, ZoneId
+
+
+class NodeSettings(msgspec.Struct, frozen=True):
+    """What a process is told about itself and its surroundings."""
+
+    node: NodeId
+    zone: ZoneId
+    ip: str
+    #: The platform's object store.
+    store: Address
+    #: The most that one stored object may take.
+    object_bytes: int
+    #: Callers, and the balancer's readiness probe; entries only.
+    callers: Address | None
+    readiness: Address | None
+    #: Where processes of the system reach each other.
+    first_port: int
+    #: Where metrics and state are shown.
+    inspection: Address
+    #: The engine on this VM; agents only.
+    engine: Address | None
+    #: How long after trouble the platform's rules hold again.
+    contact: dt.timedelta
+    #: How soon new work must stop going to an upstream that leaves.
+    drain: dt.timedelta
+    #: From a request to stop until the process is killed.
+    grace: dt.timedelta
+    #: How long a batch job can be read after it was handed in.
+    retention: dt.timedelta
+    #: The bandwidth of this VM's link, in Mbit/s; 0 is not told.
+    link_mbps: float = 0
--- a/bergamotdoor/steps/item_request.py
+++ b/bergamotdoor/steps/item_request.py
@@ -38,7 +38,7 @@
         *run.spec.headers,
         ('host', run.job.host),
         (names.REQUEST_ID, run.spec.item),
-        (names.EXPECT_INCARNATION, run.upstream.upstream),
+        (names.EXPECT_REGISTRATION, run.upstream.registration),
     ]
     if run.transcript.last_number is not None:
         fields.append((names.LAST_EVENT_ID, str(run.transcript.last_number)))
--- a/bergamotdoor/steps/item_run.py
+++ b/bergamotdoor/steps/item_run.py
@@ -12,7 +12,6 @@
 from bergamotdoor.jobs.board import RunEnd
 from bergamotdoor.jobs.messages import ItemResult, ItemState
 from bergamotdoor.platform import headers as names
-from bergamotdoor.platform.engines import parse_load
 from bergamotdoor.platform.events import EventReader
 from bergamotdoor.steps.item_outcome import note_outcome
 from bergamotdoor.steps.item_request import item_request
@@ -87,7 +86,7 @@
     fields = response.headers
     if fields.first(names.REQUEST_ID, run.spec.item) != run.spec.item:
         return RunEnd.BROKEN
-    told = parse_load(fields.first(names.LOAD))
+    told = names.parse_load(fields.first(names.LOAD))
     load = context.loads.of(run.upstream.upstream)
     load.accepted(context.clock.elapsed())
     if told is not None:
--- a/bergamotdoor/stored.py
+++ b/bergamotdoor/stored.py
@@ -2,12 +2,38 @@
 
 from __future__ import annotations
 
+import contextlib
 import enum
+from typing import TYPE_CHECKING
 
 import msgspec
 
 from bergamotdoor.types import Revision
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class UnreadableError(ValueError):
+    """An object is not what its kind holds: another writer's, or broken."""
+
+
+@contextlib.contextmanager
+def reading(what: str) -> Iterator[None]:
+    """Turn each error of a decoder into UnreadableError.
+
+    Failure: another writer puts an object under one of our kinds, or a
+    number that no clock can hold. Symptom: the task that follows the kind
+    ends, and the process lives by what it knew. One error is caught where
+    objects are read one by one.
+    """
+    try:
+        yield
+    except (msgspec.MsgspecError, ValueError, ArithmeticError) as error:
+        raise UnreadableError(f'{what}: {error}') from error
+    except RecursionError as error:
+        raise UnreadableError(f'{what}: nested too deeply') from error
+
 
 class StoredObject(msgspec.Struct, frozen=True):
     """An object as the store returned it.
--- a/bergamotdoor/types.py
+++ b/bergamotdoor/types.py
@@ -6,7 +6,10 @@
 
 #: A group of interchangeable upstreams, such as ``kreol-lm``.
 ServiceId = NewType('ServiceId', str)
-#: One engine or plain service on one VM.
+#: The name under which an engine or plain service registers. One that
+#: starts again may have the name of before.
+RegistrationId = NewType('RegistrationId', str)
+#: One start of an engine or plain service: its registration and the moment.
 UpstreamId = NewType('UpstreamId', str)
 #: An availability zone.
 ZoneId = NewType('ZoneId', str)
--- a/bergamotdoor/utils.py
+++ b/bergamotdoor/utils.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-_MS_PER_SECOND: Final = 1000
+_MS: Final = dt.timedelta(milliseconds=1)
 
 
 def from_ms(value_ms: float) -> dt.timedelta:
@@ -20,7 +20,7 @@
 
 def to_ms(span: dt.timedelta) -> int:
     """Return `span` in whole milliseconds, rounded down."""
-    return int(span.total_seconds() * _MS_PER_SECOND)
+    return span // _MS
 
 
 def hrw_weight(key: str, name: str) -> int:
--- a/features/steps/agent_weights_steps.py
+++ b/features/steps/agent_weights_steps.py
@@ -11,14 +11,11 @@
 
 from bergamotdoor.agent.daemon import AgentDaemon
 from bergamotdoor.fleet.swap import Roster
-from bergamotdoor.fleet.upstreams import Upstream
 from bergamotdoor.types import (
     ModelId,
-    ServiceId,
-    UpstreamId,
     WeightVersion,
-    ZoneId,
 )
+from features.fleet_scenes import upstreams
 from lab.site import Site, at, play
 
 if TYPE_CHECKING:
@@ -156,17 +153,7 @@
 
 @given('5 engines of a service in a list')
 def five(context: Any) -> None:
-    context.listed = [
-        Upstream(
-            upstream=UpstreamId(f'i{number}'),
-            service=ServiceId('lm'),
-            address=at(8100 + number),
-            zone=ZoneId('here'),
-            slots=4,
-            versions={ModelId('m'): WeightVersion(1)},
-        )
-        for number in range(5)
-    ]
+    context.listed = upstreams(5, versions={ModelId('m'): WeightVersion(1)})
 
 
 @then(
@@ -210,17 +197,8 @@
 @given('{engines:d} engines that {models:d} models share')
 def shared(context: Any, engines: int, models: int) -> None:
     names = [ModelId(f'm{number}') for number in range(models)]
-    context.listed = [
-        Upstream(
-            upstream=UpstreamId(f'i{number}'),
-            service=ServiceId('lm'),
-            address=at(8100 + number),
-            zone=ZoneId('here'),
-            slots=4,
-            versions={name: WeightVersion(1) for name in names},
-        )
-        for number in range(engines)
-    ]
+    versions = {name: WeightVersion(1) for name in names}
+    context.listed = upstreams(engines, versions=versions)
     context.models = names
 
 
--- a/features/steps/calls_tries_steps.py
+++ b/features/steps/calls_tries_steps.py
@@ -10,29 +10,13 @@
 
 from bergamotdoor.calls.tries import CallRules, Tries
 from bergamotdoor.fleet.loads import Loads
-from bergamotdoor.fleet.upstreams import Upstream
-from bergamotdoor.settings.document import Address
-from bergamotdoor.types import ServiceId, UpstreamId, ZoneId
 from bergamotdoor.verdict import Verdict
+from features.fleet_scenes import ZONE, upstreams
 
-ZONE = ZoneId('here')
 NOW = dt.timedelta(seconds=100)
 DEADLINE = NOW + dt.timedelta(seconds=1)
 
 
-def upstreams(count: int) -> list[Upstream]:
-    return [
-        Upstream(
-            upstream=UpstreamId(f'u{number}'),
-            service=ServiceId('desk'),
-            address=Address(ip='127.0.0.1', port=1000 + number),
-            zone=ZONE,
-            slots=2,
-        )
-        for number in range(count)
-    ]
-
-
 def rules(repeatable: bool, max_attempts: int = 2) -> CallRules:
     return CallRules(
         repeatable=repeatable,
--- a/features/steps/gateway_calls_steps.py
+++ b/features/steps/gateway_calls_steps.py
@@ -8,6 +8,7 @@
 
 from behave import given, then, when
 
+from bergamotdoor.types import RegistrationId
 from lab.client import Call
 from lab.site import Site, at, plain_route, play
 from lab.store import StoreMode
@@ -280,7 +281,7 @@
 @then('the replaced upstream is asked no more')
 def asked_no_more(context: Any) -> None:
     fleet = context.site.entries['entry-0']._context.fleet
-    assert fleet.get('desk-0') is None
+    assert fleet.registered(RegistrationId('desk-0')) is None
 
 
 @then('the first upstream got none of them')
--- a/features/steps/jobs_progress_steps.py
+++ b/features/steps/jobs_progress_steps.py
@@ -9,7 +9,6 @@
 from behave import given, then, when
 
 from bergamotdoor.fleet.loads import Loads, UpstreamLoad
-from bergamotdoor.fleet.upstreams import Upstream
 from bergamotdoor.jobs import (
     GeneratedEvent,
     JobBoard,
@@ -29,12 +28,10 @@
     ItemId,
     JobId,
     ModelId,
-    ServiceId,
     UpstreamId,
     WeightVersion,
-    ZoneId,
 )
-from lab.site import at
+from features.fleet_scenes import upstreams
 
 WHERE = UpstreamId('e0')
 
@@ -117,22 +114,9 @@
     assert board.take_finished(1)[0].state is ItemState.LOST
 
 
-def engines(count: int) -> list[Upstream]:
-    return [
-        Upstream(
-            upstream=UpstreamId(f'e{number}'),
-            service=ServiceId('lm'),
-            address=at(8100 + number),
-            zone=ZoneId('here'),
-            slots=4,
-        )
-        for number in range(count)
-    ]
-
-
 @given('engines with 1 of 4 and 0 of 4 slots taken')
 def taken(context: Any) -> None:
-    context.engines = engines(2)
+    context.engines = upstreams(2)
     context.loads = Loads()
     context.loads.of(WHERE).in_flight = 1
 
@@ -169,7 +153,7 @@
 @given('a number of {count:d} empty engines of {slots:d} slots')
 def empty(context: Any, count: int, slots: int) -> None:
     context.engines = [
-        msgspec.structs.replace(one, slots=slots) for one in engines(count)
+        msgspec.structs.replace(one, slots=slots) for one in upstreams(count)
     ]
     context.loads = Loads()
 
@@ -355,7 +339,7 @@
 @then('it rests for 300 ms, takes one request, and others once that one runs')
 def probed(context: Any) -> None:
     load: UpstreamLoad = context.load
-    engine = engines(1)[0]
+    engine = upstreams(1)[0]
     free = [
         free_slots(engine, context.loads, ms(at_ms)) for at_ms in (299, 300)
     ]
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -8,25 +8,37 @@
 import pathlib
 import re
 import tempfile
-from typing import Any
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import hypothesis
-import msgspec
 from behave import given, then, when
 
 from bergamotdoor.calls.manifest import RouteKind, pick_service
 from bergamotdoor.cli.node import ReloadingDaemon
 from bergamotdoor.entry.views import ManifestView
+from bergamotdoor.objects.job_codec import found_job, record_of
 from bergamotdoor.platform.batch_wire import parse_job
-from bergamotdoor.platform.engines import parse_report, parse_upstream
+from bergamotdoor.platform.engines import (
+    parse_report,
+    parse_upstream,
+    parse_version,
+)
+from bergamotdoor.platform.evacuation import is_completed
 from bergamotdoor.platform.events import EventReader
 from bergamotdoor.platform.manifest import parse_manifest
 from bergamotdoor.platform.settings import parse_node_settings
-from bergamotdoor.platform.store_wire import parse_changes, parse_page
+from bergamotdoor.platform.store_wire import (
+    parse_changes,
+    parse_object,
+    parse_page,
+)
 from bergamotdoor.settings.problems import SettingsError
-from bergamotdoor.stored import Listing, StoredObject
+from bergamotdoor.stored import Listing, StoredObject, UnreadableError
 from bergamotdoor.types import JobId, Revision, ServiceId
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 PACKAGE = pathlib.Path('bergamotdoor')
 ADAPTER = PACKAGE / 'platform'
 WIRE = re.compile(
@@ -100,7 +112,7 @@
 
 @given("the operator's manifest of two routes and a split")
 def two_routes(context: Any) -> None:
-    context.manifest = parse_manifest(manifest(7))
+    context.manifest = parse_manifest(stored(manifest(7)))
 
 
 @then('its routes have kinds, shares, bounds and limits with their units')
@@ -157,10 +169,10 @@
 def refused(what: str, text: str, field: str) -> None:
     try:
         if what == 'manifest':
-            parse_manifest(text.encode())
+            parse_manifest(stored(text.encode()))
         else:
             parse_node_settings(text.encode(), 'a file')
-    except (msgspec.MsgspecError, SettingsError) as error:
+    except (UnreadableError, SettingsError) as error:
         assert field in str(error), error
         return
     raise AssertionError('not refused')
@@ -227,9 +239,9 @@
     )
     @hypothesis.given(bodies)
     def check(body: bytes) -> None:
-        for parse in PARSERS:
-            with contextlib.suppress(*EXPECTED):
-                parse(body)
+        for parser in PARSERS:
+            with contextlib.suppress(parser.error):
+                parser.parse(body)
 
     check()
 
@@ -238,12 +250,14 @@
     names = hypothesis.strategies.sampled_from(
         (
             'version', 'routes', 'items', 'id', 'path', 'body', 'address',
-            'service', 'metadata', 'name', 'spec', 'models', 'events',
+            'service', 'metadata', 'name', 'spec', 'models', 'events', 'born',
+            'cold_left_ms', 'slots', 'state', 'seq', 'zone', 'object',
         )
     )  # fmt: skip
     leaves = hypothesis.strategies.one_of(
         hypothesis.strategies.none(),
         hypothesis.strategies.integers(),
+        hypothesis.strategies.floats(),
         hypothesis.strategies.text(max_size=5),
     )
     values = hypothesis.strategies.recursive(
@@ -257,14 +271,29 @@
     return values.map(lambda value: json.dumps(value).encode())
 
 
-EXPECTED = (msgspec.MsgspecError, ValueError, SettingsError)
+def stored(body: bytes) -> StoredObject:
+    return StoredObject('u', Revision(1), body, body)
+
+
+class Parser(NamedTuple):
+    """Reads bytes from outside, and fails with one kind of error only."""
+
+    parse: Callable[[bytes], Any]
+    error: type[Exception]
+
+
 PARSERS = (
-    parse_manifest,
-    parse_report,
-    parse_page,
-    parse_changes,
-    lambda body: parse_upstream('u', body),
-    lambda body: parse_job(JobId('j'), 'h', '/p', body),
-    lambda body: parse_node_settings(body, 'a file'),
-    lambda body: list(EventReader().feed(body)),
+    Parser(parse_report, UnreadableError),
+    Parser(parse_page, UnreadableError),
+    Parser(parse_changes, UnreadableError),
+    Parser(parse_object, UnreadableError),
+    Parser(lambda body: parse_manifest(stored(body)), UnreadableError),
+    Parser(lambda body: parse_upstream(stored(body)), UnreadableError),
+    Parser(lambda body: parse_version(stored(body)), UnreadableError),
+    Parser(lambda body: is_completed(stored(body)), UnreadableError),
+    Parser(lambda body: found_job(stored(body)), UnreadableError),
+    Parser(lambda body: record_of(stored(body)), UnreadableError),
+    Parser(lambda body: parse_job(JobId('j'), 'h', '/p', body), ValueError),
+    Parser(lambda body: parse_node_settings(body, 'a file'), SettingsError),
+    Parser(lambda body: list(EventReader().feed(body)), ValueError),
 )
--- a/lab/site.py
+++ b/lab/site.py
@@ -11,8 +11,8 @@
 
 from bergamotdoor.agent.daemon import AgentDaemon
 from bergamotdoor.gateway.daemon import GatewayDaemon
-from bergamotdoor.platform.settings import NodeSettings
 from bergamotdoor.settings.document import Address
+from bergamotdoor.settings.node import NodeSettings
 from bergamotdoor.types import NodeId, ZoneId
 from lab.client import Call, Client, Reply
 from lab.store import Store
@@ -131,9 +131,12 @@
         self.entries[name] = entry
         return entry
 
-    async def add_agent(self, name: str, engine: Engine) -> AgentDaemon:
-        """Start an engine's agent."""
-        settings = self.settings(name, _AGENT_PORT, engine.address)
+    async def add_agent(
+        self, name: str, engine: Engine | None = None
+    ) -> AgentDaemon:
+        """Start an engine's agent, or that of a VM with a disk."""
+        address = None if engine is None else engine.address
+        settings = self.settings(name, _AGENT_PORT, address)
         agent = AgentDaemon(settings, self.clock)
         await agent.start()
         self.agents[name] = agent
--- a/lab/upstreams.py
+++ b/lab/upstreams.py
@@ -29,6 +29,9 @@
 _MAX_BODY_BYTES: Final = 10_000_000
 _PREFIX: Final = 'x-bergamotdoor-'
 _MODEL: Final = 'm'
+#: Some moment; a start again comes later.
+_BORN_MS: Final = 1_700_000_000_000
+_MS_PER_S: Final = 1000
 
 
 class UpstreamMode(enum.Enum):
@@ -70,6 +73,8 @@
         self.name = name
         self.service = service
         self.address = address
+        #: When it started, as it registers that; zero is not told.
+        self.born_ms = _BORN_MS
         self.seen: list[Seen] = []
         #: Requests that run now.
         self.running: set[str] = set()
@@ -77,7 +82,8 @@
         #: Requests that fail whenever they run.
         self.always_fail: set[str] = set()
         self.work_s = _WORK_S
-        self._server = HttpServer(address, self.handle, LIMITS, clock, name)
+        self._clock = clock
+        self._server = self._new_server()
 
     async def start(self) -> None:
         """Serve."""
@@ -93,12 +99,28 @@
             'service': self.service,
             'address': written(self.address),
             'zone': 'here',
+            'version': 'v1',
             'slots': 4,
             'state': 'ready',
             'cold_left_ms': 0,
+            'seq': 1,
+            **self.start_told(),
             **extra,
         }
 
+    def start_told(self) -> dict[str, int]:
+        """Return what it tells of its start; older ones tell nothing."""
+        return {'born': self.born_ms} if self.born_ms else {}
+
+    async def restart(self, down_s: float) -> None:
+        """End all requests and start again under the same name."""
+        await self.stop()
+        await asyncio.sleep(down_s)
+        self.running.clear()
+        self.born_ms += int(down_s * _MS_PER_S) + 1
+        self._server = self._new_server()
+        await self._server.start()
+
     def fields(self, request_id: str) -> list[tuple[str, str]]:
         """Return the header fields of an answer."""
         return [
@@ -155,6 +177,11 @@
             body=f'{self.name} ran {request.target} {len(body)}'.encode(),
         )
 
+    def _new_server(self) -> HttpServer:
+        return HttpServer(
+            self.address, self.handle, LIMITS, self._clock, self.name
+        )
+
 
 class Engine(Upstream):
     """Generates as many events as the item's body says."""
@@ -174,12 +201,21 @@
         #: A stream breaks off behind so many events; -1 is never.
         self.break_after = -1
         self.load_s = _LOAD_S
+        #: How often it was started.
+        self._starts = 1
 
     def registration(self, **extra: Any) -> dict[str, Any]:
         """Return what it registers in the store."""
         models = [{'name': _MODEL, 'version': self.version, 'adapters': []}]
         return super().registration(models=models, **extra)
 
+    async def restart(self, down_s: float) -> None:
+        """Start again: with its weights, and nothing else of before."""
+        self.orders.clear()
+        self.loading = False
+        self._starts += 1
+        await super().restart(down_s)
+
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer its agent, or run an item."""
         if request.target == '/-/report':
@@ -189,6 +225,7 @@
                 'seq': len(self.orders),
                 'running': len(self.running),
                 'waiting': 0,
+                **self.start_told(),
             }
             return HttpResponse(
                 status=int(HTTPStatus.OK), body=json.dumps(report).encode()
@@ -233,12 +270,16 @@
         self.orders.append(order)
         self.loading = True
         loop = asyncio.get_running_loop()
-        loop.call_later(self.load_s, self._loaded, order['version'])
+        loop.call_later(
+            self.load_s, self._loaded, order['version'], self._starts
+        )
         return HTTPStatus.ACCEPTED
 
-    def _loaded(self, version: int) -> None:
-        self.version = version
-        self.loading = False
+    def _loaded(self, version: int, starts: int) -> None:
+        # A load that an earlier start began ended with it.
+        if starts == self._starts:
+            self.version = version
+            self.loading = False
 
     async def _events(
         self, request_id: str, first: int, count: int
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -23,6 +23,7 @@
 _JOBS: Final = 4
 _TIMEOUT_S: Final = 300
 _SCORING: Final = 'gateway_scoring'
+_INCARNATIONS: Final = 'fleet_incarnations'
 
 
 class Mutation(msgspec.Struct, frozen=True):
@@ -136,6 +137,41 @@
         'return _LARGEST_BYTES',
         'jobs_pages',
     ),
+    Mutation(
+        'each object of a page is read by itself',
+        'platform/store_wire.py',
+        'tuple(_readable(written.items, parse_object))',
+        'tuple(parse_object(bytes(item)) for item in written.items)',
+        'objects_foreign',
+    ),
+    Mutation(
+        'an upstream whose entry cannot be read is dropped',
+        'entry/views.py',
+        'self._fleet.remove(RegistrationId(stored.name))\n            return',
+        'return',
+        'objects_foreign',
+    ),
+    Mutation(
+        'an entry of an earlier start changes nothing',
+        'fleet/fleet.py',
+        'if upstream.started < self._starts.get(name, upstream.started):',
+        'if False:',
+        _INCARNATIONS,
+    ),
+    Mutation(
+        'what is known of an upstream is of one start',
+        'fleet/upstreams.py',
+        '    if not started:\n',
+        '    if True:\n',
+        _INCARNATIONS,
+    ),
+    Mutation(
+        'an engine is looked at though no version is new',
+        'agent/weights.py',
+        '_LOOK_S: Final = 1\n',
+        '_LOOK_S: Final = 1000\n',
+        _INCARNATIONS,
+    ),
     Mutation(
         'a text that wants a score is not listed without it',
         'jobs/open_items.py',
