Tell a job that is handed over from one that has ended

The log shows the owner, asked to stop, marked as ended what it handed over, and answered readers so until the store had kept the items' texts.

Ruled out: a stale ledger (nothing was listed yet), a lost part of the job (other entries gave the body before and after).

Change: a job's run has a state: running, stopped, ended. Only a confirmed end denies bodies.

Test: gateway_jobs, a body asked for while the owner hands over with a slow store; 404 before, 200 after.

--- a/bergamotdoor/steps/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -19,7 +19,7 @@
 from bergamotdoor.observe.events import Counted
 from bergamotdoor.steps.item_request import ItemRun
 from bergamotdoor.steps.item_run import run_item
-from bergamotdoor.steps.job_run import RunningItem
+from bergamotdoor.steps.job_run import RunningItem, RunState
 
 if TYPE_CHECKING:
     import datetime as dt
@@ -141,7 +141,7 @@
         try:
             end = await run_item(self._context, item)
         except asyncio.CancelledError:
-            if run.ended:
+            if run.state is not RunState.RUNNING:
                 raise
             end = RunEnd.MOVED
         finally:
--- a/bergamotdoor/steps/job_finder.py
+++ b/bergamotdoor/steps/job_finder.py
@@ -11,6 +11,7 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
+from bergamotdoor.steps.job_run import RunState
 from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
@@ -106,7 +107,7 @@
         if self._owner.stopping and not found.status.ended:
             return Outcome.NOT_DONE
         known = self._owner.get(found.job)
-        if known is not None and not known.ended:
+        if known is not None and known.state is RunState.RUNNING:
             return known
         loaded = await self._store.load(found.job)
         if isinstance(loaded, Outcome):
--- a/bergamotdoor/steps/job_keeper.py
+++ b/bergamotdoor/steps/job_keeper.py
@@ -49,5 +49,5 @@
 async def hand_over(run: JobRun, store: JobStore) -> None:
     """Stop, and keep all that the next owner can go on with."""
     saved = run.items.saved(1)
-    run.end()
+    run.stop()
     await store.keep_partial(run.spec.job, saved)
--- a/bergamotdoor/steps/job_run.py
+++ b/bergamotdoor/steps/job_run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import logging
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,17 @@
 _log = logging.getLogger('bergamotdoor.gateway')
 
 
+class RunState(enum.Enum):
+    """What a process still does for a job."""
+
+    #: Its items run here.
+    RUNNING = 'running'
+    #: Another process runs them, or will.
+    STOPPED = 'stopped'
+    #: Its end was confirmed: nobody runs them.
+    ENDED = 'ended'
+
+
 class RunningItem(msgspec.Struct, frozen=True):
     """An item that runs now."""
 
@@ -75,7 +87,7 @@
         )
         self.running: dict[ItemId, RunningItem] = {}
         self._scoring: set[asyncio.Task[None]] = set()
-        self.ended = False
+        self.state = RunState.RUNNING
         self._context = context
         #: When its route was last known.
         self._routed_at = self.began
@@ -91,7 +103,13 @@
     @property
     def active(self) -> bool:
         """Whether items may still be started."""
-        return not self.ended and self.items.board.open_items > 0
+        running = self.state is RunState.RUNNING
+        return running and self.items.board.open_items > 0
+
+    @property
+    def ended(self) -> bool:
+        """Whether the job's end was confirmed."""
+        return self.state is RunState.ENDED
 
     def take_scoring(self, task: asyncio.Task[None]) -> None:
         """Take a score call of an item, to be ended with the job."""
@@ -105,8 +123,19 @@
         self.finished.set()
 
     def end(self) -> None:
-        """Stop all items; what is listed stays listed."""
-        self.ended = True
+        """Stop all items for good; what is listed stays listed."""
+        self.stop()
+        self.state = RunState.ENDED
+
+    def stop(self) -> None:
+        """Stop all items here; the job goes on elsewhere.
+
+        Failure: a job that another process goes on with is taken for an
+        ended one. Symptom: a trainer asks for the body of an item that
+        waits, while its owner hands it over, and is told that there is
+        none. Readers are served from a stopped job as from a running one.
+        """
+        self.state = RunState.STOPPED
         self._cancel_all()
         self.finished.set()
         self.announce()
--- a/bergamotdoor/steps/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -10,7 +10,7 @@
 from bergamotdoor.observe.events import Counted
 from bergamotdoor.steps.dispatcher import Dispatcher
 from bergamotdoor.steps.job_keeper import hand_over, keep_open_items
-from bergamotdoor.steps.job_run import JobRun
+from bergamotdoor.steps.job_run import JobRun, RunState
 from bergamotdoor.steps.result_writer import ResultWriter
 from bergamotdoor.steps.scorer import Scorer
 from bergamotdoor.stored import Outcome
@@ -74,7 +74,7 @@
     async def stop(self) -> None:
         """Stop all work at once; the next owner goes on."""
         for run in self._runs.values():
-            run.end()
+            run.stop()
         await self._tasks.stop()
 
     async def hand_over(self) -> tuple[JobRun, ...]:
@@ -101,7 +101,7 @@
     def adopt(self, found: FoundJob, loaded: LoadedJob) -> JobRun:
         """Run a job whose record names this process, or serve an ended one."""
         known = self._runs.get(found.job)
-        if known is not None and not known.ended:
+        if known is not None and known.state is RunState.RUNNING:
             return known
         now = self._context.clock.elapsed()
         route = self._manifests.batch_route(loaded.spec)
--- a/bergamotdoor/steps/result_writer.py
+++ b/bergamotdoor/steps/result_writer.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.jobs.messages import ItemResult, ResultRecord
+from bergamotdoor.steps.job_run import RunState
 
 if TYPE_CHECKING:
     import random
@@ -43,7 +44,7 @@
         run = self._run
         while not run.complete:
             await run.finished.wait()
-            if run.ended:
+            if run.state is not RunState.RUNNING:
                 return
             if run.items.board.open_items:
                 await asyncio.sleep(GATHER_S)
--- a/features/gateway_jobs.feature
+++ b/features/gateway_jobs.feature
@@ -55,6 +55,14 @@
     Then the third entry lists all 4 results, each once and whole
     And the step took at most 4.2 s
 
+  Scenario: a body is not denied while its owner hands the step over
+    The owner is asked to stop while the store is slow, so it takes a while
+    to keep what its items have. A trainer asks for the body of an item that
+    waits just then: told that there is none, it would take it for lost.
+
+    Given a site whose owner is stopped while its store takes 0.4 s an answer
+    Then a body and a page asked for in that time are not denied
+
   Scenario: two owners cannot give one position to different results
     An owner is cut off from the others and from the store, and goes on. A
     second one takes over and lists results. When the first one reaches the
--- a/features/steps/gateway_jobs_steps.py
+++ b/features/steps/gateway_jobs_steps.py
@@ -209,6 +209,36 @@
     play(scene)
 
 
+@given(
+    'a site whose owner is stopped while its store takes {after:g} s an answer'
+)
+def stopped_slowly(context: Any, after: float) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        await handed_in(site, [[90, 90], [90, 90]])
+        await asyncio.sleep(0.5)
+        owner = owner_of(site)
+        site.store.answer_s = after
+        stopping = asyncio.create_task(site.entries[owner].stop())
+        await asyncio.sleep(0.1)
+        item = f'{JOB}.1.1'
+        body = await site.ask(owner, 'GET', f'/-/items/{JOB}?id={item}')
+        assert body is not None
+        page = await site.results(other(site, owner), JOB)
+        context.answers = (body.status, page)
+        await stopping
+        del site.entries[owner]
+
+    play(scene)
+
+
+@then('a body and a page asked for in that time are not denied')
+def not_denied(context: Any) -> None:
+    status, page = context.answers
+    assert status == 200, status
+    assert page != 404, page
+
+
 @given('a site of 3 entries of which the owner and the next one stop')
 def two_stop(context: Any) -> None:
     context.groups = [[90, 3], [80, 2]]
