Run a trainer's steps in the zone in which they are handed in

Change: the home is the first by highest random weight among the entries of the taker's zone; entries register with their zone. An agent tells an entry of its own zone of loaded weights, which passes that on once to the entry that runs the model's steps; every entry hears who that is with each new step.

Tests: peers_directory (3), with a mutation that is noticed.

--- a/bergamotdoor/agent/daemon.py
+++ b/bergamotdoor/agent/daemon.py
@@ -15,7 +15,7 @@
 from bergamotdoor.objects.job_store import JobStore
 from bergamotdoor.objects.watcher import Watcher
 from bergamotdoor.peers.access import StoreAccess
-from bergamotdoor.peers.directory import home_of
+from bergamotdoor.peers.directory import home_order
 from bergamotdoor.peers.messages import EngineLoaded
 from bergamotdoor.platform import headers as names
 from bergamotdoor.tasks import Tasks
@@ -87,12 +87,12 @@
         Its own view of the registrations is a second late by design, and
         the engine would get no items of the new version until then.
         """
-        home = home_of(model, self._access.directory.entries)
+        entries = self._access.directory.entries
+        near = home_order(model, entries, self._settings.zone)
         engine = self._settings.engine
-        if home is not None and engine is not None:
+        if near and engine is not None:
             message = EngineLoaded(engine, model, version)
-            address = self._access.directory.entries[home]
-            self._tasks.start(self._tell(address, message))
+            self._tasks.start(self._tell(entries[near[0]].address, message))
 
     async def _tell(self, address: Address, message: EngineLoaded) -> None:
         await self._access.peers.ask(address, message)
--- a/bergamotdoor/entry/context.py
+++ b/bergamotdoor/entry/context.py
@@ -16,6 +16,7 @@
 from bergamotdoor.jobs.progress import Speeds
 from bergamotdoor.objects.client import ObjectClient
 from bergamotdoor.observe.metrics import Metrics
+from bergamotdoor.peers.directory import EntryRecord
 from bergamotdoor.settings.document import Address
 from bergamotdoor.settings.node import NodeSettings
 
@@ -67,6 +68,11 @@
         """Where other processes reach this one."""
         return Address(ip=self.settings.ip, port=self.settings.first_port)
 
+    @property
+    def own_entry(self) -> EntryRecord:
+        """What other processes are told of this one."""
+        return EntryRecord(self.own_address, self.settings.zone)
+
     def own_record(self, term: int, parts: int) -> JobRecord:
         """Return the record of a job owned by this process."""
         return JobRecord(self.settings.node, self.own_address, term, parts)
--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -162,7 +162,7 @@
 
     def _start_directory(self) -> None:
         directory = self._access.directory
-        self._tasks.start(directory.register(self._context.own_address))
+        self._tasks.start(directory.register(self._context.own_entry))
         self._tasks.start(directory.run())
 
     def _manifest_changed(self) -> None:
--- a/bergamotdoor/gateway/wiring.py
+++ b/bergamotdoor/gateway/wiring.py
@@ -35,15 +35,20 @@
         self.store = JobStore(context.store)
         self.owner = JobOwner(context, self.store, manifests)
         self.finder = JobFinder(context, self.store, self.owner)
-        self.peer_service = PeerService(
-            self.owner, self.finder, context.fleet, access.direct
-        )
         self.others = OtherEntries(
             self.finder,
             access.peers,
             access.directory,
             tasks,
             context.clock,
+            context.settings.zone,
+        )
+        self.peer_service = PeerService(
+            self.owner,
+            self.finder,
+            self.others,
+            context.fleet,
+            access.direct,
         )
         self.front = Front(
             context,
--- a/bergamotdoor/peers/directory.py
+++ b/bergamotdoor/peers/directory.py
@@ -11,7 +11,7 @@
 from bergamotdoor.objects.reader import ObjectReader
 from bergamotdoor.settings.document import Address
 from bergamotdoor.stored import Conflict, Outcome, reading
-from bergamotdoor.types import NodeId
+from bergamotdoor.types import NodeId, ZoneId
 from bergamotdoor.utils import hrw_order
 
 if TYPE_CHECKING:
@@ -31,19 +31,34 @@
 
 
 class EntryRecord(msgspec.Struct, frozen=True):
-    """Where an entry listens."""
+    """Where an entry listens, and in which availability zone."""
 
     address: Address
+    zone: ZoneId = ZoneId('')
 
 
-def home_of(model: ModelId, entries: Mapping[NodeId, Address]) -> NodeId | None:
-    """Return the entry that runs a model's jobs; None if there is none.
+def home_order(
+    model: ModelId, entries: Mapping[NodeId, EntryRecord], zone: ZoneId
+) -> list[NodeId]:
+    """Return the entries that may run a model's jobs, the best first.
 
     One entry for all steps of a trainer keeps its connections to the
     engines, 202 new ones instead of 473 on a quiet day of five engines, and
-    places the items of steps that overlap knowing of both.
+    places the items of steps that overlap knowing of both. It is one of the
+    zone in which the trainer hands its steps in: their bodies and results
+    would otherwise cross the zones' borders twice.
+
+    Parameters
+    ----------
+    model
+        The trainer's model.
+    entries
+        All entries that are known.
+    zone
+        Where the job was handed in.
     """
-    return NodeId(hrw_order(model, entries)[0]) if entries else None
+    order = [NodeId(name) for name in hrw_order(model, entries)]
+    return sorted(order, key=lambda name: entries[name].zone != zone)
 
 
 class Directory:
@@ -63,12 +78,12 @@
         self._store = store
         self._node = node
         self._clock = clock
-        self.entries: dict[NodeId, Address] = {}
+        self.entries: dict[NodeId, EntryRecord] = {}
         self._reader = ObjectReader(_log, 'peers')
 
-    async def register(self, address: Address) -> None:
+    async def register(self, entry: EntryRecord) -> None:
         """Write where this entry listens; tried until it is known."""
-        spec = msgspec.json.encode(EntryRecord(address))
+        spec = msgspec.json.encode(entry)
         done = False
         while not done:
             found = await self._store.create(ENTRY_KIND, self._node, spec)
@@ -92,7 +107,7 @@
         if isinstance(listing, Outcome):
             return
         self.entries = {
-            NodeId(stored.name): record.address
+            NodeId(stored.name): record
             for stored in listing.objects
             if stored.name != self._node
             and (record := self._reader.read(stored, _record)) is not None
--- a/bergamotdoor/peers/messages.py
+++ b/bergamotdoor/peers/messages.py
@@ -54,14 +54,20 @@
 
     job: JobId
     record: JobRecord
+    model: ModelId
 
 
 class EngineLoaded(msgspec.Struct, frozen=True, tag=True):
-    """Tell that an engine has taken a version of a model."""
+    """Tell that an engine has taken a version of a model.
+
+    Told to an entry near the engine, which passes it on once to the one
+    that runs the model's jobs.
+    """
 
     engine: Address
     model: ModelId
     version: WeightVersion
+    passed_on: bool = False
 
 
 class StoreCall(msgspec.Struct, frozen=True, tag=True):
--- a/bergamotdoor/peers/relay.py
+++ b/bergamotdoor/peers/relay.py
@@ -135,7 +135,7 @@
     def _addresses(self) -> list[Address]:
         if self.directory is None or self._closed():
             return []
-        known = list(self.directory.entries.values())
+        known = [entry.address for entry in self.directory.entries.values()]
         return self._rng.sample(known, min(len(known), _MOST_PEERS))
 
     def _closed(self) -> bool:
--- a/bergamotdoor/steps/job_finder.py
+++ b/bergamotdoor/steps/job_finder.py
@@ -19,12 +19,15 @@
     from bergamotdoor.jobs.messages import JobRecord
     from bergamotdoor.objects.job_codec import FoundJob
     from bergamotdoor.objects.job_store import JobStore
+    from bergamotdoor.settings.document import Address
     from bergamotdoor.steps.job_run import JobRun
     from bergamotdoor.steps.owner import JobOwner
-    from bergamotdoor.types import JobId
+    from bergamotdoor.types import JobId, ModelId
 
 #: Owners of jobs that are remembered; each takes some 300 bytes.
 _MOST_OWNERS: Final = 2048
+#: Models whose trainers' entries are remembered.
+_MOST_MODELS: Final = 256
 
 _log = logging.getLogger('bergamotdoor.gateway')
 
@@ -49,13 +52,25 @@
         self._store = store
         self._owner = owner
         self._records: dict[JobId, JobRecord] = {}
+        self._owners: dict[ModelId, Address] = {}
 
     def is_own(self, record: JobRecord) -> bool:
         """Return whether a record names this process."""
         return record.owner == self._context.settings.node
 
-    def remember(self, job: JobId, record: JobRecord) -> None:
+    def owner_of(self, model: ModelId) -> Address | None:
+        """Return where the newest job of a model is run; None is not known."""
+        return self._owners.get(model)
+
+    def remember(
+        self, job: JobId, record: JobRecord, model: ModelId | None = None
+    ) -> None:
         """Take who owns a job; an older record is of no interest."""
+        if model is not None:
+            self._owners.pop(model, None)
+            self._owners[model] = record.address
+            if len(self._owners) > _MOST_MODELS:
+                self._owners.pop(next(iter(self._owners)))
         known = self._records.pop(job, None)
         if known is not None and known.term > record.term:
             record = known
--- a/bergamotdoor/steps/jobs_intake.py
+++ b/bergamotdoor/steps/jobs_intake.py
@@ -7,7 +7,7 @@
 from bergamotdoor.jobs.ledger import Ledger
 from bergamotdoor.jobs.messages import JobRecord
 from bergamotdoor.objects.job_codec import LoadedJob
-from bergamotdoor.peers.directory import home_of
+from bergamotdoor.peers.directory import home_order
 from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
@@ -56,8 +56,8 @@
         found = await self._store.submit(spec, self._home_record(spec))
         if isinstance(found, Outcome):
             return found
-        self._finder.remember(found.job, found.record)
-        self._others.tell_owner(found)
+        self._finder.remember(found.job, found.record, spec.model)
+        self._others.tell_owner(found, spec.model)
         if not self._finder.is_own(found.record):
             self._others.hand_over(found, spec)
         elif self._owner.get(found.job) is None:
@@ -78,6 +78,8 @@
         own = self._context.own_record(1, 0)
         entries = dict(self._others.directory.entries)
         if not self._owner.stopping:
-            entries[own.owner] = own.address
-        home = home_of(spec.model, entries) or own.owner
-        return JobRecord(home, entries.get(home, own.address), 1, 0)
+            entries[own.owner] = self._context.own_entry
+        order = home_order(spec.model, entries, self._context.settings.zone)
+        if not order:
+            return own
+        return JobRecord(order[0], entries[order[0]].address, 1, 0)
--- a/bergamotdoor/steps/other_entries.py
+++ b/bergamotdoor/steps/other_entries.py
@@ -7,16 +7,18 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
+from bergamotdoor.peers.directory import home_order
 from bergamotdoor.peers.messages import (
     AdoptJob,
     Done,
+    EngineLoaded,
     JobEnded,
     JobOwned,
     TakeOver,
 )
 from bergamotdoor.stored import Outcome
-from bergamotdoor.types import NodeId
-from bergamotdoor.utils import hrw_order
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
@@ -28,7 +30,7 @@
     from bergamotdoor.steps.job_finder import JobFinder
     from bergamotdoor.steps.job_run import JobRun
     from bergamotdoor.tasks import Tasks
-    from bergamotdoor.types import JobId
+    from bergamotdoor.types import JobId, ModelId, ZoneId
 
 #: How often the owner of an ended job is told before it is left to find
 #: out by itself, and the pause between.
@@ -60,6 +62,8 @@
         Runs what goes on behind the answer.
     clock
         For the pauses.
+    zone
+        The availability zone of this process.
     """
 
     def __init__(
@@ -69,8 +73,10 @@
         directory: Directory,
         tasks: Tasks,
         clock: Clock,
+        zone: ZoneId,
     ) -> None:
         self.directory = directory
+        self._zone = zone
         self._finder = finder
         self._peers = peers
         self._tasks = tasks
@@ -80,15 +86,22 @@
         """Have a job's home run it, or run it here."""
         self._tasks.start(self._hand_over(found, spec))
 
-    def tell_owner(self, found: FoundJob) -> None:
+    def tell_owner(self, found: FoundJob, model: ModelId) -> None:
         """Have every entry know whom to ask for a job's results.
 
         Readers come to any entry. Each would ask the store once a job:
         800 calls in half a minute of four trainers before 27 entries.
         """
-        message = JobOwned(found.job, found.record)
-        for address in self.directory.entries.values():
-            self._tasks.start(self._tell(address, message))
+        message = JobOwned(found.job, found.record, model)
+        for entry in self.directory.entries.values():
+            self._tasks.start(self._tell(entry.address, message))
+
+    def pass_on(self, message: EngineLoaded) -> None:
+        """Tell the entry that runs a model's jobs of its engine's weights."""
+        owner = self._finder.owner_of(message.model)
+        if owner is not None and not message.passed_on:
+            told = msgspec.structs.replace(message, passed_on=True)
+            self._tasks.start(self._tell(owner, told))
 
     async def hand_on(self, runs: tuple[JobRun, ...]) -> None:
         """Have other entries run the jobs of this one, which stops.
@@ -103,15 +116,18 @@
         """Have a job's owner stop."""
         self._tasks.start(self._tell_of_end(job))
 
-    async def _tell(self, address: Address, message: JobOwned) -> None:
+    async def _tell(
+        self, address: Address, message: JobOwned | EngineLoaded
+    ) -> None:
         await self._peers.ask(address, message)
 
     async def _hand_on(self, run: JobRun) -> None:
         """Ask entry after entry: those that stop as well take nothing."""
         message = TakeOver(run.spec.job, run.found.record)
         entries = self.directory.entries
-        for entry in hrw_order(run.spec.model, entries)[:_MOST_ASKED]:
-            address = entries[NodeId(entry)]
+        order = home_order(run.spec.model, entries, self._zone)
+        for entry in order[:_MOST_ASKED]:
+            address = entries[entry].address
             reply = await self._peers.ask(address, message, _HAND_ON_WAIT)
             taken = isinstance(reply, Done)
             _log.info(
--- a/bergamotdoor/steps/peer_service.py
+++ b/bergamotdoor/steps/peer_service.py
@@ -31,6 +31,7 @@
     from bergamotdoor.objects.client import Caller
     from bergamotdoor.peers.messages import PeerReply, PeerRequest
     from bergamotdoor.steps.job_finder import JobFinder
+    from bergamotdoor.steps.other_entries import OtherEntries
     from bergamotdoor.steps.owner import JobOwner
 
 _MS: Final = dt.timedelta(milliseconds=1)
@@ -45,6 +46,8 @@
         Runs this process's jobs.
     finder
         Knows the owners.
+    others
+        Told of what is not for this process.
     fleet
         Learns of loaded versions.
     direct
@@ -55,9 +58,11 @@
         self,
         owner: JobOwner,
         finder: JobFinder,
+        others: OtherEntries,
         fleet: Fleet,
         direct: Caller,
     ) -> None:
+        self._others = others
         self._owner = owner
         self._finder = finder
         self._fleet = fleet
@@ -84,10 +89,11 @@
         elif isinstance(message, JobEnded):
             self._owner.end(message.job)
         elif isinstance(message, JobOwned):
-            self._finder.remember(message.job, message.record)
+            self._finder.remember(message.job, message.record, message.model)
         else:
             self._fleet.loaded(message.engine, message.model, message.version)
             self._owner.poke()
+            self._others.pass_on(message)
 
     async def _read(self, message: ReadResults | ReadBody) -> PeerReply:
         run = self._owner.get(message.job)
--- /dev/null
+++ b/features/steps/peers_directory_steps.py
@@ -0,0 +1,101 @@
+"""Steps for bergamotdoor.peers.directory."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime as dt
+from typing import Any
+
+from behave import given, then, when
+
+from bergamotdoor.peers.directory import EntryRecord, home_order
+from bergamotdoor.types import ModelId, NodeId, ZoneId
+from features.job_scenes import JOB, owner_of
+from lab.site import Site, at, play
+
+#: Nothing is waited for longer than this.
+LATE = dt.timedelta(seconds=5)
+ZONES = ('a', 'b', 'c')
+MODELS = [ModelId(f'm{number}') for number in range(50)]
+
+
+@given('6 entries in 3 zones')
+def six(context: Any) -> None:
+    context.entries = {
+        NodeId(f'entry-{zone}-{number}'): EntryRecord(at(9000), ZoneId(zone))
+        for zone in ZONES
+        for number in range(2)
+    }
+
+
+@then("every model's steps are run by an entry of the zone that takes them")
+def own_zone(context: Any) -> None:
+    for model in MODELS:
+        for zone in ZONES:
+            home = home_order(model, context.entries, ZoneId(zone))[0]
+            assert context.entries[home].zone == zone, (model, zone, home)
+
+
+@then('each of them is the same entry for all entries of the zone')
+def same(context: Any) -> None:
+    shuffled = dict(sorted(context.entries.items(), reverse=True))
+    homes = set()
+    for model in MODELS:
+        home = home_order(model, context.entries, ZoneId('b'))[0]
+        assert home == home_order(model, shuffled, ZoneId('b'))[0]
+        homes.add(home)
+    assert len(homes) == 2, homes
+
+
+@then('the steps of a zone without entries are run by the same entry always')
+def elsewhere(context: Any) -> None:
+    for model in MODELS:
+        first = home_order(model, context.entries, ZoneId('d'))
+        second = home_order(model, context.entries, ZoneId('e'))
+        assert first == second
+        assert len(first) == 6
+
+
+@given("a site of two zones whose engine is not in its trainer's zone")
+def two_zones(context: Any) -> None:
+    async def prepare(site: Site) -> None:
+        site.place('entry-0', 'near')
+        site.place('entry-1', 'far')
+        site.place('side-0', 'far')
+        await site.start(engines=1, services=0)
+        await site.add_agent('side-0', site.engines['engine-0'])
+        reply = await site.submit('entry-0', JOB, [[2, 2]])
+        assert reply is not None
+        await site.all_results('entry-0', JOB)
+        assert owner_of(site) == 'entry-0', owner_of(site)
+        await asyncio.sleep(1)
+
+    context.prepare = prepare
+
+
+@when('the engine has loaded version 2')
+def loaded(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await context.prepare(site)
+        engine = site.engines['engine-0']
+        site.store.put('versions', 'm', {'model': 'm', 'version': 2})
+        while engine.version < 2:
+            await asyncio.sleep(0.01)
+        # The agent looks at its engine a few times a second.
+        await asyncio.sleep(0.2)
+        reply = await site.submit('entry-0', 'j2', [[2, 2]], 2)
+        assert reply is not None
+        before = len(engine.seen)
+        began = site.clock.elapsed()
+        while (
+            len(engine.seen) == before and site.clock.elapsed() < began + LATE
+        ):
+            await asyncio.sleep(0.01)
+        context.took_s = (site.clock.elapsed() - began).total_seconds()
+
+    play(scene)
+
+
+@then('a step that takes no older one begins within {most_s:g} s')
+def begins(context: Any, most_s: float) -> None:
+    assert context.took_s <= most_s, context.took_s
--- a/features/steps/peers_relay_steps.py
+++ b/features/steps/peers_relay_steps.py
@@ -10,7 +10,7 @@
 from behave import given, then, when
 
 from bergamotdoor.objects.client import Answer
-from bergamotdoor.peers.directory import Directory
+from bergamotdoor.peers.directory import Directory, EntryRecord
 from bergamotdoor.peers.relay import RelayingCaller
 from bergamotdoor.types import NodeId
 from lab.site import at
@@ -59,7 +59,8 @@
     )
     directory = Directory.__new__(Directory)
     directory.entries = {
-        NodeId(f'e{number}'): at(9000 + number) for number in range(3)
+        NodeId(f'e{number}'): EntryRecord(at(9000 + number))
+        for number in range(3)
     }
     caller.directory = directory
     context.ways = ways
--- a/lab/site.py
+++ b/lab/site.py
@@ -78,6 +78,8 @@
         self.entries: dict[str, GatewayDaemon] = {}
         self.agents: dict[str, AgentDaemon] = {}
         self.ports: dict[str, int] = {}
+        #: Where a process runs, unless it is here.
+        self._zones: dict[str, str] = {}
         self.version = 3
         self.routes = _routes()
 
@@ -102,6 +104,10 @@
         # Entries know each other a second after their start.
         await asyncio.sleep(4)
 
+    def place(self, name: str, zone: str) -> None:
+        """Have a process run in another zone once it is started."""
+        self._zones[name] = zone
+
     async def add_engine(self, name: str) -> Engine:
         """Start and register an engine."""
         engine = Engine(
@@ -148,7 +154,7 @@
         """Return what the platform would tell a process."""
         return NodeSettings(
             node=NodeId(name),
-            zone=ZoneId('here'),
+            zone=ZoneId(self._zones.get(name, 'here')),
             ip=IP,
             store=self.store.address,
             object_bytes=_OBJECT_BYTES,
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -172,6 +172,13 @@
         '_LOOK_S: Final = 1000\n',
         _INCARNATIONS,
     ),
+    Mutation(
+        "an engine's weights are told to the entry that runs its model",
+        'steps/peer_service.py',
+        'self._others.pass_on(message)',
+        'return',
+        'peers_directory',
+    ),
     Mutation(
         'a text that wants a score is not listed without it',
         'jobs/open_items.py',
