Keep results that an entry has shown, and ask owners for what is new

A page that is known to its end is shown without its owner, a part is filled up by it, and a part is shown if neither owner nor store is reached.

Ruled out: showing a part without asking (a trainer would read a step in more reads, half a second each).

--- a/bergamotdoor/gateway/wiring.py
+++ b/bergamotdoor/gateway/wiring.py
@@ -58,7 +58,13 @@
                 JobsIntake(
                     context, self.store, self.owner, self.finder, self.others
                 ),
-                JobsDesk(self.owner, self.finder, access.peers, context.clock),
+                JobsDesk(
+                    self.owner,
+                    self.finder,
+                    access.peers,
+                    context.clock,
+                    context.settings.link_mbps,
+                ),
             ),
         )
 
--- a/bergamotdoor/jobs/ledger.py
+++ b/bergamotdoor/jobs/ledger.py
@@ -94,11 +94,16 @@
         limit_bytes
             How much text the page may hold, if it is more than one result.
         """
-        page: list[ItemResult] = []
-        size_bytes = 0
-        for result in self._results[after:]:
-            size_bytes += len(result.text.encode())
-            if page and size_bytes > limit_bytes:
-                break
-            page.append(result)
-        return tuple(page)
+        return tuple(that_fit(self._results[after:], limit_bytes))
+
+
+def that_fit(
+    results: Iterable[ItemResult], limit_bytes: int
+) -> Iterator[ItemResult]:
+    """Return results up to so much text, at least one if there is one."""
+    size_bytes = 0
+    for number, result in enumerate(results):
+        size_bytes += len(result.text.encode())
+        if number and size_bytes > limit_bytes:
+            return
+        yield result
--- a/bergamotdoor/steps/jobs_desk.py
+++ b/bergamotdoor/steps/jobs_desk.py
@@ -6,6 +6,7 @@
 import datetime as dt
 from typing import TYPE_CHECKING, Final
 
+from bergamotdoor.jobs.ledger import page_limit_bytes, that_fit
 from bergamotdoor.peers.messages import (
     ItemBody,
     NotKnown,
@@ -15,6 +16,7 @@
 )
 from bergamotdoor.steps.job_run import JobRun
 from bergamotdoor.steps.ledger_sync import FRESH
+from bergamotdoor.steps.listed_results import ListedResults
 from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
@@ -36,10 +38,25 @@
 _MARGIN_MS: Final = 250
 _MARGIN: Final = dt.timedelta(milliseconds=_MARGIN_MS)
 _MS: Final = dt.timedelta(milliseconds=1)
+_NO_WAIT: Final = dt.timedelta()
 
 
 class JobsDesk:
-    """Serves the readers of jobs."""
+    """Serves the readers of jobs.
+
+    Parameters
+    ----------
+    owner
+        Runs this process's jobs.
+    finder
+        Knows the owners of others.
+    peers
+        Reaches them.
+    clock
+        Tells how long that takes.
+    link_mbps
+        The bandwidth of this VM's link, in Mbit/s; 0 is not known.
+    """
 
     def __init__(
         self,
@@ -47,7 +64,10 @@
         finder: JobFinder,
         peers: PeerClient,
         clock: Clock,
+        link_mbps: float,
     ) -> None:
+        self._listed = ListedResults()
+        self._link_mbps = link_mbps
         self._owner = owner
         self._finder = finder
         self._peers = peers
@@ -57,11 +77,24 @@
         self, job: JobId, after: int, wait: dt.timedelta
     ) -> ResultPage | Outcome:
         """Return results from a position on; ABSENT if there is no job."""
-        message = ReadResults(job, after, wait // _MS)
-        found = await self._locate(job, message, wait)
-        if isinstance(found, JobRun):
-            return await page_of(found, after, wait)
-        return Outcome.NOT_DONE if isinstance(found, ItemBody) else found
+        run = self._owner.get(job)
+        if run is not None:
+            return await page_of(run, after, wait)
+        limit_bytes = page_limit_bytes(self._link_mbps)
+        shown = self._listed.shown(job, after, limit_bytes)
+        if shown.enough:
+            return ResultPage(shown.total, shown.results)
+        behind = after + len(shown.results)
+        more = await self._read_owner(
+            job, behind, _NO_WAIT if shown.results else wait
+        )
+        if isinstance(more, Outcome):
+            if not shown.results:
+                return more
+            # What was shown once stays listed, whoever can be reached.
+            return ResultPage(shown.total, shown.results)
+        results = that_fit((*shown.results, *more.results), limit_bytes)
+        return ResultPage(more.total, tuple(results))
 
     async def body(self, job: JobId, item: ItemId) -> bytes | Outcome:
         """Return an item's body, ABSENT if it is listed or unknown."""
@@ -73,6 +106,19 @@
             return Outcome.ABSENT if found.body is None else found.body
         return found if isinstance(found, Outcome) else Outcome.NOT_DONE
 
+    async def _read_owner(
+        self, job: JobId, after: int, wait: dt.timedelta
+    ) -> ResultPage | Outcome:
+        message = ReadResults(job, after, wait // _MS)
+        found = await self._locate(job, message, wait)
+        if isinstance(found, JobRun):
+            return await page_of(found, after, wait)
+        if isinstance(found, ItemBody):
+            return Outcome.NOT_DONE
+        if isinstance(found, ResultPage):
+            self._listed.take(job, after, found)
+        return found
+
     async def _locate(
         self, job: JobId, message: ReadResults | ReadBody, wait: dt.timedelta
     ) -> ResultPage | ItemBody | JobRun | Outcome:
