Take signals over before anything is loaded; a soak that scores and restarts

Cause: the soak got score calls, upstreams that start again under their name and objects of another writer.

Change: cli/early.py takes both signals over as the first thing that runs; the package loads its public names when they are asked for, so that nothing comes before. The settings that were read at the start are what later changes are compared with, so one during the start is noticed.

--- a/bergamotdoor/__init__.py
+++ b/bergamotdoor/__init__.py
@@ -1,7 +1,23 @@
-"""bergamotdoor: a rollout service for reinforcement learning."""
+"""bergamotdoor: a rollout service for reinforcement learning.
+
+``Verdict``, ``Reason`` and ``Failure`` are loaded when they are asked for: a
+process has to take its signals over before it loads anything.
+"""
 
 from __future__ import annotations
 
-from bergamotdoor.verdict import Failure, Reason, Verdict
+import importlib
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from bergamotdoor.verdict import Failure, Reason, Verdict
 
 __all__ = ['Failure', 'Reason', 'Verdict']
+
+
+def __getattr__(name: str) -> object:
+    """Return a public name of the package."""
+    if name not in __all__:
+        raise AttributeError(f'bergamotdoor has no {name!r}')
+    verdict = importlib.import_module('bergamotdoor.verdict')
+    return getattr(verdict, name)
--- a/bergamotdoor/__main__.py
+++ b/bergamotdoor/__main__.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
-from bergamotdoor.cli.main import run
+from bergamotdoor.cli.early import take_signals
+
+take_signals()
+
+from bergamotdoor.cli.main import run  # noqa: E402 -- behind the signals
 
 run()
--- a/bergamotdoor/cli/node.py
+++ b/bergamotdoor/cli/node.py
@@ -41,25 +41,29 @@
             return self._usage(asked=words[0] in _HELP)
         path = os.environ.get(SETTINGS_VARIABLE, _DEFAULT_PATH)
         try:
-            settings = _load(path)
+            body = _read(path)
+            settings = parse_node_settings(body, path)
             listening = _listening(settings.callers)
         except (SettingsError, OSError) as error:
             sys.stderr.write(f'{error}\n')
             return ExitCode.REFUSED
-        return self._run(settings, listening, path)
+        return self._run(settings, listening, path, body)
 
     def _run(
         self,
         settings: NodeSettings,
         listening: socket.socket | None,
         path: str,
+        body: bytes,
     ) -> int:
         # Imported behind the socket, see ``_listening``.
         from bergamotdoor.cli.reloading import ReloadingDaemon
         from bergamotdoor.cli.serving import run_daemon
 
         return run_daemon(
-            lambda: ReloadingDaemon(self._build(settings, listening), path),
+            lambda: ReloadingDaemon(
+                self._build(settings, listening), path, body
+            ),
             LogSettings(),
             settings.node,
             settings.grace,
@@ -110,17 +114,16 @@
     return socket.create_server((address.ip, address.port))
 
 
-def _load(path: str) -> NodeSettings:
-    """Read the settings file.
+def _read(path: str) -> bytes:
+    """Return the settings file.
 
     Raises
     ------
     SettingsError
-        The file can't be read, or a field is missing or of another type.
+        The file can't be read.
     """
     try:
-        body = pathlib.Path(path).read_bytes()
+        return pathlib.Path(path).read_bytes()
     except OSError as error:
         problem = Problem('', str(error.strerror), 'a readable JSON file')
         raise SettingsError(path, (problem,)) from error
-    return parse_node_settings(body, path)
--- a/bergamotdoor/cli/reloading.py
+++ b/bergamotdoor/cli/reloading.py
@@ -42,18 +42,19 @@
         What runs.
     path
         The settings file.
+    body
+        What it held when the daemon was built.
     """
 
-    def __init__(self, daemon: NodeDaemon, path: str) -> None:
+    def __init__(self, daemon: NodeDaemon, path: str, body: bytes) -> None:
         self._daemon = daemon
         self._path = pathlib.Path(path)
-        self._known = b''
+        self._known = body
         self._asked = asyncio.Event()
         self._watch: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Start the daemon and follow the file."""
-        self._known = self._path.read_bytes()
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self._asked.set)
         self._watch = asyncio.create_task(self._follow())
--- a/features/cli_main.feature
+++ b/features/cli_main.feature
@@ -71,3 +71,14 @@
     its modules, a tenth of a second of work, are loaded behind that.
 
     Then a gateway listens for callers before asyncio and its own modules load
+
+  Scenario: signals that come while a process loads its modules
+    The platform starts a process and tells it at once that its settings have
+    changed, or to stop. It must not end as by a crash.
+
+    Then a process that gets SIGHUP before its modules are loaded goes on
+    And a process that gets SIGTERM before its modules are loaded ends in order
+
+  Scenario: settings that change while a process starts are not missed
+    When the settings file changes between its reading and the start
+    Then a changed file is noticed though it changed during the start
--- a/features/lab_soak.feature
+++ b/features/lab_soak.feature
@@ -24,6 +24,21 @@
     When it reads a text without its second event
     Then the promise TEXT is broken
 
+  Scenario Outline: the soak sees a score that is not the item's own
+    Given a trainer that has read a scored step's first result
+    When it reads a text <how>
+    Then the promise SCORE is broken
+
+    Examples:
+      | how                       |
+      | with another item's score |
+      | without a score           |
+
+  Scenario: the soak sees an item that was given up too early
+    Given a trainer that has read a scored step's first result
+    When it reads an item as lost that failed once
+    Then the promise LOST is broken
+
   Scenario: the soak sees a refused request that ran
     Given a caller whose request was refused as not run
     When an upstream ran the request
--- a/features/steps/cli_main_steps.py
+++ b/features/steps/cli_main_steps.py
@@ -12,17 +12,21 @@
 import subprocess
 import sys
 import tempfile
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from behave import then, when
 
 from bergamotdoor.cli.ctl import Seen, status_lines
 from bergamotdoor.cli.main import main
+from bergamotdoor.cli.reloading import ReloadingDaemon
 from bergamotdoor.cli.serving import StopSignals, serve
 from bergamotdoor.platform.settings import SETTINGS_VARIABLE
 from bergamotdoor.settings.document import Address
 from lab.virtual import run_virtual
 
+if TYPE_CHECKING:
+    from bergamotdoor.settings.node import NodeSettings
+
 STOP_TIMEOUT = dt.timedelta(seconds=10)
 COMMANDS = ('gateway', 'agent', 'ctl')
 
@@ -224,7 +228,7 @@
 import socket, sys
 from bergamotdoor.cli import main, node
 
-def run(command, settings, listening, path):
+def run(command, settings, listening, path, body):
     with socket.create_connection(listening.getsockname(), timeout=5):
         pass
     heavy = ('asyncio', 'h11', 'bergamotdoor.gateway')
@@ -236,6 +240,69 @@
 """
 
 
+#: Runs a gateway that gets a signal as soon as its first module is loaded.
+_SIGNALLED = """
+import os, runpy, signal, sys
+from bergamotdoor.cli import early
+
+take = early.take_signals
+
+def take_and_send():
+    take()
+    os.kill(os.getpid(), signal.Signals[name])
+
+early.take_signals = take_and_send
+name = sys.argv[1]
+sys.argv = ['bergamotdoor', 'gateway', '--help']
+runpy.run_module('bergamotdoor', run_name='__main__')
+"""
+
+
+@then('a process that gets {name} before its modules are loaded {outcome}')
+def signalled_early(_: Any, name: str, outcome: str) -> None:
+    done = subprocess.run(
+        (sys.executable, '-c', _SIGNALLED, name),
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    assert done.returncode == 0, (done.returncode, done.stderr)
+    goes_on = 'SIGHUP has it read the file' in done.stdout
+    assert goes_on == (outcome == 'goes on'), done.stdout
+
+
+@then('a changed file is noticed though it changed during the start')
+def changed_at_start(context: Any) -> None:
+    assert context.used == [1], context.used
+
+
+class NotingDaemon(FakeDaemon):
+    """Notes which stores it is told to use, by their ports."""
+
+    def __init__(self, start_seconds: float, stop_seconds: float) -> None:
+        super().__init__(start_seconds, stop_seconds)
+        self.used: list[int] = []
+
+    def use_settings(self, settings: NodeSettings) -> None:
+        self.used.append(settings.store.port)
+
+
+@when('the settings file changes between its reading and the start')
+def changes_early(context: Any) -> None:
+    settings = {
+        'node': 'agent',
+        'zone': 'z',
+        'ip': '127.0.0.1',
+        'platform': {'address': '127.0.0.1:1'},
+    }
+    with tempfile.NamedTemporaryFile('w') as file:
+        json.dump(settings, file)
+        file.flush()
+        noting = NotingDaemon(0, 0)
+        ReloadingDaemon(noting, file.name, b'older').reload()
+        context.used = noting.used
+
+
 @then('a gateway listens for callers before asyncio and its own modules load')
 def listens_early(_: Any) -> None:
     settings = {
--- a/features/steps/lab_soak_steps.py
+++ b/features/steps/lab_soak_steps.py
@@ -20,6 +20,7 @@
 from lab.soak import soak
 from lab.trainer import Step, Trainer
 from lab.upstreams import Seen
+from lab.wire import score_id
 
 NETWORK = 250
 LEAST = 2
@@ -32,11 +33,20 @@
     context.outcome = asyncio.run(soak(seed, seconds, size))
 
 
+@given(
+    'a soak of seed {seed:d} with faults for {seconds:d} s on the usual size'
+)
+def play_usual(context: Any, seed: int, seconds: int) -> None:
+    logging.getLogger('bergamotdoor').setLevel(logging.CRITICAL)
+    context.outcome = asyncio.run(soak(seed, seconds, Size()))
+
+
 @then('every promise was kept, and results, calls and orders were checked')
 def kept(context: Any) -> None:
     outcome = context.outcome
     assert not outcome.broken, (outcome.broken, outcome.folder)
-    for name in ('WHOLE', 'POSITION', 'TEXT', 'COMPLETE', 'NEWEST', 'ORDERS'):
+    names = ('WHOLE', 'POSITION', 'TEXT', 'SCORE', 'COMPLETE', 'NEWEST')
+    for name in (*names, 'ORDERS'):
         assert outcome.checked[name], outcome.checked
 
 
@@ -73,7 +83,8 @@
 def has_read(context: Any) -> None:
     context.promises = Promises()
     context.trainer = Trainer(deployment(), context.promises, random.Random(1))
-    context.step = Step(0, LEAST, [3, 4, 5])
+    # Odd steps are not scored.
+    context.step = Step(1, LEAST, [3, 4, 5])
     read(context, 0, result(context.step, 0, whole(context.step, 0)))
     assert not context.promises.broken, context.promises.broken
 
@@ -88,6 +99,43 @@
     read(context, 1, result(context.step, 0, whole(context.step, 0)))
 
 
+@given("a trainer that has read a scored step's first result")
+def has_read_scored(context: Any) -> None:
+    context.promises = Promises()
+    context.trainer = Trainer(deployment(), context.promises, random.Random(1))
+    context.step = Step(2, LEAST, [3, 4, 5])
+    read(context, 0, scored(context, 0, 0))
+    assert not context.promises.broken, context.promises.broken
+
+
+def scored(context: Any, item: int, other: int) -> dict[str, Any]:
+    """Return an item's result with the score of some item."""
+    request = score_id(f'{context.step.job}.{other}')
+    service = context.trainer._deployment.services[0]
+    service._proofs[request] = {service.stamp(request)}
+    text = result(context.step, item, whole(context.step, item))
+    return {**text, 'score': service.stamp(request)}
+
+
+@when("it reads a text with another item's score")
+def other_score(context: Any) -> None:
+    read(context, 1, scored(context, 1, 0))
+
+
+@when('it reads a text without a score')
+def no_score(context: Any) -> None:
+    read(context, 1, result(context.step, 1, whole(context.step, 1)))
+
+
+@when('it reads an item as lost that failed once')
+def lost_early(context: Any) -> None:
+    item = f'{context.step.job}.1'
+    service = context.trainer._deployment.services[0]
+    service.failures[score_id(item)] = 1
+    lost = {'id': item, 'state': 'lost', 'text': '', 'versions': []}
+    read(context, 1, lost)
+
+
 @when('it reads a text without its second event')
 def gap(context: Any) -> None:
     first, _, *rest = whole(context.step, 1).split('\n')
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -211,7 +211,7 @@
     context.path = pathlib.Path(folder) / 'settings.json'
     context.path.write_text(settings_text(1))
     context.stores = Stores()
-    context.daemon = ReloadingDaemon(context.stores, str(context.path))
+    context.daemon = ReloadingDaemon(context.stores, str(context.path), b'')
     context.daemon.reload()
 
 
--- a/lab/deployment.py
+++ b/lab/deployment.py
@@ -22,12 +22,13 @@
 STEP_PATH: Final = '/steps/'
 SAFE_PATH: Final = '/safe/'
 UNSAFE_PATH: Final = '/unsafe/'
+SCORE_PATH: Final = '/score/'
 _STORE_PORT: Final = 8266
 _UPSTREAM_PORT: Final = 8100
 _PROXY_PORT: Final = 8101
 _CALL_MS: Final = 2000
 _JOB_MS: Final = 20_000
-_ATTEMPTS: Final = 3
+ATTEMPTS: Final = 3
 #: How long a process may take to listen.
 _START_S: Final = 60
 _LOOK_S: Final = 0.1
@@ -141,6 +142,7 @@
         routes = [
             _route(SAFE_PATH, 'safe', DESKS),
             _route(UNSAFE_PATH, 'unsafe', DESKS),
+            _route(SCORE_PATH, 'unsafe', DESKS),
             _route(STEP_PATH, 'rollout', ENGINES, due_ms=_JOB_MS),
         ]
         self.store.put('config', 'main', manifest(self.generation, routes))
@@ -151,6 +153,11 @@
         spec = {'model': MODEL, 'version': self.version}
         self.store.put('versions', MODEL, spec)
 
+    @property
+    def upstreams(self) -> list[Upstream]:
+        """Return all engines and services."""
+        return [*self.engines, *self.services]
+
     def replace(self, upstream: Upstream) -> None:
         """Have another incarnation at an upstream's address."""
         self.store.remove('servers', upstream.name)
@@ -218,6 +225,6 @@
         service,
         timeout_ms=_CALL_MS,
         goal_ms=_CALL_MS,
-        max_attempts=_ATTEMPTS,
+        max_attempts=ATTEMPTS,
         **more,
     )
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -37,6 +37,8 @@
     UPSTREAM_RESET = 'connections to an upstream are reset'
     UPSTREAM_MODE = 'an upstream refuses, fails, breaks or hangs'
     UPSTREAM_REPLACED = "another incarnation is at an upstream's address"
+    UPSTREAM_RESTARTED = 'an upstream starts again under its name'
+    FOREIGN_OBJECT = 'another writer puts an object of its own into the store'
     ENGINE_SLOW = 'an engine turns slow'
     LATE_ORDER = 'an order to an engine arrives late'
     MANIFEST = 'a new manifest'
@@ -80,6 +82,8 @@
             Fault.UPSTREAM_RESET: upstreams.reset,
             Fault.UPSTREAM_MODE: upstreams.change_mode,
             Fault.UPSTREAM_REPLACED: upstreams.replace,
+            Fault.UPSTREAM_RESTARTED: upstreams.restart,
+            Fault.FOREIGN_OBJECT: store.put_foreign,
             Fault.ENGINE_SLOW: upstreams.slow_down,
             Fault.LATE_ORDER: upstreams.delay_order,
             Fault.MANIFEST: store.put_manifest,
--- a/lab/promises.py
+++ b/lab/promises.py
@@ -19,6 +19,8 @@
     POSITION = 'a position that was read never changes'
     EXACTLY_ONCE = 'an item stands at one position'
     TEXT = 'a text is whole and in order'
+    SCORE = "a completed text has the proof of its own score call's answer"
+    LOST = 'an item is lost only after as many failures as its route allows'
     VERSION = 'a text is of versions that its step takes'
     COMPLETE = 'a job is whole once the faults are over'
     MANIFEST = 'a process never goes back to an older manifest'
--- a/lab/store_faults.py
+++ b/lab/store_faults.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from lab.proxy import break_way
 from lab.spans import span_s
@@ -16,6 +16,23 @@
 
 _MOST_LOST: Final = 4
 _MOST_LATE: Final = 2
+_FOREIGN_NAMES: Final = ('a-foreign', 'foreign')
+_ENTRIES_OF_UPSTREAMS: Final = 'servers'
+_KINDS: Final = (
+    'config',
+    _ENTRIES_OF_UPSTREAMS,
+    'versions',
+    'retirements',
+    'entries',
+    'jobs',
+)
+_FOREIGN: Final[tuple[Any, ...]] = (
+    'AAECAwQ=',
+    {},
+    [1],
+    None,
+    {'version': 'x', 'service': 'desk', 'state': 'resting', 'address': 5},
+)
 
 
 class StoreFaults:
@@ -53,6 +70,19 @@
         self._store.deaf = False
         self._store.drop_history()
 
+    async def put_foreign(self) -> None:
+        """Put what is no object of ours under a kind that is followed.
+
+        An upstream's own entry is overwritten at times; its next one mends
+        that.
+        """
+        kind = self._rng.choice(_KINDS)
+        name = self._rng.choice(_FOREIGN_NAMES)
+        if kind == _ENTRIES_OF_UPSTREAMS:
+            upstream = self._rng.choice(self._deployment.upstreams)
+            name = self._rng.choice((name, upstream.name))
+        self._store.put(kind, name, self._rng.choice(_FOREIGN))
+
     async def put_manifest(self) -> None:
         """Put the next manifest in force."""
         self._deployment.put_manifest()
--- a/lab/trainer.py
+++ b/lab/trainer.py
@@ -9,9 +9,9 @@
 
 from bergamotdoor.platform.headers import REQUEST_ID, WAIT_MS
 from lab.client import Call
-from lab.deployment import STEP_PATH, new_client
+from lab.deployment import ATTEMPTS, SCORE_PATH, STEP_PATH, new_client
 from lab.promises import Promise, Promises
-from lab.wire import JobItem, job_body
+from lab.wire import JobItem, job_body, score_id
 
 if TYPE_CHECKING:
     import random
@@ -27,6 +27,8 @@
 _WAIT_MS: Final = 500
 #: How many steps are open at a time.
 _AHEAD: Final = 2
+#: The share of steps with an item whose score call always fails.
+_HOPELESS_SHARE: Final = 0.2
 
 
 class Step:
@@ -34,6 +36,8 @@
 
     def __init__(self, number: int, least_version: int, lengths: list[int]):
         self.job = f'step-{number}'
+        #: Every other step has its texts scored.
+        self.scored = number % 2 == 0
         self.least_version = least_version
         #: How many events each item has, by its id.
         self.lengths = {
@@ -55,8 +59,9 @@
 
     def body(self) -> bytes:
         """Return the job as it is handed in."""
+        score_path = SCORE_PATH if self.scored else ''
         items = (
-            JobItem(item, length, _group(self.job, order))
+            JobItem(item, length, _group(self.job, order), score_path)
             for order, (item, length) in enumerate(self.lengths.items())
         )
         return job_body(STEP_PATH, items, self.least_version, _GROUPS)
@@ -115,8 +120,15 @@
         least = max(self._deployment.version - 1, 1)
         step = Step(len(self.steps), least, lengths)
         self.steps.append(step)
+        if self._rng.random() < _HOPELESS_SHARE:
+            self._make_hopeless(self._rng.choice(tuple(step.lengths)))
         return step
 
+    def _make_hopeless(self, item: str) -> None:
+        """Have the score call of an item fail, whoever runs it."""
+        for service in self._deployment.services:
+            service.always_fail.add(score_id(item))
+
     async def _hand_in(self, step: Step) -> None:
         call = Call(
             'POST',
@@ -163,10 +175,15 @@
         self._promises.check(
             Promise.EXACTLY_ONCE, len(set(items)) == len(items), where
         )
+        if result['state'] == 'lost':
+            self._check_lost(result['id'], where)
+            return
         whole = result['text'] == _text(
             result['id'], step.lengths[result['id']]
         )
         self._promises.check(Promise.TEXT, whole, f'{where}: {written}')
+        if step.scored:
+            self._check_score(result, f'{where}: {written}')
         least = min(result['versions'])
         self._promises.check(
             Promise.VERSION,
@@ -174,6 +191,22 @@
             f'{where}: {least} < {step.least_version}',
         )
 
+    def _check_lost(self, item: str, where: str) -> None:
+        failures = max(
+            sum(one.failures[request] for one in self._deployment.upstreams)
+            for request in (item, score_id(item))
+        )
+        self._promises.check(
+            Promise.LOST, failures >= ATTEMPTS, f'{where}: {failures} failures'
+        )
+
+    def _check_score(self, result: Any, detail: str) -> None:
+        request = score_id(result['id'])
+        score = result.get('score', '')
+        services = self._deployment.services
+        proven = any(score in one.proofs(request) for one in services)
+        self._promises.check(Promise.SCORE, proven, detail)
+
     def _entry(self) -> Address:
         return self._rng.choice(self._deployment.entries).front
 
--- a/lab/upstream_faults.py
+++ b/lab/upstream_faults.py
@@ -50,6 +50,10 @@
         """Have another incarnation at an upstream's address."""
         self._deployment.replace(self._pick())
 
+    async def restart(self) -> None:
+        """Have an upstream start again under its name."""
+        await self._pick().restart(span_s(self._rng))
+
     async def slow_down(self) -> None:
         """Make an engine slow."""
         engine = self._rng.choice(self._deployment.engines)
@@ -62,5 +66,4 @@
         self._rng.choice(self._deployment.engines).late_orders += 1
 
     def _pick(self) -> Upstream:
-        everything = (*self._deployment.engines, *self._deployment.services)
-        return self._rng.choice(everything)
+        return self._rng.choice(self._deployment.upstreams)
--- a/lab/upstreams.py
+++ b/lab/upstreams.py
@@ -6,6 +6,7 @@
 import datetime as dt
 import enum
 import json
+from collections import Counter
 from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, Final, NamedTuple
 
@@ -81,6 +82,10 @@
         self.mode = UpstreamMode.GOOD
         #: Requests that fail whenever they run.
         self.always_fail: set[str] = set()
+        #: What proved the good answers to each request.
+        self._proofs: dict[str, set[str]] = {}
+        #: How often each request was answered with 500.
+        self.failures: Counter[str] = Counter()
         self.work_s = _WORK_S
         self._clock = clock
         self._server = self._new_server()
@@ -129,6 +134,10 @@
             (f'{_PREFIX}server-load', f'{len(self.running)},0,4'),
         ]
 
+    def proofs(self, request_id: str) -> set[str]:
+        """Return what proved the good answers to a request."""
+        return self._proofs.get(request_id, set())
+
     def stamp(self, request_id: str) -> str:
         """Return the proof of an answer."""
         return f'proof of {self.name} {request_id}'
@@ -168,9 +177,14 @@
         request_id = headers.get(f'{_PREFIX}request-id', '')
         failing = self.mode is UpstreamMode.FAILING
         if failing or request_id in self.always_fail:
+            self.failures[request_id] += 1
             status = HTTPStatus.INTERNAL_SERVER_ERROR
         elif self.mode is UpstreamMode.LATE:
             status = HTTPStatus.GATEWAY_TIMEOUT
+        else:
+            self._proofs.setdefault(request_id, set()).add(
+                self.stamp(request_id)
+            )
         return HttpResponse(
             status=int(status),
             headers=Headers.of(self.fields(request_id)),
@@ -239,12 +253,13 @@
         self, request: HttpRequest, headers: dict[str, str], body: bytes
     ) -> HttpResponse:
         """Stream the events of an item."""
+        request_id = headers[f'{_PREFIX}request-id']
         if self.mode is UpstreamMode.FAILING:
+            self.failures[request_id] += 1
             return HttpResponse(status=int(HTTPStatus.INTERNAL_SERVER_ERROR))
         if self.mode is UpstreamMode.IMPOSSIBLE:
             return HttpResponse(status=int(HTTPStatus.UNPROCESSABLE_ENTITY))
         first = int(headers.get('last-event-id', '0')) + 1
-        request_id = headers[f'{_PREFIX}request-id']
         fields = [
             *self.fields(request_id),
             ('content-type', 'text/event-stream'),
