Reproduce a denied body: entries that stop one after the other, readers at all

Cause: an owner that is asked to stop marked the step that it hands over as ended and denied the bodies of its items until the store had kept their texts; every other entry passed that on as 404.

Ruled out: a fault of the present code. The scenario plays four stops in a second with readers at six entries.

Change: the scenario, and a mutation that puts the fault back.

--- /dev/null
+++ b/features/steps/planned_stops_steps.py
@@ -0,0 +1,90 @@
+"""Steps for planned stops in series, on whole sites in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from behave import given, then
+
+from features.job_scenes import JOB, handed_in, lengths_of, owner_of
+from lab.site import Site, play
+
+if TYPE_CHECKING:
+    from lab.client import Reply
+
+#: Lengths of the step's items: all of them wait or run for seconds.
+GROUPS = [[90, 90], [90, 90]]
+STORE_S = 0.4
+ASK_S = 0.1
+WATCHED_S = 5
+
+
+async def asked(site: Site, entry: str) -> dict[str, int | None]:
+    """Return the statuses of each item's body, and of a page."""
+    replies: dict[str, Reply | None] = {
+        item: await site.ask(entry, 'GET', f'/-/items/{JOB}?id={item}')
+        for item in lengths_of(GROUPS)
+    }
+    replies['page'] = await site.ask(entry, 'GET', f'/-/lots/{JOB}?after=0')
+    return {
+        what: None if reply is None else reply.status
+        for what, reply in replies.items()
+    }
+
+
+@given(
+    'a site of {entries:d} entries of which {count:d} stop {gap:g} s after'
+    ' each other'
+)
+def series_of_stops(context: Any, entries: int, count: int, gap: float) -> None:
+    context.answers = []
+
+    async def keep_asking(site: Site, entry: str) -> None:
+        while True:
+            context.answers.append((entry, await asked(site, entry)))
+            await asyncio.sleep(ASK_S)
+
+    async def scene(site: Site) -> None:
+        await site.start(entries=entries)
+        await handed_in(site, GROUPS)
+        await asyncio.sleep(0.5)
+        owner = owner_of(site)
+        others = [name for name in sorted(site.entries) if name != owner]
+        site.store.answer_s = STORE_S
+        readers = [
+            asyncio.create_task(keep_asking(site, name))
+            for name in site.entries
+        ]
+        stopping = []
+        for name in (owner, *others[: count - 1]):
+            stopping.append(asyncio.create_task(site.entries[name].stop()))
+            await asyncio.sleep(gap)
+        await asyncio.sleep(WATCHED_S)
+        for task in readers:
+            task.cancel()
+        await asyncio.gather(*readers, return_exceptions=True)
+        listed = await site.all_results(others[-1], JOB)
+        assert len(listed) == 4, listed
+        await asyncio.gather(*stopping)
+        for name in (owner, *others[: count - 1]):
+            del site.entries[name]
+
+    play(scene)
+
+
+@then('no body of an item that waits was denied, and no page')
+def none_denied(context: Any) -> None:
+    denied = [
+        (entry, what)
+        for entry, statuses in context.answers
+        for what, status in statuses.items()
+        if status == 404
+    ]
+    given_bodies = sum(
+        status == 200
+        for _, statuses in context.answers
+        for status in statuses.values()
+    )
+    assert given_bodies > 100, given_bodies
+    assert not denied, denied
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -221,6 +221,13 @@
         '',
         _SCORING,
     ),
+    Mutation(
+        'a step that is handed over has not ended',
+        'steps/job_run.py',
+        'self.state = RunState.STOPPED',
+        'self.state = RunState.ENDED',
+        'planned_stops',
+    ),
     Mutation(
         'score calls that gave none are sent again at a pace',
         'jobs/scoring.py',
