Tell in the log why a body is denied, and how long a hand-over takes

Cause: a body was denied, and the logs could not tell whether the job had ended, the item was listed or unknown, nor which owner decided so; the time that a hand-over takes was in no line.

Change: steps/item_bodies.py decides about bodies and logs each denial with its reason, the run's state, its term and how much is listed. Hand-overs log how long keeping took and how long each entry took to take the step.

Ruled out: a reason in the reply between entries; the owner's line is where the decision is made, and there is one for each denial either way.

--- a/bergamotdoor/steps/jobs_desk.py
+++ b/bergamotdoor/steps/jobs_desk.py
@@ -14,6 +14,7 @@
     ReadResults,
     ResultPage,
 )
+from bergamotdoor.steps.item_bodies import body_of
 from bergamotdoor.steps.job_run import JobRun
 from bergamotdoor.steps.ledger_sync import FRESH
 from bergamotdoor.steps.listed_results import ListedResults
@@ -200,11 +201,3 @@
     except TimeoutError:
         return False
     return known
-
-
-def body_of(run: JobRun, item: ItemId) -> bytes | Outcome:
-    """Return the body of an item that is not listed."""
-    if run.ended or item in run.ledger:
-        return Outcome.ABSENT
-    found = next((one for one in run.spec.items if one.item == item), None)
-    return Outcome.ABSENT if found is None else found.body
--- a/bergamotdoor/steps/other_entries.py
+++ b/bergamotdoor/steps/other_entries.py
@@ -37,6 +37,7 @@
 _TELL_ATTEMPTS: Final = 5
 _TELL_PAUSE_MS: Final = 300
 _TELL_PAUSE: Final = dt.timedelta(milliseconds=_TELL_PAUSE_MS)
+_MS: Final = dt.timedelta(milliseconds=1)
 
 #: Loading a job from the store takes some calls of milliseconds.
 _HAND_ON_WAIT: Final = dt.timedelta(seconds=1)
@@ -128,13 +129,15 @@
         order = home_order(run.spec.model, entries, self._zone)
         for entry in order[:_MOST_ASKED]:
             address = entries[entry].address
+            began = self._clock.elapsed()
             reply = await self._peers.ask(address, message, _HAND_ON_WAIT)
             taken = isinstance(reply, Done)
             _log.info(
-                'gateway: job %s handed on to %s: %s',
+                'gateway: job %s handed on to %s: %s after %d ms',
                 run.spec.job,
                 entry,
                 'taken' if taken else 'not taken',
+                (self._clock.elapsed() - began) // _MS,
             )
             if taken:
                 return
--- a/bergamotdoor/steps/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -81,7 +81,10 @@
         """Stop running items; return the jobs that another entry takes."""
         self.stopping = True
         active = tuple(run for run in self._runs.values() if run.active)
-        await asyncio.gather(*(hand_over(run, self._store) for run in active))
+        clock = self._context.clock
+        await asyncio.gather(
+            *(hand_over(run, self._store, clock) for run in active)
+        )
         for run in active:
             self._runs.pop(run.spec.job, None)
         return active
--- a/bergamotdoor/steps/peer_service.py
+++ b/bergamotdoor/steps/peer_service.py
@@ -23,7 +23,8 @@
     TakeOver,
 )
 from bergamotdoor.peers.relay import relayed
-from bergamotdoor.steps.jobs_desk import body_of, page_of
+from bergamotdoor.steps.item_bodies import body_of
+from bergamotdoor.steps.jobs_desk import page_of
 from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
--- a/features/planned_stops.feature
+++ b/features/planned_stops.feature
@@ -11,3 +11,11 @@
     Given a site of 6 entries of which 4 stop 0.25 s after each other
     Then no body of an item that waits was denied, and no page
 
+  Scenario: why a body is denied stands in the owner's log
+    A trainer is told 404 for a body. On call one has to tell from the logs
+    whether the item was listed, the job had ended or the item is unknown:
+    the entry that was asked knows only that its owner gave none.
+
+    Given a site whose job is asked for bodies before and after its end
+    Then the log tells that an item was listed, ended and unknown
+
--- a/features/steps/objects_foreign_steps.py
+++ b/features/steps/objects_foreign_steps.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import logging
 from typing import TYPE_CHECKING, Any
 
 import hypothesis
@@ -22,6 +21,7 @@
 )
 from bergamotdoor.types import Revision
 from features.job_scenes import JOB, handed_in, lengths_of, owner_of
+from features.support import logged
 from lab.site import Site, play
 from lab.virtual import run_virtual, virtual_clock
 
@@ -224,23 +224,8 @@
     assert context.afterwards == {'desk-0', 'desk-1'}, context.afterwards
 
 
-class Lines(logging.Handler):
-    """Keeps what is logged."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.lines: list[str] = []
-
-    def emit(self, record: logging.LogRecord) -> None:
-        self.lines.append(record.getMessage())
-
-
 @given('a view that is shown a foreign entry 5 times in 2 revisions')
 def shown(context: Any) -> None:
-    handler = Lines()
-    logger = logging.getLogger('bergamotdoor.gateway')
-    logger.addHandler(handler)
-
     async def show() -> None:
         taken = Taken()
         for revision in (1, 1, 1, 2, 2):
@@ -248,9 +233,9 @@
             taken.view.reset(Listing((foreign,), Revision(revision)))
             taken.view.apply((Change(foreign, removed=False),))
 
-    run_virtual(show())
-    logger.removeHandler(handler)
-    context.lines = [line for line in handler.lines if 'strange' in line]
+    with logged('bergamotdoor.gateway') as lines:
+        run_virtual(show())
+        context.lines = [line for line in lines if 'strange' in line]
 
 
 @then('the log has {count:d} lines about it')
--- a/features/steps/planned_stops_steps.py
+++ b/features/steps/planned_stops_steps.py
@@ -8,6 +8,7 @@
 from behave import given, then
 
 from features.job_scenes import JOB, handed_in, lengths_of, owner_of
+from features.support import logged
 from lab.site import Site, play
 
 if TYPE_CHECKING:
@@ -88,3 +89,33 @@
     )
     assert given_bodies > 100, given_bodies
     assert not denied, denied
+
+
+@given('a site whose job is asked for bodies before and after its end')
+def bodies_denied(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        await handed_in(site, [[2], [90]])
+        await asyncio.sleep(1)
+        for item in (f'{JOB}.0.0', 'strange'):
+            await site.ask('entry-1', 'GET', f'/-/items/{JOB}?id={item}')
+        await site.ask('entry-1', 'DELETE', f'/-/lots/{JOB}')
+        await asyncio.sleep(0.2)
+        await site.ask('entry-1', 'GET', f'/-/items/{JOB}?id={JOB}.1.0')
+
+    with logged('bergamotdoor.gateway') as lines:
+        play(scene)
+        context.lines = tuple(lines)
+
+
+@then('the log tells that an item was listed, ended and unknown')
+def reasons_logged(context: Any) -> None:
+    denials = [line for line in context.lines if 'no body of item' in line]
+    expected = (
+        (f'{JOB}.0.0: the item is listed; run running', '1 of 2 listed'),
+        ('strange: the job has no such item; run running', '1 of 2 listed'),
+        (f'{JOB}.1.0: the job has ended; run ended', '1 of 2 listed'),
+    )
+    assert len(denials) == len(expected), denials
+    for line, parts in zip(denials, expected, strict=True):
+        assert all(part in line for part in parts), (line, parts)
--- a/features/support.py
+++ b/features/support.py
@@ -1,10 +1,40 @@
-"""Runs Hypothesis machines from steps, and coroutines in virtual time."""
+"""Runs Hypothesis machines from steps, and gathers what is logged."""
 
 from __future__ import annotations
 
+import contextlib
+import logging
+from typing import TYPE_CHECKING
+
 import hypothesis
 from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+
+class _Lines(logging.Handler):
+    """Keeps what is logged."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lines: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.lines.append(record.getMessage())
+
+
+@contextlib.contextmanager
+def logged(name: str) -> Iterator[list[str]]:
+    """Gather the lines that a logger takes."""
+    handler = _Lines()
+    logger = logging.getLogger(name)
+    logger.addHandler(handler)
+    try:
+        yield handler.lines
+    finally:
+        logger.removeHandler(handler)
+
 
 def run_machine(
     machine: type[RuleBasedStateMachine],
