Show two faults beside the denied body: a step that waits, a proof too old

And an owner takes what it has loaded for complete as of the load's end: for 0.6 s after a load of 1.4 s it denies positions that were read elsewhere meanwhile.

Ruled out: engines and slots (the items begin in the same instant in which the next owner has the step), the reader.

Conclusion: the same class as the incident: 'not here' or 'not yet known' taken for 'there is none'.

--- a/features/planned_stops.feature
+++ b/features/planned_stops.feature
@@ -19,3 +19,23 @@
     Given a site whose job is asked for bodies before and after its end
     Then the log tells that an item was listed, ended and unknown
 
+  Scenario: a step goes on at once when its owner stops
+    The owner is asked to stop while links and store are busy: an answer of
+    the store takes 0.4 s. The store kept what the items had, then the next
+    owner asked for the step's record, claimed it and loaded it, one after
+    the other: "kept after 1076 ms", "taken after 854 ms". Nobody ran the
+    step meanwhile, and the trainer missed all its groups.
+
+    Given a site whose owner stops while the store takes 0.4 s an answer
+    Then all 4 items run on elsewhere within 0.6 s, behind their last event
+    And all 4 results are listed, each once and whole
+
+  Scenario: what was loaded slowly is not taken for news
+    An owner lives and is taken over by an entry that needs 1.4 s to load the
+    step. A trainer reads two results at the first one meanwhile, and comes
+    to the second one as soon as it has loaded: what it loaded is older than
+    the read, and it must ask the store before it says that nothing is there.
+
+    Given a site whose step is taken over by an entry that loads it in 1.4 s
+    Then positions that were read at the first owner are not denied by it
+
--- a/features/steps/planned_stops_steps.py
+++ b/features/steps/planned_stops_steps.py
@@ -7,7 +7,15 @@
 
 from behave import given, then
 
-from features.job_scenes import JOB, handed_in, lengths_of, owner_of
+from bergamotdoor.stored import Outcome
+from bergamotdoor.types import JobId
+from features.job_scenes import (
+    JOB,
+    handed_in,
+    lengths_of,
+    other,
+    owner_of,
+)
 from features.support import logged
 from lab.site import Site, play
 
@@ -119,3 +127,84 @@
     assert len(denials) == len(expected), denials
     for line, parts in zip(denials, expected, strict=True):
         assert all(part in line for part in parts), (line, parts)
+
+
+@given('a site whose owner stops while the store takes {answer:g} s an answer')
+def slow_hand_over(context: Any, answer: float) -> None:
+    async def scene(site: Site) -> None:
+        await site.start(entries=3)
+        await handed_in(site, GROUPS)
+        await asyncio.sleep(1.5)
+        owner = owner_of(site)
+        site.store.answer_s = answer
+        context.stopped_at_s = asyncio.get_running_loop().time()
+        stopping = asyncio.create_task(site.entries[owner].stop())
+        reader = other(site, owner)
+        context.results = await site.all_results(reader, JOB)
+        await stopping
+        del site.entries[owner]
+        context.begun = {
+            seen.request: (seen.at_s, seen.headers)
+            for engine in site.engines.values()
+            for seen in engine.seen
+            if seen.at_s > context.stopped_at_s
+        }
+
+    play(scene)
+
+
+@then(
+    'all {count:d} items run on elsewhere within {most:g} s, behind their last'
+    ' event'
+)
+def run_on(context: Any, count: int, most: float) -> None:
+    assert len(context.begun) == count, context.begun
+    for item, (at_s, headers) in context.begun.items():
+        assert at_s - context.stopped_at_s <= most, (item, at_s)
+        assert int(headers.get('last-event-id', '0')) > 0, (item, headers)
+
+
+@then('all {count:d} results are listed, each once and whole')
+def listed_whole(context: Any, count: int) -> None:
+    found = {result['id']: result['text'] for result in context.results}
+    assert len(context.results) == len(found) == count, found.keys()
+    for item, length in lengths_of(GROUPS).items():
+        expected = [f'{item}/{number}' for number in range(1, length + 1)]
+        assert found[item].split('\n') == expected, item
+
+
+@given(
+    'a site whose step is taken over by an entry that loads it in {load:g} s'
+)
+def slow_load(context: Any, load: float) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        await handed_in(site, [[20, 20], [90, 90]])
+        owner = owner_of(site)
+        second = other(site, owner)
+        finder = site.entries[second]._parts.finder
+        record = await finder.record(JobId(JOB))
+        assert not isinstance(record, Outcome)
+        site.store.list_s = load
+        began_s = asyncio.get_running_loop().time()
+        taking = asyncio.create_task(finder.take_over(JobId(JOB), record))
+        context.read = await site.results(owner, JOB)
+        read_s = asyncio.get_running_loop().time()
+        await taking
+        loaded_s = asyncio.get_running_loop().time()
+        assert began_s < read_s < loaded_s - 0.5, (began_s, read_s, loaded_s)
+        await asyncio.sleep(0.1)
+        reply = await site.ask(second, 'GET', f'/-/lots/{JOB}?after=0')
+        assert reply is not None
+        context.reply = reply
+
+    play(scene)
+
+
+@then('positions that were read at the first owner are not denied by it')
+def not_denied_by_it(context: Any) -> None:
+    assert len(context.read['results']) == 2, context.read
+    if context.reply.status == 503:
+        return
+    results = context.reply.json['results']
+    assert results == context.read['results'], results
--- a/lab/store.py
+++ b/lab/store.py
@@ -140,14 +140,16 @@
             return answer(HTTPStatus.OK, stored)
         if query.since is not None:
             return await self._watch(query.kind, query.since, query.wait_s)
-        await asyncio.sleep(self.list_s)
         names = sorted(name for name in known if name > query.after)
         page = {
             'items': [known[name] for name in names[:_PAGE]],
             'more_pages': len(names) > _PAGE,
             'as_of': self.table.revision,
         }
-        return answer(HTTPStatus.OK, page)
+        # The page is as old as its way is long when it arrives.
+        listed = answer(HTTPStatus.OK, page)
+        await asyncio.sleep(self.list_s)
+        return listed
 
     async def _watch(
         self, kind: str, since: int, wait_s: float
