Take a loaded ledger for proven only once the store has said so

Cause: an owner counted what it had loaded as complete from the end of the load. What it loads is as old as the load is long, up to 3 s behind a slow link, and for 0.6 s after that it told readers that nothing was behind it.

Ruled out: the time of the load's beginning as the proof's; it would have to be passed through four layers to save one read a step.

Change: a ledger begins without a proof.

One more read of the store a step and owner.

--- a/bergamotdoor/steps/ledger_sync.py
+++ b/bergamotdoor/steps/ledger_sync.py
@@ -58,7 +58,12 @@
         self._ledger = ledger
         self._store = store
         self._clock = clock
-        self._proven_at = clock.elapsed()
+        #: When the store last had nothing behind the ledger. Not known at
+        #: first: loading takes seconds behind a slow link, and what is loaded
+        #: is as old as that. Taken for proven when the load ended, it denied
+        #: positions that had been read elsewhere meanwhile. Costs one read a
+        #: step and owner.
+        self._proven_at: dt.timedelta | None = None
         self._lock = asyncio.Lock()
 
     async def add(self, record: ResultRecord) -> ResultRecord:
@@ -88,7 +93,7 @@
         age
             How old the proof may be.
         """
-        if self._clock.elapsed() - self._proven_at <= age:
+        if self._is_proven(age):
             return True
         try:
             async with asyncio.timeout(_LOCK_S):
@@ -100,6 +105,11 @@
         finally:
             self._lock.release()
 
+    def _is_proven(self, age: dt.timedelta) -> bool:
+        if self._proven_at is None:
+            return False
+        return self._clock.elapsed() - self._proven_at <= age
+
     async def _read_on(self) -> bool:
         while True:
             began = self._clock.elapsed()
