Hand a step on with all that its owner has, not by way of the store

Ruled out: starting the next owner before the record is claimed (two owners for a claim that fails); keeping first and sending the rest (it is the keeping that waits).

Change: steps/hand_over.py. The stopping owner sends spec, results, next number and what open items have; the next one claims the record and goes on. What items have is kept in the store beside that. Readers are served from the stopped step until it is handed on.

--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -156,7 +156,7 @@
         self._stopping = True
         self._servers.callers.end_connections()
         began = self._clock.elapsed()
-        await self._parts.hand_on()
+        await self._parts.hand_over.run()
         spent = self._clock.elapsed() - began
         await self._clock.sleep(_LAME_DUCK - spent)
 
--- a/bergamotdoor/gateway/wiring.py
+++ b/bergamotdoor/gateway/wiring.py
@@ -8,6 +8,7 @@
 from bergamotdoor.gateway.batch_front import BatchFront
 from bergamotdoor.gateway.front import Front
 from bergamotdoor.objects.job_store import JobStore
+from bergamotdoor.steps.hand_over import HandOver
 from bergamotdoor.steps.job_finder import JobFinder
 from bergamotdoor.steps.jobs_desk import JobsDesk
 from bergamotdoor.steps.jobs_intake import JobsIntake
@@ -43,6 +44,9 @@
             context.clock,
             context.settings.zone,
         )
+        self.hand_over = HandOver(
+            self.owner, self.others, self.store, context.clock
+        )
         self.peer_service = PeerService(
             self.owner,
             self.finder,
@@ -83,7 +87,3 @@
             if self.finder.is_own(found.record) and not found.status.ended:
                 await self.finder.adopt(found)
         return True
-
-    async def hand_on(self) -> None:
-        """Have other entries go on with the jobs of this one."""
-        await self.others.hand_on(await self.owner.hand_over())
--- a/bergamotdoor/jobs/ledger.py
+++ b/bergamotdoor/jobs/ledger.py
@@ -54,6 +54,25 @@
         for record in records:
             self.append(record)
 
+    @classmethod
+    def restored(
+        cls, results: Iterable[ItemResult], next_number: int
+    ) -> Ledger:
+        """Go on with the ledger of another process.
+
+        Parameters
+        ----------
+        results
+            All results that have a position there, in their order.
+        next_number
+            The number of the first record that is not known there.
+        """
+        ledger = cls()
+        ledger._results = list(results)
+        ledger._items = {result.item for result in ledger._results}
+        ledger.next_number = next_number
+        return ledger
+
     def __len__(self) -> int:
         """Return how many results have a position."""
         return len(self._results)
--- a/bergamotdoor/peers/messages.py
+++ b/bergamotdoor/peers/messages.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from bergamotdoor.jobs.messages import ItemResult, JobRecord, JobSpec
+from bergamotdoor.jobs.transcript import SavedTranscript
 from bergamotdoor.settings.document import Address
 from bergamotdoor.types import ItemId, JobId, ModelId, Revision, WeightVersion
 
@@ -43,10 +44,18 @@
 
 
 class TakeOver(msgspec.Struct, frozen=True, tag=True):
-    """Ask an entry to run a job whose owner stops."""
+    """Ask an entry to run a job whose owner stops, with all that it has."""
 
-    job: JobId
     record: JobRecord
+    #: Of the record.
+    revision: Revision
+    spec: JobSpec
+    #: All that have positions, in their order.
+    results: tuple[ItemResult, ...]
+    #: The number of the first record that the owner does not know.
+    next_number: int
+    #: What items that are not listed have so far.
+    partial: dict[ItemId, SavedTranscript]
 
 
 class JobOwned(msgspec.Struct, frozen=True, tag=True):
--- a/bergamotdoor/steps/job_finder.py
+++ b/bergamotdoor/steps/job_finder.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from bergamotdoor.entry.context import Context
     from bergamotdoor.jobs.messages import JobRecord
-    from bergamotdoor.objects.job_codec import FoundJob
+    from bergamotdoor.objects.job_codec import FoundJob, LoadedJob
     from bergamotdoor.objects.job_store import JobStore
     from bergamotdoor.settings.document import Address
     from bergamotdoor.steps.job_run import JobRun
@@ -115,7 +115,15 @@
         if found.record.term > silent.term:
             # Another process was faster: the next read goes there.
             return Outcome.NOT_DONE
-        return await self._claim(found)
+        _log.warning(
+            'gateway: job %s: owner %s does not answer, taking over',
+            job,
+            found.record.owner,
+        )
+        claimed = await self._claim(found)
+        if isinstance(claimed, Outcome):
+            return claimed
+        return await self.adopt(claimed)
 
     async def adopt(self, found: FoundJob) -> JobRun | Outcome:
         """Load a job and run it, or serve it if it is ended."""
@@ -129,14 +137,19 @@
             return Outcome.NOT_DONE
         return self._owner.adopt(found, loaded)
 
-    async def _claim(self, found: FoundJob) -> JobRun | Outcome:
+    async def take_handed(
+        self, found: FoundJob, loaded: LoadedJob
+    ) -> JobRun | Outcome:
+        """Run a job that its owner, which stops, hands on with all it has."""
+        claimed = await self._claim(found)
+        if isinstance(claimed, Outcome):
+            return claimed
+        return self._owner.adopt(claimed, loaded)
+
+    async def _claim(self, found: FoundJob) -> FoundJob | Outcome:
+        """Become a job's owner in the store; NOT_DONE if another one is."""
         if self._owner.stopping:
             return Outcome.NOT_DONE
-        _log.warning(
-            'gateway: job %s: owner %s does not answer, taking over',
-            found.job,
-            found.record.owner,
-        )
         own = self._context.own_record(
             found.record.term + 1, found.record.parts
         )
@@ -146,7 +159,7 @@
         self.remember(claimed.job, claimed.record)
         if not self.is_own(claimed.record):
             return Outcome.NOT_DONE
-        return await self.adopt(claimed)
+        return claimed
 
     async def _find(self, job: JobId) -> FoundJob | Outcome:
         found = await self._store.find(job)
--- a/bergamotdoor/steps/job_keeper.py
+++ b/bergamotdoor/steps/job_keeper.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import datetime as dt
-import logging
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
@@ -18,9 +17,6 @@
 _EVERY_S: Final = 1.5
 _EVERY: Final = dt.timedelta(seconds=_EVERY_S)
 _LEAST_EVENTS: Final = 25
-_MS: Final = dt.timedelta(milliseconds=1)
-
-_log = logging.getLogger('bergamotdoor.gateway')
 
 
 async def keep_open_items(run: JobRun, store: JobStore, clock: Clock) -> None:
@@ -48,17 +44,3 @@
     return sum(
         len(one.texts) - before.get(item, 0) for item, one in saved.items()
     )
-
-
-async def hand_over(run: JobRun, store: JobStore, clock: Clock) -> None:
-    """Stop, and keep all that the next owner can go on with."""
-    began = clock.elapsed()
-    saved = run.items.saved(1)
-    run.stop()
-    await store.keep_partial(run.spec.job, saved)
-    _log.info(
-        'gateway: job %s: %d items kept for the next owner after %d ms',
-        run.spec.job,
-        len(saved),
-        (clock.elapsed() - began) // _MS,
-    )
--- a/bergamotdoor/steps/other_entries.py
+++ b/bergamotdoor/steps/other_entries.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import datetime as dt
 import logging
 from typing import TYPE_CHECKING, Final
@@ -16,7 +15,6 @@
     EngineLoaded,
     JobEnded,
     JobOwned,
-    TakeOver,
 )
 from bergamotdoor.stored import Outcome
 
@@ -26,9 +24,9 @@
     from bergamotdoor.objects.job_codec import FoundJob
     from bergamotdoor.peers.client import PeerClient
     from bergamotdoor.peers.directory import Directory
+    from bergamotdoor.peers.messages import TakeOver
     from bergamotdoor.settings.document import Address
     from bergamotdoor.steps.job_finder import JobFinder
-    from bergamotdoor.steps.job_run import JobRun
     from bergamotdoor.tasks import Tasks
     from bergamotdoor.types import JobId, ModelId, ZoneId
 
@@ -104,29 +102,13 @@
             told = msgspec.structs.replace(message, passed_on=True)
             self._tasks.start(self._tell(owner, told))
 
-    async def hand_on(self, runs: tuple[JobRun, ...]) -> None:
-        """Have other entries run the jobs of this one, which stops.
+    async def hand_on(self, message: TakeOver) -> None:
+        """Have another entry run a job of this one, which stops.
 
-        Failure: a planned stop of the owner in the middle of a step.
-        Symptom: the step waits for the next read, and its items begin
-        behind what was kept a second before. Handed on, they go on at once.
+        Entry after entry is asked: those that stop as well take nothing.
         """
-        await asyncio.gather(*(self._hand_on(run) for run in runs))
-
-    def tell_of_end(self, job: JobId) -> None:
-        """Have a job's owner stop."""
-        self._tasks.start(self._tell_of_end(job))
-
-    async def _tell(
-        self, address: Address, message: JobOwned | EngineLoaded
-    ) -> None:
-        await self._peers.ask(address, message)
-
-    async def _hand_on(self, run: JobRun) -> None:
-        """Ask entry after entry: those that stop as well take nothing."""
-        message = TakeOver(run.spec.job, run.found.record)
         entries = self.directory.entries
-        order = home_order(run.spec.model, entries, self._zone)
+        order = home_order(message.spec.model, entries, self._zone)
         for entry in order[:_MOST_ASKED]:
             address = entries[entry].address
             began = self._clock.elapsed()
@@ -134,7 +116,7 @@
             taken = isinstance(reply, Done)
             _log.info(
                 'gateway: job %s handed on to %s: %s after %d ms',
-                run.spec.job,
+                message.spec.job,
                 entry,
                 'taken' if taken else 'not taken',
                 (self._clock.elapsed() - began) // _MS,
@@ -142,6 +124,15 @@
             if taken:
                 return
 
+    def tell_of_end(self, job: JobId) -> None:
+        """Have a job's owner stop."""
+        self._tasks.start(self._tell_of_end(job))
+
+    async def _tell(
+        self, address: Address, message: JobOwned | EngineLoaded
+    ) -> None:
+        await self._peers.ask(address, message)
+
     async def _hand_over(self, found: FoundJob, spec: JobSpec) -> None:
         message = AdoptJob(found.record, found.revision, spec)
         reply = await self._peers.ask(found.record.address, message)
--- a/bergamotdoor/steps/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -9,7 +9,7 @@
 
 from bergamotdoor.observe.events import Counted
 from bergamotdoor.steps.dispatcher import Dispatcher
-from bergamotdoor.steps.job_keeper import hand_over, keep_open_items
+from bergamotdoor.steps.job_keeper import keep_open_items
 from bergamotdoor.steps.job_run import JobRun, RunState
 from bergamotdoor.steps.result_writer import ResultWriter
 from bergamotdoor.steps.scorer import Scorer
@@ -77,17 +77,14 @@
             run.stop()
         await self._tasks.stop()
 
-    async def hand_over(self) -> tuple[JobRun, ...]:
-        """Stop running items; return the jobs that another entry takes."""
+    def take_no_more(self) -> tuple[JobRun, ...]:
+        """Become the owner of nothing more; return what has open items."""
         self.stopping = True
-        active = tuple(run for run in self._runs.values() if run.active)
-        clock = self._context.clock
-        await asyncio.gather(
-            *(hand_over(run, self._store, clock) for run in active)
-        )
-        for run in active:
-            self._runs.pop(run.spec.job, None)
-        return active
+        return tuple(run for run in self._runs.values() if run.active)
+
+    def forget(self, job: JobId) -> None:
+        """Leave a job to its next owner."""
+        self._runs.pop(job, None)
 
     def poke(self) -> None:
         """Look for work again: upstreams or routes have changed."""
@@ -145,14 +142,13 @@
             self._wake.clear()
             self._start_items()
             try:
-                async with asyncio.timeout(_TICK_S if self._busy() else None):
+                async with asyncio.timeout(
+                    _TICK_S if _any_active(self._runs) else None
+                ):
                     await self._wake.wait()
             except TimeoutError:
                 self._tick()
 
-    def _busy(self) -> bool:
-        return any(run.active for run in self._runs.values())
-
     def _start_items(self) -> None:
         active = [run for run in self._runs.values() if run.active]
         active.sort(key=_due_at)
@@ -182,7 +178,7 @@
         while True:
             await asyncio.sleep(_SWEEP_S)
             self._runs = dict(_kept(self._runs, self._context))
-            if not self._busy():
+            if not _any_active(self._runs):
                 continue
             jobs = await self._store.all_jobs(stale=True)
             if not isinstance(jobs, Outcome):
@@ -197,7 +193,11 @@
             if found.status.ended or taken_over:
                 self.end(found.job)
             if taken_over:
-                self._runs.pop(found.job, None)
+                self.forget(found.job)
+
+
+def _any_active(runs: dict[JobId, JobRun]) -> bool:
+    return any(run.active for run in runs.values())
 
 
 def _due_at(run: JobRun) -> dt.timedelta:
--- a/bergamotdoor/steps/peer_service.py
+++ b/bergamotdoor/steps/peer_service.py
@@ -23,6 +23,7 @@
     TakeOver,
 )
 from bergamotdoor.peers.relay import relayed
+from bergamotdoor.steps.hand_over import found_in, loaded_in
 from bergamotdoor.steps.item_bodies import body_of
 from bergamotdoor.steps.jobs_desk import page_of
 from bergamotdoor.stored import Outcome
@@ -110,9 +111,9 @@
         return NotKnown() if isinstance(page, Outcome) else page
 
     async def _take_over(self, message: TakeOver) -> PeerReply:
-        if self._owner.stopping:
-            return NotOwner()
-        found = await self._finder.take_over(message.job, message.record)
+        found = await self._finder.take_handed(
+            found_in(message), loaded_in(message)
+        )
         return NotOwner() if isinstance(found, Outcome) else Done()
 
     def _adopt(self, message: AdoptJob) -> None:
