Show that a late answer of the store waits for other entries

Cause: an owner that handed a step over had the store's answer on its way (the store had done the write after 0.18 s), asked other entries after its patience of 0.35 s, and went on with theirs after 1.08 s.

Ruled out: the store (it logged the write at 0.18 s) and a cut (the next calls went the own way).

Conclusion: the two ways have to be raced.

--- a/features/peers_relay.feature
+++ b/features/peers_relay.feature
@@ -17,3 +17,15 @@
     When an entry makes a call each 100 ms for 2 s
     And the store takes calls of the other entries again
     Then a call is answered within 1100 ms
+
+  Scenario: an answer that comes late by the own way is taken when it comes
+    The store answers after 400 ms, a little later than this entry's patience.
+    The call was made by another entry as well, which is slow, and its answer
+    was waited for though the own one had come: "the store is reached by
+    others only".
+
+    Given a store that answers after 400 ms by the own way
+    And other entries that take 2 s
+    Then a call is answered within 410 ms
+    And its next call goes the own way first
+
--- a/features/steps/peers_relay_steps.py
+++ b/features/steps/peers_relay_steps.py
@@ -27,14 +27,18 @@
 
 
 class Ways:
-    """The own way, which is refused, and those of other entries."""
+    """The own way, which is refused at first, and those of other entries."""
 
     def __init__(self) -> None:
         self.open = False
         self.relayed = 0
+        self.own = REFUSED
+        self.own_s = 0.0
+        self.others_s = 0.0
 
     async def call(self, *_: Any) -> Answer | Outcome:
-        return REFUSED
+        await asyncio.sleep(self.own_s)
+        return self.own
 
     async def watch(self, *_: Any) -> Answer | Outcome:
         return REFUSED
@@ -48,12 +52,31 @@
         self, address: Address, call: StoreCall, timeout: dt.timedelta
     ) -> Answer | Outcome:
         self._ways.relayed += 1
+        await asyncio.sleep(self._ways.others_s)
         return DONE if self._ways.open else REFUSED
 
 
 @given('a store that refuses every way')
 def refuses(context: Any) -> None:
-    ways = Ways()
+    context.ways = Ways()
+    context.scene = []
+    context.caller = caller_of(context.ways)
+
+
+@given('a store that answers after {answer_ms:d} ms by the own way')
+def answers_late(context: Any, answer_ms: int) -> None:
+    refuses(context)
+    context.ways.own = DONE
+    context.ways.own_s = answer_ms / 1000
+
+
+@given('other entries that take {seconds:d} s')
+def slow_others(context: Any, seconds: int) -> None:
+    context.ways.others_s = seconds
+    context.ways.open = True
+
+
+def caller_of(ways: Ways) -> RelayingCaller:
     caller = RelayingCaller(
         ways, OtherEntries(ways), virtual_clock(), random.Random(1)
     )
@@ -63,9 +86,7 @@
         for number in range(3)
     }
     caller.directory = directory
-    context.ways = ways
-    context.caller = caller
-    context.scene = []
+    return caller
 
 
 async def one_call(caller: RelayingCaller) -> Answer | Outcome:
@@ -114,3 +135,11 @@
 
     took_ms = run_virtual(measure())
     assert took_ms <= limit_ms, took_ms
+
+
+@then('its next call goes the own way first')
+def own_way_first(context: Any) -> None:
+    before = context.ways.relayed
+    context.ways.own_s = 0.1
+    assert run_virtual(one_call(context.caller)) == DONE
+    assert context.ways.relayed == before
