Show that a step that is handed in again is begun anew

The owner's log: the step handed in again (its trainer had no answer in time) while the next owner loaded it, then 'owned, term 2, 80 items, 0 listed'. Whoever takes a job in again has it adopted without its results, as if it were new.

Ruled out: a listing that is behind (the load itself was right and came second), the store, a proof that is too old alone (that made the entry deny what it had never loaded).

--- a/features/planned_stops.feature
+++ b/features/planned_stops.feature
@@ -39,3 +39,14 @@
     Given a site whose step is taken over by an entry that loads it in 1.4 s
     Then positions that were read at the first owner are not denied by it
 
+  Scenario: a step that is handed in again is not begun anew
+    The owner dies after two results were read. The next owner loads the step
+    while its trainer, whose answer was lost, hands it in again at a third
+    entry. That one took it for new and had it adopted without its results:
+    "owned, term 2, 80 items, 0 listed", 48 of which had been read. All items
+    ran again, and readers were told that there was nothing at position 5.
+
+    Given a site whose step is handed in again while its next owner loads it
+    Then the next owner lists the 2 results that had been read
+    And nothing that was listed ran again
+
--- a/features/steps/planned_stops_steps.py
+++ b/features/steps/planned_stops_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from typing import Any
 
 from behave import given, then
@@ -215,3 +216,43 @@
         return
     results = context.reply.json['results']
     assert results == context.read['results'], results
+
+
+@given('a site whose step is handed in again while its next owner loads it')
+def handed_in_again(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start(entries=3)
+        await handed_in(site, [[2, 2], [90, 90]])
+        owner = owner_of(site)
+        context.read = await site.results(owner, JOB)
+        await site.kill(owner)
+        second, third = sorted(site.entries)
+        site.store.list_s = 1
+        reading = asyncio.create_task(site.results(second, JOB))
+        await asyncio.sleep(0.5)
+        again = await site.submit(third, JOB, [[2, 2], [90, 90]])
+        assert again is not None
+        assert again.status == 202, again.status
+        await reading
+        context.second = await site.results(second, JOB)
+        await asyncio.sleep(2)
+        context.runs = Counter(
+            seen.request
+            for engine in site.engines.values()
+            for seen in engine.seen
+        )
+
+    play(scene)
+
+
+@then('the next owner lists the {count:d} results that had been read')
+def lists_what_was_read(context: Any, count: int) -> None:
+    results = context.read['results']
+    assert len(results) == count, results
+    assert context.second['results'][:count] == results, context.second
+
+
+@then('nothing that was listed ran again')
+def not_run_again(context: Any) -> None:
+    for result in context.read['results']:
+        assert context.runs[result['id']] == 1, context.runs
