Tell a job that is handed in again from a new one

Cause: a job that was handed in again was adopted without its results by the entry that its record names, as if it had just been created.

Ruled out: refusing it while it loads (the trainer gets its 202 either way); keeping the empty ledger and catching up (the items would run again).

Change: JobStore.submit says whether it surely created the job. One that was there before is only seen to: its owner is asked for a body, which makes it load what it does not run, and one that is gone is replaced. An adoption that comes after a later owner is known changes nothing.

--- a/bergamotdoor/objects/job_store.py
+++ b/bergamotdoor/objects/job_store.py
@@ -51,6 +51,14 @@
 _reader: Final = ObjectReader(_log, 'objects')
 
 
+class Submitted(msgspec.Struct, frozen=True):
+    """A job that is in the store after it was handed in."""
+
+    found: FoundJob
+    #: Whether this call surely created it, so that nothing has run yet.
+    created: bool
+
+
 class JobStore:
     """Reads and writes batch jobs."""
 
@@ -59,7 +67,7 @@
 
     async def submit(
         self, spec: JobSpec, record: JobRecord
-    ) -> FoundJob | Outcome:
+    ) -> Submitted | Outcome:
         """Store a whole job; return it, or the one stored before.
 
         NOT_DONE promises that the job does not exist and will not.
@@ -75,12 +83,14 @@
                 return Outcome.NOT_DONE
         record = msgspec.structs.replace(record, parts=len(parts))
         body = msgspec.json.encode(record)
-        found = await self._create(JOB_KIND, spec.job, body)
-        if isinstance(found, Conflict):
-            if found.current is None:
-                return await self.find(spec.job)
-            return _job(found.current)
-        return found if isinstance(found, Outcome) else _job(found)
+        stored = await self._create(JOB_KIND, spec.job, body)
+        if isinstance(stored, Outcome):
+            return stored
+        if isinstance(stored, StoredObject):
+            return _submitted(_job(stored), created=True)
+        if stored.current is None:
+            return _submitted(await self.find(spec.job), created=False)
+        return _submitted(_job(stored.current), created=False)
 
     async def find(self, job: JobId) -> FoundJob | Outcome:
         """Return who runs a job; ABSENT if there is no such job."""
@@ -208,6 +218,12 @@
         return Outcome.UNCLEAR
 
 
+def _submitted(found: FoundJob | Outcome, created: bool) -> Submitted | Outcome:
+    if isinstance(found, Outcome):
+        return found
+    return Submitted(found, created)
+
+
 def _job(stored: StoredObject) -> FoundJob | Outcome:
     """Read a job's record; NOT_DONE if nobody can say what it is."""
     return _reader.read(stored, found_job) or Outcome.NOT_DONE
--- a/bergamotdoor/steps/job_finder.py
+++ b/bergamotdoor/steps/job_finder.py
@@ -78,6 +78,11 @@
         if len(self._records) > _MOST_OWNERS:
             self._records.pop(next(iter(self._records)))
 
+    def is_newest(self, job: JobId, record: JobRecord) -> bool:
+        """Return whether no later owner of a job is known."""
+        known = self._records.get(job)
+        return known is None or known.term <= record.term
+
     async def record(self, job: JobId) -> JobRecord | Outcome:
         """Return who owns a job; ABSENT if there is no such job."""
         known = self._records.get(job)
--- a/bergamotdoor/steps/other_entries.py
+++ b/bergamotdoor/steps/other_entries.py
@@ -15,6 +15,7 @@
     EngineLoaded,
     JobEnded,
     JobOwned,
+    ReadBody,
 )
 from bergamotdoor.stored import Outcome
 
@@ -85,6 +86,18 @@
         """Have a job's home run it, or run it here."""
         self._tasks.start(self._hand_over(found, spec))
 
+    def see_run(self, found: FoundJob, spec: JobSpec) -> None:
+        """See to it that a job that was there before is run by somebody.
+
+        Failure: a trainer that had no answer hands its job in again, and
+        the job is taken for new. Symptom: an owner that still loads it gets
+        it without its results and begins all of it anew; readers are denied
+        positions they have read. Asked for a body, an owner loads what it
+        does not run yet, and one that is gone is replaced.
+        """
+        if spec.items and not found.status.ended:
+            self._tasks.start(self._see_run(found, spec))
+
     def tell_owner(self, found: FoundJob, model: ModelId) -> None:
         """Have every entry know whom to ask for a job's results.
 
@@ -139,6 +152,15 @@
         if not isinstance(reply, Done):
             await self._finder.take_over(found.job, found.record)
 
+    async def _see_run(self, found: FoundJob, spec: JobSpec) -> None:
+        if self._finder.is_own(found.record):
+            await self._finder.resume(found.job)
+            return
+        message = ReadBody(found.job, spec.items[0].item)
+        reply = await self._peers.ask(found.record.address, message)
+        if reply is None:
+            await self._finder.take_over(found.job, found.record)
+
     async def _tell_of_end(self, job: JobId) -> None:
         for _ in range(_TELL_ATTEMPTS):
             record = await self._finder.record(job)
--- a/bergamotdoor/steps/peer_service.py
+++ b/bergamotdoor/steps/peer_service.py
@@ -118,6 +118,9 @@
 
     def _adopt(self, message: AdoptJob) -> None:
         job = message.spec.job
+        if not self._finder.is_newest(job, message.record):
+            # It came late: another entry has taken the job over meanwhile.
+            return
         self._finder.remember(job, message.record)
         if self._owner.get(job) is None:
             found = FoundJob(job, message.record, JobStatus(), message.revision)
