Reproduce jobs that are handed in again and taken for new ones

Cause: an entry that is handed a job it finds in the store passes it on, or runs it, as if it were new: not ended, with nothing listed, and also while it stops. An owner that has started anew believes that. Readers are told that there is nothing at a position they had read, listed items run once more, and an ended job runs again.

--- /dev/null
+++ b/features/steps/gateway_takeovers_steps.py
@@ -0,0 +1,119 @@
+"""Steps for jobs whose owner changes, on whole sites in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from behave import given, then
+
+from features.job_scenes import JOB, handed_in, other, owner_of, starts
+from lab.site import Site, play
+
+_GROUPS = [[2, 2], [200, 200]]
+#: Items of the first group, which is listed first.
+_LISTED = (f'{JOB}.0.0', f'{JOB}.0.1')
+
+
+def at_work(site: Site) -> list[str]:
+    """Return the requests that engines work on."""
+    return [
+        request
+        for engine in site.engines.values()
+        for request in engine.running
+    ]
+
+
+async def first_group_read(site: Site, entry: str) -> None:
+    """Wait until the first two positions were read."""
+    page = await site.results(entry, JOB)
+    assert len(page['results']) == len(_LISTED), page
+
+
+async def second_position(site: Site, entry: str) -> Any:
+    """Ask for the second position without a wait."""
+    reply = await site.ask(entry, 'GET', f'/-/lots/{JOB}?after=1')
+    assert reply is not None
+    return reply.json['results'] if reply.status == 200 else reply.status
+
+
+@given('a site whose owner starts again and gets an ended job once more')
+def ended_again(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        await handed_in(site, _GROUPS)
+        await asyncio.sleep(0.5)
+        owner = owner_of(site)
+        ended = await site.ask('entry-0', 'DELETE', f'/-/lots/{JOB}')
+        assert ended is not None
+        assert ended.status == 200, ended.status
+        await site.kill(owner)
+        await site.add_entry(owner)
+        await asyncio.sleep(3)
+        context.again = await site.submit(other(site, owner), JOB, _GROUPS)
+        await asyncio.sleep(0.5)
+        context.running = at_work(site)
+
+    play(scene)
+
+
+@then('the job is taken and no engine works on its items')
+def taken_and_idle(context: Any) -> None:
+    assert context.again.status == 202, context.again.status
+    assert not context.running, context.running
+
+
+@given('a site whose owner starts again and gets a running job once more')
+def running_again(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        await handed_in(site, _GROUPS)
+        owner = owner_of(site)
+        await first_group_read(site, owner)
+        await asyncio.sleep(1)
+        await site.kill(owner)
+        site.store.list_s = 1.4
+        await site.add_entry(owner)
+        await asyncio.sleep(0.3)
+        second = other(site, owner)
+        again = await site.submit(second, JOB, _GROUPS)
+        assert again is not None
+        assert again.status == 202, again.status
+        await asyncio.sleep(0.1)
+        context.pages = [
+            await second_position(site, entry) for entry in (owner, second)
+        ]
+        await asyncio.sleep(2)
+        context.runs = [len(starts(site, item)) for item in _LISTED]
+
+    play(scene)
+
+
+@given('a site whose only entry gets its job once more while it stops')
+def stopping_again(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start(entries=1)
+        await handed_in(site, _GROUPS)
+        await first_group_read(site, 'entry-0')
+        await asyncio.sleep(1)
+        stopping = asyncio.create_task(site.entries.pop('entry-0').stop())
+        await asyncio.sleep(0.1)
+        again = await site.submit('entry-0', JOB, _GROUPS)
+        assert again is not None
+        assert again.status == 202, again.status
+        context.pages = [await second_position(site, 'entry-0')]
+        await stopping
+        context.runs = [len(starts(site, item)) for item in _LISTED]
+
+    play(scene)
+
+
+@then('the second position is shown or not known, at every entry')
+def not_hidden(context: Any) -> None:
+    for page in context.pages:
+        assert page == 503 or len(page) == 1, context.pages
+
+
+@then('no listed item runs a second time')
+def no_second_run(context: Any) -> None:
+    assert context.runs == [1, 1], context.runs
