Load a job that is handed in once more before it is run

Cause: a job that the store has already was passed on, or run, as a new one.

Ruled out: the owner's own start, which loads its jobs from the store; the fault needs the job to be handed in once more before that, or while the entry stops, or after the job's end.

Change: the store's answer tells a job that was stored just now from one that was there. The latter's owner is asked to go on with it, which loads it with its results and its end; one that is ended is left alone.

--- a/bergamotdoor/objects/job_store.py
+++ b/bergamotdoor/objects/job_store.py
@@ -51,6 +51,14 @@
 _reader: Final = ObjectReader(_log, 'objects')
 
 
+class Submitted(msgspec.Struct, frozen=True):
+    """A job that is kept."""
+
+    found: FoundJob
+    #: Whether this call stored it, so that nobody can have run it.
+    is_new: bool
+
+
 class JobStore:
     """Reads and writes batch jobs."""
 
@@ -59,7 +67,7 @@
 
     async def submit(
         self, spec: JobSpec, record: JobRecord
-    ) -> FoundJob | Outcome:
+    ) -> Submitted | Outcome:
         """Store a whole job; return it, or the one stored before.
 
         NOT_DONE promises that the job does not exist and will not.
@@ -76,11 +84,13 @@
         record = msgspec.structs.replace(record, parts=len(parts))
         body = msgspec.json.encode(record)
         found = await self._create(JOB_KIND, spec.job, body)
-        if isinstance(found, Conflict):
-            if found.current is None:
-                return await self.find(spec.job)
-            return _job(found.current)
-        return found if isinstance(found, Outcome) else _job(found)
+        if isinstance(found, Outcome):
+            return found
+        if isinstance(found, StoredObject):
+            return _submitted(_job(found), is_new=True)
+        if found.current is None:
+            return _submitted(await self.find(spec.job), is_new=False)
+        return _submitted(_job(found.current), is_new=False)
 
     async def find(self, job: JobId) -> FoundJob | Outcome:
         """Return who runs a job; ABSENT if there is no such job."""
@@ -208,6 +218,12 @@
         return Outcome.UNCLEAR
 
 
+def _submitted(
+    found: FoundJob | Outcome, *, is_new: bool
+) -> Submitted | Outcome:
+    return found if isinstance(found, Outcome) else Submitted(found, is_new)
+
+
 def _job(stored: StoredObject) -> FoundJob | Outcome:
     """Read a job's record; NOT_DONE if nobody can say what it is."""
     return _reader.read(stored, found_job) or Outcome.NOT_DONE
--- a/bergamotdoor/steps/jobs_intake.py
+++ b/bergamotdoor/steps/jobs_intake.py
@@ -53,12 +53,15 @@
 
     async def submit(self, spec: JobSpec) -> Outcome | None:
         """Take a job in; None once it is kept for good."""
-        found = await self._store.submit(spec, self._home_record(spec))
-        if isinstance(found, Outcome):
-            return found
+        taken = await self._store.submit(spec, self._home_record(spec))
+        if isinstance(taken, Outcome):
+            return taken
+        found = taken.found
         self._finder.remember(found.job, found.record, spec.model)
         self._others.tell_owner(found, spec.model)
-        if not self._finder.is_own(found.record):
+        if not taken.is_new:
+            self._others.go_on(found)
+        elif not self._finder.is_own(found.record):
             self._others.hand_over(found, spec)
         elif self._owner.get(found.job) is None:
             self._owner.adopt(found, LoadedJob(spec, Ledger()))
--- a/bergamotdoor/steps/other_entries.py
+++ b/bergamotdoor/steps/other_entries.py
@@ -86,6 +86,17 @@
         """Have a job's home run it, or run it here."""
         self._tasks.start(self._hand_over(found, spec))
 
+    def go_on(self, found: FoundJob) -> None:
+        """Have a job run that was kept before and comes once more.
+
+        Failure: its owner has started anew, or stops. Symptom: handed on
+        as a new job it runs although it is ended, and readers are told
+        that nothing is at positions which they have read. So whoever runs
+        it loads it from the store first.
+        """
+        if not found.status.ended:
+            self._tasks.start(self._go_on(found))
+
     def tell_owner(self, found: FoundJob, model: ModelId) -> None:
         """Have every entry know whom to ask for a job's results.
 
@@ -145,6 +156,17 @@
         if not isinstance(reply, Done):
             await self._finder.take_over(found.job, found.record)
 
+    async def _go_on(self, found: FoundJob) -> None:
+        record = found.record
+        if not self._finder.is_own(record):
+            message = TakeOver(found.job, record)
+            reply = await self._peers.ask(
+                record.address, message, _HAND_ON_WAIT
+            )
+            if isinstance(reply, Done):
+                return
+        await self._finder.take_over(found.job, record)
+
     async def _tell_of_end(self, job: JobId) -> None:
         for _ in range(_TELL_ATTEMPTS):
             record = await self._finder.record(job)
