Reproduce ends that miss the owner, and an owner that lets go of its job

Cause: an entry that ends a job tells the owner that it remembers, or only itself if it has the job; after a takeover neither need be the owner. And an owner that is given its job back keeps the term of its first taking, so the next look at the store shows it a newer term, its own, as another's: it logs the job as ended and stops its items until somebody reads.

--- a/features/gateway_takeovers.feature
+++ b/features/gateway_takeovers.feature
@@ -24,3 +24,26 @@
     Given a site whose only entry gets its job once more while it stops
     Then the second position is shown or not known, at every entry
     And no listed item runs a second time
+
+  Scenario: the end of a job reaches the owner that took it over
+    A job is taken over, and its first owner starts anew. A trainer ends the
+    job at an entry that knows only of the first owner, which says that it
+    took the end. The second owner ran on until it looked by itself.
+
+    Given a site whose job has a second owner and is ended at a third entry
+    Then no engine works on its items half a second later
+
+  Scenario: the end of a job reaches its owner from the one before
+    A job is taken over and its first owner does not know. A trainer ends
+    the job there: the first owner stopped its own items and told nobody.
+
+    Given a site whose job is ended at an owner that was taken over
+    Then no engine works on its items half a second later
+
+  Scenario: an owner that gets its job back does not let go of it
+    A job is taken over by an entry that stops at once, and hands it back to
+    its first owner, which still runs it. The first owner then took its own
+    new term for another's: it stopped all items until the next read.
+
+    Given a site whose owner gets its job back before it knew of the loss
+    Then its items run on while nobody reads
--- a/features/steps/gateway_takeovers_steps.py
+++ b/features/steps/gateway_takeovers_steps.py
@@ -7,6 +7,8 @@
 
 from behave import given, then
 
+from bergamotdoor.stored import Outcome
+from bergamotdoor.types import JobId
 from features.job_scenes import JOB, handed_in, other, owner_of, starts
 from lab.site import Site, play
 
@@ -117,3 +119,82 @@
 @then('no listed item runs a second time')
 def no_second_run(context: Any) -> None:
     assert context.runs == [1, 1], context.runs
+
+
+async def taken_over_by(site: Site, entry: str) -> None:
+    """Do what an entry does when the owner does not answer."""
+    finder = site.entries[entry]._parts.finder
+    record = await finder.record(JobId(JOB))
+    assert not isinstance(record, Outcome)
+    await finder.take_over(JobId(JOB), record)
+    assert owner_of(site) == entry
+
+
+async def end_at(site: Site, entry: str) -> None:
+    """End the job; it must be confirmed."""
+    reply = await site.ask(entry, 'DELETE', f'/-/lots/{JOB}')
+    assert reply is not None
+    assert reply.status == 200, reply.status
+
+
+@given('a site whose job has a second owner and is ended at a third entry')
+def ended_elsewhere(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start(entries=3)
+        await handed_in(site, _GROUPS)
+        await asyncio.sleep(0.5)
+        first = owner_of(site)
+        second, third = (name for name in sorted(site.ports) if name != first)
+        await site.kill(first)
+        await site.results(second, JOB)
+        assert owner_of(site) == second
+        await site.add_entry(first)
+        await asyncio.sleep(0.3)
+        assert at_work(site)
+        await end_at(site, third)
+        await asyncio.sleep(0.5)
+        context.running = at_work(site)
+
+    play(scene)
+
+
+@given('a site whose job is ended at an owner that was taken over')
+def ended_at_first(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        await handed_in(site, _GROUPS)
+        await asyncio.sleep(0.5)
+        first = owner_of(site)
+        await taken_over_by(site, other(site, first))
+        await asyncio.sleep(0.2)
+        await end_at(site, first)
+        await asyncio.sleep(0.5)
+        context.running = at_work(site)
+
+    play(scene)
+
+
+@given('a site whose owner gets its job back before it knew of the loss')
+def got_back(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        await handed_in(site, _GROUPS)
+        await asyncio.sleep(0.5)
+        first = owner_of(site)
+        second = other(site, first)
+        await taken_over_by(site, second)
+        stopping = asyncio.create_task(site.entries.pop(second).stop())
+        await asyncio.sleep(0.2)
+        assert owner_of(site) == first
+        context.running = []
+        for _ in range(5):
+            await asyncio.sleep(0.5)
+            context.running.append(len(at_work(site)))
+        await stopping
+
+    play(scene)
+
+
+@then('its items run on while nobody reads')
+def run_on(context: Any) -> None:
+    assert all(context.running), context.running
