Tell a job's present owner of its end, and keep a job that was handed back

Cause: after a takeover the entry that ends a job told an owner of before, or only itself; an owner that got its job back kept its old term, took the new one for another's, and let go of a job that it owned.

Ruled out: the store, whose record named the present owner each time.

Change: the call that keeps the end returns the job's record, so its present owner is told at no further call. A running job takes the record by which its process has it now. A job that was taken over is stopped and not logged or counted as ended: it goes on elsewhere.

--- a/bergamotdoor/objects/job_store.py
+++ b/bergamotdoor/objects/job_store.py
@@ -119,13 +119,20 @@
             return _job(outcome.current)
         return outcome if isinstance(outcome, Outcome) else _job(outcome)
 
-    async def end(self, job: JobId) -> Outcome | None:
-        """Note that a job is ended; None once it is."""
+    async def end(self, job: JobId) -> FoundJob | Outcome | None:
+        """Note that a job is ended; return it once it is.
+
+        Returns
+        -------
+        FoundJob or Outcome or None
+            The job, which tells its owner; None if it is ended and nobody
+            can say whose it is.
+        """
         status = msgspec.json.encode(JobStatus(ended=True))
         for _ in range(_ATTEMPTS):
             outcome = await self._store.put_status(JOB_KIND, job, status)
             if isinstance(outcome, StoredObject):
-                return None
+                return _reader.read(outcome, found_job)
             if outcome is Outcome.ABSENT or outcome is Outcome.NOT_DONE:
                 return outcome
             await asyncio.sleep(_PAUSE_S)
--- a/bergamotdoor/steps/job_finder.py
+++ b/bergamotdoor/steps/job_finder.py
@@ -123,6 +123,9 @@
             return Outcome.NOT_DONE
         known = self._owner.get(found.job)
         if known is not None and known.state is RunState.RUNNING:
+            # Taken over and handed back before it was noticed: without the
+            # new term the owner would take that for another's, and stop.
+            known.found = found
             return known
         loaded = await self._store.load(found.job)
         if isinstance(loaded, Outcome):
--- a/bergamotdoor/steps/jobs_intake.py
+++ b/bergamotdoor/steps/jobs_intake.py
@@ -69,12 +69,16 @@
 
     async def end(self, job: JobId) -> Outcome | None:
         """End a job; None once that is kept for good."""
-        outcome = await self._store.end(job)
-        if outcome is None:
-            self._owner.end(job)
-            if self._owner.get(job) is None:
-                self._others.tell_of_end(job)
-        return outcome
+        found = await self._store.end(job)
+        if isinstance(found, Outcome):
+            return found
+        self._owner.end(job)
+        # Neither who has the job nor who had it need be its owner.
+        if found is not None:
+            self._finder.remember(job, found.record)
+        if found is None or not self._finder.is_own(found.record):
+            self._others.tell_of_end(job)
+        return None
 
     def _home_record(self, spec: JobSpec) -> JobRecord:
         """Name the entry that runs the jobs of a trainer."""
--- a/bergamotdoor/steps/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -190,10 +190,11 @@
             run = self._runs.get(found.job)
             if run is None:
                 continue
-            taken_over = found.record.term > run.found.record.term
-            if found.status.ended or taken_over:
+            if found.status.ended:
                 self.end(found.job)
-            if taken_over:
+            if found.record.term > run.found.record.term:
+                # It goes on elsewhere, so it is not an ended one.
+                run.stop()
                 self._runs.pop(found.job, None)
 
 
