Reproduce a job that an entry without a manifest takes and lists as lost

Cause: an entry that has started anew, and reaches no store, is still known to the others by its earlier registration. Given a new job it takes it, can start nothing without a manifest, and answers readers that it cannot tell, so nobody takes the job over. After ten seconds it takes the job's route for gone, and lists every item as lost once it reaches the store.

--- a/features/gateway_takeovers.feature
+++ b/features/gateway_takeovers.feature
@@ -47,3 +47,13 @@
 
     Given a site whose owner gets its job back before it knew of the loss
     Then its items run on while nobody reads
+
+  Scenario: an entry that knows no manifest runs no job
+    An entry starts again and reaches no store, while the others do and reach
+    it. It is given a new job: it can start nothing, tells readers that it
+    cannot tell, and after ten seconds takes the job's route for gone. Once
+    it reaches the store it lists every item as lost.
+
+    Given a site whose next owner starts again and is cut off from its store
+    Then every item of the job is listed whole at another entry in time
+    And none is listed as lost once the owner reaches the store
--- a/features/steps/gateway_takeovers_steps.py
+++ b/features/steps/gateway_takeovers_steps.py
@@ -10,7 +10,7 @@
 from bergamotdoor.stored import Outcome
 from bergamotdoor.types import JobId
 from features.job_scenes import JOB, handed_in, other, owner_of, starts
-from lab.site import Site, play
+from lab.site import Site, at, play
 
 _GROUPS = [[2, 2], [200, 200]]
 #: Items of the first group, which is listed first.
@@ -198,3 +198,42 @@
 @then('its items run on while nobody reads')
 def run_on(context: Any) -> None:
     assert all(context.running), context.running
+
+
+@given('a site whose next owner starts again and is cut off from its store')
+def started_cut_off(context: Any) -> None:
+    context.groups = [[2, 2], [4, 4]]
+
+    async def scene(site: Site) -> None:
+        await site.start(entries=3)
+        await site.submit('entry-0', 'j0', [[1]])
+        owner = str(site.store.table.specs('jobs')['j0']['owner'])
+        await site.kill(owner)
+        store = site.store.address
+        # Nothing listens where this entry looks for the store.
+        site.store.address = at(8999)
+        started = await site.add_entry(owner)
+        site.store.address = store
+        await asyncio.sleep(0.5)
+        second = other(site, owner)
+        again = await site.submit(second, JOB, context.groups)
+        assert again is not None
+        assert again.status == 202, again.status
+        context.results = await site.all_results(second, JOB, 8)
+        await asyncio.sleep(5)
+        started._access.direct.address = store
+        await asyncio.sleep(5)
+        context.late = await site.all_results(second, JOB, 8)
+
+    play(scene)
+
+
+@then('every item of the job is listed whole at another entry in time')
+def whole_in_time(context: Any) -> None:
+    assert len(context.results) == 4, context.results
+
+
+@then('none is listed as lost once the owner reaches the store')
+def none_lost(context: Any) -> None:
+    states = [result['state'] for result in context.late]
+    assert states == ['completed'] * 4, states
