Reproduce refusals of jobs that are kept

Cause: a call goes round other entries first while the own way is cut; if one of them gave no answer it may have been done, which is forgotten when all ways refuse next. Either way the trainer gets 503, which promises that nothing of the job runs.

--- a/features/peers_relay.feature
+++ b/features/peers_relay.feature
@@ -17,3 +17,12 @@
     When an entry makes a call each 100 ms for 2 s
     And the store takes calls of the other entries again
     Then a call is answered within 1100 ms
+
+  Scenario: a call that may have been done is not told to be refused
+    The store is reached through others only, and one of them gives no answer
+    to a call: it may have been done. All ways refuse it then. Told that
+    nothing was done, a trainer takes its job elsewhere, and it runs twice.
+
+    Given a store that takes calls through other entries only
+    When one of them gives no answer to a call, and the other ways refuse it
+    Then it is not known whether that call was done
--- a/features/steps/peers_relay_steps.py
+++ b/features/steps/peers_relay_steps.py
@@ -12,6 +12,7 @@
 from bergamotdoor.objects.client import Answer
 from bergamotdoor.peers.directory import Directory, EntryRecord
 from bergamotdoor.peers.relay import RelayingCaller
+from bergamotdoor.stored import Outcome
 from bergamotdoor.types import NodeId
 from lab.site import at
 from lab.virtual import run_virtual, virtual_clock
@@ -19,7 +20,6 @@
 if TYPE_CHECKING:
     from bergamotdoor.peers.messages import StoreCall
     from bergamotdoor.settings.document import Address
-    from bergamotdoor.stored import Outcome
 
 PAUSE_S = 0.1
 REFUSED = Answer(503, b'')
@@ -31,6 +31,8 @@
 
     def __init__(self) -> None:
         self.open = False
+        #: How many of the next calls through others give no answer.
+        self.silent = 0
         self.relayed = 0
 
     async def call(self, *_: Any) -> Answer | Outcome:
@@ -48,6 +50,9 @@
         self, address: Address, call: StoreCall, timeout: dt.timedelta
     ) -> Answer | Outcome:
         self._ways.relayed += 1
+        if self._ways.silent:
+            self._ways.silent -= 1
+            return Outcome.UNCLEAR
         return DONE if self._ways.open else REFUSED
 
 
@@ -68,6 +73,28 @@
     context.scene = []
 
 
+@given('a store that takes calls through other entries only')
+def others_only(context: Any) -> None:
+    refuses(context)
+    context.ways.open = True
+
+
+@when('one of them gives no answer to a call, and the other ways refuse it')
+def no_answer(context: Any) -> None:
+    async def scene() -> Answer | Outcome:
+        assert await one_call(context.caller) == DONE
+        context.ways.open = False
+        context.ways.silent = 1
+        return await one_call(context.caller)
+
+    context.found = run_virtual(scene())
+
+
+@then('it is not known whether that call was done')
+def not_known(context: Any) -> None:
+    assert context.found is Outcome.UNCLEAR, context.found
+
+
 async def one_call(caller: RelayingCaller) -> Answer | Outcome:
     return await caller.call('GET', '/x', b'', dt.timedelta(seconds=1))
 
