Leave open whether a job is kept where the store leaves it open

Cause: an unclear first round through other entries was overruled by later refusals, and a refused read after a conflict was passed on as a refusal.

Ruled out: the calls themselves, which are conditional, so that a repeated one has one effect; only the answer to the trainer was wrong.

Change: what the first round left open stays open. A job that is there and can't be read gives an answer that promises nothing.

--- a/bergamotdoor/objects/job_store.py
+++ b/bergamotdoor/objects/job_store.py
@@ -228,7 +228,15 @@
 def _submitted(
     found: FoundJob | Outcome, *, is_new: bool
 ) -> Submitted | Outcome:
-    return found if isinstance(found, Outcome) else Submitted(found, is_new)
+    """Return a job that is there; one that can't be read is not refused.
+
+    Failure: a creation's answer is lost, the next try finds the job, and
+    the store refuses to read it. Symptom: its trainer is told that nothing
+    of it runs, and it does.
+    """
+    if isinstance(found, Outcome):
+        return Outcome.UNCLEAR
+    return Submitted(found, is_new)
 
 
 def _job(stored: StoredObject) -> FoundJob | Outcome:
--- a/bergamotdoor/peers/relay.py
+++ b/bergamotdoor/peers/relay.py
@@ -114,11 +114,13 @@
         addresses = self._addresses()
         if not addresses:
             return await self._call_directly(call, timeout)
+        found: Answer | Outcome = Outcome.NOT_DONE
         if self._clock.elapsed() < self._detour_until:
             found = await self._go_round(call, addresses, timeout)
             if usable(found):
                 return found
-        return await self._either(call, addresses, timeout)
+        # What was left open on the first way stays so.
+        return _worse(await self._either(call, addresses, timeout), found)
 
     async def watch(self, path: str, timeout: dt.timedelta) -> Answer | Outcome:
         """Wait for news, on one way only.
