Reproduce positions that are denied by a ledger that was never proven

Cause: a ledger counts as complete for 0.6 s from the moment at which a job is taken, though the store's list was asked for seconds before, or was not asked for at all. A reader that does not wait is told then that there is nothing at a position which was read elsewhere more than a second before.

--- a/features/gateway_takeovers.feature
+++ b/features/gateway_takeovers.feature
@@ -57,3 +57,20 @@
     Given a site whose next owner starts again and is cut off from its store
     Then every item of the job is listed whole at another entry in time
     And none is listed as lost once the owner reaches the store
+
+  Scenario: a list of results that came late is no proof
+    A second entry takes a job over, and the store's list of its results is
+    seconds under way. Meanwhile the first owner lists two, and they are
+    read. The second owner took its list for what the store has now, and
+    denied a position that had been read two seconds before.
+
+    Given a site whose second owner gets a list of results 2.5 s late
+    Then the second position is shown or not known, at every entry
+
+  Scenario: a job that is handed over late is looked up first
+    An entry is given a new job after a while: it stood still, the sender
+    gave up and ran the job. The entry took it for one with no results and
+    denied a position that had been read.
+
+    Given a site whose entry gets a new job after another has listed 2 results
+    Then the second position is shown or not known, at every entry
--- a/features/steps/gateway_takeovers_steps.py
+++ b/features/steps/gateway_takeovers_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then
 
+from bergamotdoor.peers.messages import AdoptJob
 from bergamotdoor.stored import Outcome
 from bergamotdoor.types import JobId
 from features.job_scenes import JOB, handed_in, other, owner_of, starts
@@ -238,3 +239,43 @@
     states = [result['state'] for result in context.late]
     assert len(states) == 4, states
     assert set(states) == {'completed'}, states
+
+
+@given('a site whose second owner gets a list of results {late:g} s late')
+def late_list(context: Any, late: float) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        await handed_in(site, [[30, 30], [200, 200]])
+        await asyncio.sleep(0.5)
+        first = owner_of(site)
+        second = other(site, first)
+        site.store.list_late_s = late
+        taking = asyncio.create_task(taken_over_by(site, second))
+        await first_group_read(site, first)
+        await taking
+        context.pages = [await second_position(site, second)]
+
+    play(scene)
+
+
+@given('a site whose entry gets a new job after another has listed 2 results')
+def late_job(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        await handed_in(site, _GROUPS)
+        first = owner_of(site)
+        run = site.entries[first]._parts.owner.get(JobId(JOB))
+        assert run is not None
+        message = AdoptJob(run.found.record, run.found.revision, run.spec)
+        await first_group_read(site, first)
+        second = other(site, first)
+        await taken_over_by(site, second)
+        # Started anew it has not heard of the job, as one that stood still.
+        await site.kill(first)
+        await site.add_entry(first)
+        await asyncio.sleep(2)
+        service = site.entries[first]._parts.peer_service
+        await service.handle(message)
+        context.pages = [await second_position(site, first)]
+
+    play(scene)
--- a/lab/store.py
+++ b/lab/store.py
@@ -76,6 +76,8 @@
         self.answer_s = _ANSWER_S
         #: How long a listing takes beyond other calls.
         self.list_s = float()
+        #: How long a listing is under way once it is made.
+        self.list_late_s = float()
         self._changed = asyncio.Event()
         self._cut = asyncio.Event()
         self._ended = asyncio.Event()
@@ -147,6 +149,7 @@
             'more_pages': len(names) > _PAGE,
             'as_of': self.table.revision,
         }
+        await asyncio.sleep(self.list_late_s)
         return answer(HTTPStatus.OK, page)
 
     async def _watch(
