Count a ledger as complete from when its list was asked for

Cause: the age of a ledger's proof began when the job was taken, not when the store was asked.

Ruled out: readers that wait, which have the store asked near the end of their wait by the age of the proof that they need.

Change: who loads a job tells when it asked; a job that was handed over with no look at the store has no proof, so the store is asked before a reader is told that there is nothing.

--- a/bergamotdoor/steps/job_finder.py
+++ b/bergamotdoor/steps/job_finder.py
@@ -11,6 +11,8 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 from bergamotdoor.steps.job_run import RunState
 from bergamotdoor.stored import Outcome
 
@@ -127,9 +129,11 @@
             # new term the owner would take that for another's, and stop.
             known.found = found
             return known
+        began = self._context.clock.elapsed()
         loaded = await self._store.load(found.job)
         if isinstance(loaded, Outcome):
             return Outcome.NOT_DONE
+        loaded = msgspec.structs.replace(loaded, complete_at=began)
         return self._owner.adopt(found, loaded)
 
     async def _claim(self, found: FoundJob) -> JobRun | Outcome:
--- a/bergamotdoor/steps/ledger_sync.py
+++ b/bergamotdoor/steps/ledger_sync.py
@@ -49,16 +49,24 @@
         Where the records are.
     clock
         Tells how old a proof is.
+    proven_at
+        When the ledger was complete; None is not known. A list that is
+        seconds under way is as old as its call.
     """
 
     def __init__(
-        self, job: JobId, ledger: Ledger, store: JobStore, clock: Clock
+        self,
+        job: JobId,
+        ledger: Ledger,
+        store: JobStore,
+        clock: Clock,
+        proven_at: dt.timedelta | None,
     ) -> None:
         self._job = job
         self._ledger = ledger
         self._store = store
         self._clock = clock
-        self._proven_at = clock.elapsed()
+        self._proven_at = proven_at
         self._lock = asyncio.Lock()
 
     async def add(self, record: ResultRecord) -> ResultRecord:
@@ -88,7 +96,9 @@
         age
             How old the proof may be.
         """
-        if self._clock.elapsed() - self._proven_at <= age:
+        proven_at = self._proven_at
+        now = self._clock.elapsed()
+        if proven_at is not None and now - proven_at <= age:
             return True
         try:
             async with asyncio.timeout(_LOCK_S):
