Reproduce jobs that an entry holds for seconds while it stops

Cause: an entry that stops keeps what its items have, by every way there is, before it lets go of its jobs; until then readers are told that the owner lives. After that it looks each job up for its readers, though it takes none.

--- a/features/gateway_takeovers.feature
+++ b/features/gateway_takeovers.feature
@@ -74,3 +74,12 @@
 
     Given a site whose entry gets a new job after another has listed 2 results
     Then the second position is shown or not known, at every entry
+
+  Scenario: an entry that stops and is cut off lets go of its jobs soon
+    An entry is asked to stop while neither the store nor another entry
+    answers it. It tries to keep what its items have before it lets go of
+    its jobs. Readers are answered meanwhile, so nobody takes the jobs over:
+    the items were at no engine for as long as all its calls took together.
+
+    Given a site whose owner is cut off both ways and asked to stop
+    Then another entry has its items at work within 2 s
--- a/features/steps/gateway_takeovers_steps.py
+++ b/features/steps/gateway_takeovers_steps.py
@@ -7,11 +7,13 @@
 
 from behave import given, then
 
+from bergamotdoor.peers.directory import EntryRecord
 from bergamotdoor.peers.messages import AdoptJob
 from bergamotdoor.stored import Outcome
 from bergamotdoor.types import JobId
 from features.job_scenes import JOB, handed_in, other, owner_of, starts
 from lab.site import Site, at, play
+from lab.store import Store, StoreMode
 
 _GROUPS = [[2, 2], [200, 200]]
 #: Items of the first group, which is listed first.
@@ -279,3 +281,42 @@
         context.pages = [await second_position(site, first)]
 
     play(scene)
+
+
+async def cut_off(site: Site, entry: str, silent: Store) -> None:
+    """Have neither the store nor other entries answer an entry's calls."""
+    silent.mode = StoreMode.SILENT
+    await silent.start()
+    access = site.entries[entry]._access
+    access.direct.address = silent.address
+    access.directory.entries = {
+        name: EntryRecord(silent.address) for name in access.directory.entries
+    }
+
+
+@given('a site whose owner is cut off both ways and asked to stop')
+def cut_and_stopped(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start(entries=3)
+        await handed_in(site, [[200, 200]])
+        await asyncio.sleep(0.5)
+        first = owner_of(site)
+        silent = Store(at(8998), site.clock)
+        await cut_off(site, first, silent)
+        began = site.clock.elapsed()
+        stopping = asyncio.create_task(site.entries.pop(first).stop())
+        second = other(site, first)
+        await asyncio.sleep(0.1)
+        while not at_work(site):
+            await site.results(second, JOB)
+            await asyncio.sleep(0.1)
+        context.took_s = (site.clock.elapsed() - began).total_seconds()
+        await stopping
+        await silent.stop()
+
+    play(scene)
+
+
+@then('another entry has its items at work within {most_s:g} s')
+def at_work_within(context: Any, most_s: float) -> None:
+    assert context.took_s <= most_s, context.took_s
