Reproduce an ended job that runs because it was loading

Cause: an entry that is told of a job's end has nothing to end while it loads the job, answers that it took the end, and runs the job as it found it before.

--- a/features/gateway_takeovers.feature
+++ b/features/gateway_takeovers.feature
@@ -83,3 +83,11 @@
 
     Given a site whose owner is cut off both ways and asked to stop
     Then another entry has its items at work within 2 s
+
+  Scenario: the end of a job reaches an entry that is loading it
+    An entry takes a job over and the store is slow to list it. The job is
+    ended meanwhile: the entry is told and has nothing to end. Then it runs
+    the job, which it found before its end, until it looks by itself.
+
+    Given a site whose job is ended while its next owner takes 1.4 s to load it
+    Then no engine works on its items half a second later
--- a/features/steps/gateway_takeovers_steps.py
+++ b/features/steps/gateway_takeovers_steps.py
@@ -320,3 +320,26 @@
 @then('another entry has its items at work within {most_s:g} s')
 def at_work_within(context: Any, most_s: float) -> None:
     assert context.took_s <= most_s, context.took_s
+
+
+@given(
+    'a site whose job is ended while its next owner takes {load:g} s to load it'
+)
+def ended_in_load(context: Any, load: float) -> None:
+    async def scene(site: Site) -> None:
+        await site.start(entries=3)
+        await handed_in(site, _GROUPS)
+        await asyncio.sleep(0.7)
+        first = owner_of(site)
+        second, third = (name for name in sorted(site.ports) if name != first)
+        await site.kill(first)
+        site.store.list_s = load
+        reading = asyncio.create_task(site.results(second, JOB))
+        await asyncio.sleep(0.1)
+        assert owner_of(site) == second
+        await end_at(site, third)
+        await reading
+        await asyncio.sleep(0.5)
+        context.running = at_work(site)
+
+    play(scene)
