Remember the end of a job that is being loaded

Cause: a job's end was taken by an entry that had not loaded the job yet, and forgotten.

Ruled out: the record, which the entry reads before its claim; the end comes after that.

Change: ends of jobs that an entry does not have are remembered, the last 256 of them, and a job among them is served as ended once it is loaded.

Test: gateway_takeovers 10 of 11 before, 11 of 11 after.

--- a/bergamotdoor/steps/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -35,6 +35,8 @@
 #: A job may come in by a route that this process does not know yet; after
 #: this every manifest is in force everywhere, so the route is gone.
 _ROUTE_PATIENCE: Final = dt.timedelta(seconds=10)
+#: Far more ends than come while a job is loaded, which takes seconds.
+_MOST_TOLD: Final = 256
 
 _log = logging.getLogger('bergamotdoor.gateway')
 
@@ -61,6 +63,8 @@
         self._dispatcher = Dispatcher(context, self.poke)
         self._scorer = Scorer(context, manifests, self.poke)
         self._runs: dict[JobId, JobRun] = {}
+        #: Ended jobs that this process did not have when it was told.
+        self._told_ended: tuple[JobId, ...] = ()
         self._tasks = Tasks()
         #: Whether this process takes no more jobs.
         self.stopping = False
@@ -121,7 +125,7 @@
         self._context.metrics.count(Counted.JOB_OWNED)
         if found.record.term > 1:
             self._context.metrics.count(Counted.JOB_TAKEN_OVER)
-        if found.status.ended:
+        if found.status.ended or found.job in self._told_ended:
             run.end()
         else:
             writer = ResultWriter(run, self._context.rng)
@@ -140,12 +144,14 @@
         return run
 
     def end(self, job: JobId) -> None:
-        """Stop a job's items."""
+        """Stop a job's items; its end is confirmed."""
         run = self._runs.get(job)
-        if run is None or run.ended:
-            return
-        run.end()
-        run.note_end()
+        if run is None:
+            # Told while it is loaded: it was found before its end.
+            self._told_ended = (*self._told_ended[1 - _MOST_TOLD :], job)
+        elif not run.ended:
+            run.end()
+            run.note_end()
 
     async def _pump(self) -> None:
         while True:
