Show that results of a read's last moment are withheld

Cause: a reader gets 503 though results came within the last 300 ms of its wait, if the proof from the store failed in just that moment.

Ruled out: nothing; it was found by reading jobs_desk.page_of.

--- a/features/steps/jobs_positions_steps.py
+++ b/features/steps/jobs_positions_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import datetime as dt
 import random
+from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 
 import hypothesis
@@ -22,6 +23,7 @@
 )
 from bergamotdoor.objects.job_codec import FoundJob, LoadedJob
 from bergamotdoor.steps.job_run import JobRun
+from bergamotdoor.steps.jobs_desk import page_of
 from bergamotdoor.steps.result_writer import ResultWriter
 from bergamotdoor.stored import Outcome
 from bergamotdoor.types import (
@@ -78,9 +80,10 @@
 
     def __init__(self, shelf: Shelf, seed: int) -> None:
         self.clock = virtual_clock()
-        context: Any = type(
-            'Context', (), {'clock': self.clock, 'rng': random.Random(seed)}
-        )()
+        settings = SimpleNamespace(link_mbps=0)
+        context: Any = SimpleNamespace(
+            clock=self.clock, rng=random.Random(seed), settings=settings
+        )
         record = JobRecord(NodeId('e'), at(1), 1, 1)
         found = FoundJob(JobId('j'), record, JobStatus(), Revision(1))
         store: Any = shelf
@@ -195,3 +198,40 @@
     items = context.shelf.items()
     assert items.count(ItemId('0.0')) == 1, items
     assert len(items) == 2 * MEMBERS, items
+
+
+class Refusing(Shelf):
+    """Takes records and refuses to show any."""
+
+    async def record_at(self, *_: Any) -> Outcome:
+        await asyncio.sleep(0.2)
+        return Outcome.NOT_DONE
+
+
+@given('a job whose results are stored while the store refuses to be read')
+def stored_late(context: Any) -> None:
+    context.shelf = Refusing(iter(()))
+
+
+@when('a reader has waited for a second')
+def waited(context: Any) -> None:
+    async def scene() -> None:
+        owner = Owner(context.shelf, 1)
+        writer = asyncio.create_task(owner.writer.run())
+        reader = asyncio.create_task(
+            page_of(owner.run, 0, dt.timedelta(seconds=1))
+        )
+        await asyncio.sleep(0.75)
+        for member in range(MEMBERS):
+            owner.run.items.take_text(result_of(f'0.{member}'))
+        context.page = await reader
+        writer.cancel()
+        await asyncio.gather(writer, return_exceptions=True)
+
+    run_virtual(scene())
+
+
+@then('it is shown the results that were stored')
+def shown(context: Any) -> None:
+    assert not isinstance(context.page, Outcome), context.page
+    assert len(context.page.results) == MEMBERS, context.page
