Show results that come while the store is asked whether there are more

Cause: page_of gave up when the proof had failed, without a look at what had come meanwhile.

Ruled out: a longer wait for the proof (the reader's entry waits no longer).

Change: after a proof that failed, results that are there are shown; a proof is needed only to say that there is nothing.

--- a/bergamotdoor/steps/jobs_desk.py
+++ b/bergamotdoor/steps/jobs_desk.py
@@ -179,7 +179,9 @@
     last = min(wait, _PROOF)
     await run.wait_beyond(after, (wait - last).total_seconds())
     if not _has_more(run, after):
-        if not await _proven(run, after, last):
+        known = await _proven(run, after, last)
+        # Results may have come while the store was asked.
+        if not known and not _has_more(run, after):
             return Outcome.NOT_DONE
     total = len(run.spec.items)
     return ResultPage(total, run.page(after))
