Explore histories of entries that run a job, in virtual time

The soak runs real programs and finds what happens often. What two owners of a job do to each other needs a pause or a lost call at one moment, so it was never reached there.

lab/model plays histories of whole entries without sockets: the product's own job parts, client of the store and ways round, in one event loop whose processes can be paused by themselves, over a network in memory whose calls are lost before or after they are done, late, repeated, slow or refused. `python -m lab model` plays the histories of seeds, or every history of a small world up to a depth, leaves out of each that breaks a promise the steps it does not need, and tells it.

--- /dev/null
+++ b/features/steps/lab_model_steps.py
@@ -0,0 +1,34 @@
+"""Steps for lab.model."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from behave import given, then
+
+from lab.model.history import play
+from lab.model.plans import Plan
+from lab.model.search import search_seeds, told
+
+
+@given('the histories of seeds {first:d} to {last:d}, of {steps:d} steps each')
+def seeds(context: Any, first: int, last: int, steps: int) -> None:
+    context.seeds = range(first, last + 1)
+    context.steps = steps
+
+
+@then('none of them breaks a promise')
+def none_breaks(context: Any) -> None:
+    seeds = context.seeds
+    found = search_seeds(seeds, context.steps)
+    assert not found.broken, str(found)
+    assert found.histories == len(seeds), found
+    assert found.checked > len(seeds), found
+
+
+@then('this history breaks no promise')
+def one_history(context: Any) -> None:
+    plan = msgspec.json.decode(str(context.text), type=Plan)
+    played = play(plan)
+    assert not played.broken, told(played)
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m lab soak`` and ``python -m lab demo``."""
+"""``python -m lab soak``, ``demo``, ``experiment`` and ``model``."""
 
 from __future__ import annotations
 
@@ -15,6 +15,7 @@
 from lab.demo import demo
 from lab.deployment import Size
 from lab.experiment import run_scenario
+from lab.model.search import search_seeds, search_small
 from lab.report import summarize, table, write_report
 from lab.scenario import load_scenario
 from lab.soak import soak
@@ -25,10 +26,12 @@
     from lab.play import Outcome
 
 _EXPERIMENT: Final = 'experiment'
-_COMMANDS: Final = frozenset(('soak', 'demo', _EXPERIMENT))
+_MODEL: Final = 'model'
+_COMMANDS: Final = frozenset(('soak', 'demo', _EXPERIMENT, _MODEL))
 _USAGE: Final = (
     'usage: python -m lab soak|demo [FLAGS]\n'
     '       python -m lab experiment SCENARIO... [--seeds=1-4] [--out=DIR]\n'
+    '       python -m lab model [--seeds=1-400] [--steps=20] [--depth=N]\n'
 )
 _USUAL_S: Final = 12
 _SEEDS: Final = flags.DEFINE_string(
@@ -46,6 +49,16 @@
 _OUT: Final = flags.DEFINE_string(
     'out', '', 'Folder for the report of an experiment.'
 )
+_USUAL_STEPS: Final = 20
+_STEPS: Final = flags.DEFINE_integer(
+    'steps',
+    _USUAL_STEPS,
+    'Steps of each history that the model plays.',
+    lower_bound=1,
+)
+_DEPTH: Final = flags.DEFINE_integer(
+    'depth', 0, 'Play every history of so many steps, in place of seeds.'
+)
 _JSON: Final = flags.DEFINE_string('json', '', 'File for the outcomes.')
 
 
@@ -59,6 +72,8 @@
     logging.getLogger('bergamotdoor').setLevel(logging.CRITICAL)
     if command == _EXPERIMENT:
         return _experiment(files)
+    if command == _MODEL:
+        return _model()
     if command == 'demo':
         return _show(asyncio.run(demo(_seed(), _size())))
     outcomes = asyncio.run(_soak(tuple(_seeds(_SEEDS.value))))
@@ -98,6 +113,17 @@
     return 0
 
 
+def _model() -> int:
+    """Play histories and tell those that broke a promise."""
+    if _DEPTH.value:
+        found = search_small(_DEPTH.value, _JOBS.value)
+    else:
+        seeds = tuple(_seeds(_SEEDS.value))
+        found = search_seeds(seeds, _STEPS.value, _JOBS.value)
+    print(found)
+    return 1 if found.broken else 0
+
+
 def _size() -> Size:
     return Size(_ENTRIES.value, _ENGINES.value, _SERVICES.value)
 
--- /dev/null
+++ b/lab/model/world.py
@@ -0,0 +1,174 @@
+"""The processes of one history, and the models around them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Final
+
+from bergamotdoor.fleet.upstreams import Upstream
+from bergamotdoor.settings.document import Address
+from bergamotdoor.types import (
+    ModelId,
+    RegistrationId,
+    ServiceId,
+    UpstreamId,
+    WeightVersion,
+    ZoneId,
+)
+from lab.model.entry import ModelEntry
+from lab.model.faults import STORE, Faults
+from lab.model.network import Network
+from lab.model.pausing import Process, unwind
+from lab.model.settings import IP, entry_settings, fixed_manifest
+from lab.model.trainer import JOB_PATH, SCORE_PATH, ModelTrainer
+from lab.model.upstreams import ModelEngine, ModelScorer
+from lab.model.witness import JOB, MOST_FAILURES, Witness
+from lab.store import Store
+from lab.virtual import virtual_clock
+from lab.wire import DESKS, ENGINES, HOST, MODEL, route
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from bergamotdoor.http.messages import HttpRequest, HttpResponse
+    from lab.model.plans import Plan
+
+_STORE_PORT: Final = 9000
+_ENGINE_PORT: Final = 9100
+_SCORER_PORT: Final = 9200
+_ENGINES: Final = 2
+_SLOTS: Final = 4
+#: Entries know each other a second after their start.
+_BEGIN_S: Final = 1.2
+_SCORER: Final = 'scorer'
+_DUE_MS: Final = 7500
+_SCORE_MS: Final = 1500
+_ROUTES: Final = (
+    route(HOST, JOB_PATH, 'rollout', ENGINES, max_attempts=3, due_ms=_DUE_MS),
+    route(
+        HOST,
+        SCORE_PATH,
+        'unsafe',
+        DESKS,
+        max_attempts=MOST_FAILURES,
+        timeout_ms=_SCORE_MS,
+    ),
+)
+
+
+class World:
+    """The processes of one history.
+
+    Parameters
+    ----------
+    plan
+        What happens in it.
+    """
+
+    def __init__(self, plan: Plan) -> None:
+        self.story: list[str] = []
+        self.plan = plan
+        self._clock = virtual_clock()
+        self._store = Store(_at(_STORE_PORT), self._clock)
+        self.engines = {
+            f'engine-{number}': ModelEngine(self._started)
+            for number in range(_ENGINES)
+        }
+        self.scorer = ModelScorer()
+        self.faults = Faults(frozenset((*self.engines, _SCORER)))
+        self._network = Network(self.faults)
+        self.trainer = ModelTrainer(plan.lengths, plan.scored)
+        self.witness = Witness(
+            {item.item: item.length for item in self.trainer.items},
+            plan.scored,
+            self._store.table,
+            self.scorer.failures.__getitem__,
+        )
+        #: The present start of each entry.
+        self.entries: dict[str, ModelEntry] = {}
+        self._processes: list[Process] = []
+
+    async def start(self) -> None:
+        """Start everything; return once entries know each other."""
+        self._network.serve(_at(_STORE_PORT), STORE, self._answer_store)
+        for number, (name, engine) in enumerate(self.engines.items()):
+            address = _at(_ENGINE_PORT + number)
+            self._network.serve(address, name, engine.handle)
+        self._network.serve(_at(_SCORER_PORT), _SCORER, self.scorer.handle)
+        for number in range(self.plan.entries):
+            self.start_entry(f'entry-{number}')
+        await asyncio.sleep(_BEGIN_S)
+
+    async def stop(self) -> None:
+        """End everything."""
+        for name in self.entries:
+            self.kill(name)
+        await unwind(self._processes)
+
+    def start_entry(self, name: str) -> None:
+        """Start an entry, anew if it was there before."""
+        number = int(name.rpartition('-')[2])
+        plan = self.plan.name
+        starts = len(self._processes)
+        entry = ModelEntry(
+            entry_settings(number, _at(_STORE_PORT)),
+            self._network,
+            self._clock,
+            fixed_manifest(list(_ROUTES)),
+            f'{plan} {starts}',
+        )
+        self.entries[name] = entry
+        self._processes.append(entry.process)
+        self.faults.disturb(name)
+        entry.start(list(self._upstreams()))
+
+    def kill(self, name: str) -> None:
+        """End an entry at once; its connections close."""
+        self.entries[name].kill()
+        for engine in self.engines.values():
+            engine.drop(name)
+
+    def tell(self, what: str) -> None:
+        """Add a line to the story."""
+        now_s = asyncio.get_running_loop().time()
+        moment = format(now_s, '6.2f')
+        self.story.append(f'{moment} s  {what}')
+
+    def order(self) -> list[str]:
+        """Return the entries, the job's owner first."""
+        jobs = self._store.table.specs('jobs')
+        owner = jobs[JOB]['owner'] if JOB in jobs else ''
+        return sorted(self.entries, key=lambda name: (name != owner, name))
+
+    async def _answer_store(self, _: str, request: HttpRequest) -> HttpResponse:
+        return await self._store.handle(request)
+
+    def _started(self, origin: str, item: str) -> None:
+        now_s = asyncio.get_running_loop().time()
+        if self.entries[origin].process.paused:
+            self.faults.disturb(origin)
+        self.witness.see_start(item, self.faults.calm_since(origin), now_s)
+
+    def _upstreams(self) -> Iterator[Upstream]:
+        for number, (name, engine) in enumerate(self.engines.items()):
+            yield _upstream(
+                name, ENGINES, _ENGINE_PORT + number, engine.version
+            )
+        yield _upstream(_SCORER, DESKS, _SCORER_PORT)
+
+
+def _upstream(name: str, service: str, port: int, version: int = 0) -> Upstream:
+    versions = {ModelId(MODEL): WeightVersion(version)} if version else {}
+    return Upstream(
+        upstream=UpstreamId(name),
+        registration=RegistrationId(name),
+        service=ServiceId(service),
+        address=_at(port),
+        zone=ZoneId('here'),
+        slots=_SLOTS,
+        versions=versions,
+    )
+
+
+def _at(port: int) -> Address:
+    return Address(ip=IP, port=port)
