Count only what was read from the store as proof of a whole ledger

A job is handed in while its home entry is paused. Another entry takes it over and lists results, which a trainer reads. The home goes on, hears that it should run the job, and begins with an empty ledger. A ledger counted as proven from the moment at which it was made, so for 600 ms the home told readers that there was nothing at positions that they had read. A job that is handed in again at an entry that has just started took the same way.

Ruled out: a read that was answered before the pause (the page is made after it), and a stale listing (there was none).

The ledger's proof now dates from the moment at which the store was asked for it; one that was never read from the store proves nothing, and the first reader who would be told that there is nothing makes the owner ask. Also the time that a listing took no longer counts as fresh.

--- a/bergamotdoor/objects/job_codec.py
+++ b/bergamotdoor/objects/job_codec.py
@@ -13,6 +13,7 @@
 
 from __future__ import annotations
 
+import datetime as dt
 import logging
 from typing import TYPE_CHECKING, Final
 
@@ -62,6 +63,8 @@
     ledger: Ledger
     #: What items that are not listed had when it was last kept.
     partial: dict[ItemId, SavedTranscript] = {}
+    #: The monotonic time at which the store was asked; None if it was not.
+    read_at: dt.timedelta | None = None
 
 
 class _Partial(msgspec.Struct):
--- a/bergamotdoor/steps/job_finder.py
+++ b/bergamotdoor/steps/job_finder.py
@@ -11,6 +11,8 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 from bergamotdoor.steps.job_run import RunState
 from bergamotdoor.stored import Outcome
 
@@ -124,10 +126,13 @@
         known = self._owner.get(found.job)
         if known is not None and known.state is RunState.RUNNING:
             return known
+        began = self._context.clock.elapsed()
         loaded = await self._store.load(found.job)
         if isinstance(loaded, Outcome):
             return Outcome.NOT_DONE
-        return self._owner.adopt(found, loaded)
+        return self._owner.adopt(
+            found, msgspec.structs.replace(loaded, read_at=began)
+        )
 
     async def _claim(self, found: FoundJob) -> JobRun | Outcome:
         if self._owner.stopping:
--- a/bergamotdoor/steps/job_run.py
+++ b/bergamotdoor/steps/job_run.py
@@ -78,7 +78,11 @@
         self.due_at = due_at
         self.began = context.clock.elapsed()
         self.sync = LedgerSync(
-            loaded.spec.job, loaded.ledger, store, context.clock
+            loaded.spec.job,
+            loaded.ledger,
+            store,
+            context.clock,
+            loaded.read_at,
         )
         #: Set once results can be listed, or the job is over.
         self.finished = asyncio.Event()
--- a/bergamotdoor/steps/ledger_sync.py
+++ b/bergamotdoor/steps/ledger_sync.py
@@ -39,6 +39,11 @@
     ledger is complete at that moment; an older proof than ``FRESH`` is
     renewed before a reader is told that there is nothing more.
 
+    Failure: a job is handed in while its home is paused, and another entry
+    takes it over. Symptom: the home hears late that it should run the job,
+    begins with an empty ledger and denies what was read elsewhere. What was
+    not read from the store proves nothing.
+
     Parameters
     ----------
     job
@@ -49,16 +54,23 @@
         Where the records are.
     clock
         Tells how old a proof is.
+    proven_at
+        When the store was asked for the ledger; None if it was not.
     """
 
     def __init__(
-        self, job: JobId, ledger: Ledger, store: JobStore, clock: Clock
+        self,
+        job: JobId,
+        ledger: Ledger,
+        store: JobStore,
+        clock: Clock,
+        proven_at: dt.timedelta | None,
     ) -> None:
         self._job = job
         self._ledger = ledger
         self._store = store
         self._clock = clock
-        self._proven_at = clock.elapsed()
+        self._proven_at = proven_at
         self._lock = asyncio.Lock()
 
     async def add(self, record: ResultRecord) -> ResultRecord:
@@ -88,7 +100,8 @@
         age
             How old the proof may be.
         """
-        if self._clock.elapsed() - self._proven_at <= age:
+        now = self._clock.elapsed()
+        if self._proven_at is not None and now - self._proven_at <= age:
             return True
         try:
             async with asyncio.timeout(_LOCK_S):
