Leave out what is listed once a record's turn has come

The owner of a job is paused and taken over, and goes on with texts that the other one has listed. A record is put together from what is not listed, and waits for its turn while what the store holds is read for a reader. The record is then stored as it was, with items that have a position. Readers pass the second ones over, at every entry alike, so none sees an item twice; the store held them twice, and nothing but that second line kept the promise.

Ruled out: a late record under an older number (there was none in the history; the next number was free and the record was stored under it).

The record is now put together under the lock that its number is taken under.

--- a/bergamotdoor/steps/ledger_sync.py
+++ b/bergamotdoor/steps/ledger_sync.py
@@ -7,12 +7,13 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
+from bergamotdoor.jobs.messages import ResultRecord
 from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
     from bergamotdoor.jobs.ledger import Ledger
-    from bergamotdoor.jobs.messages import ResultRecord
+    from bergamotdoor.jobs.messages import ItemResult
     from bergamotdoor.objects.job_store import JobStore
     from bergamotdoor.types import JobId
 
@@ -73,24 +74,32 @@
         self._proven_at = proven_at
         self._lock = asyncio.Lock()
 
-    async def add(self, record: ResultRecord) -> ResultRecord:
-        """Store a record under the next number, or read the one there.
-
-        Tried unchanged until it is settled: the first call may still be
-        done.
+    async def add(
+        self, writer: str, batch: tuple[ItemResult, ...]
+    ) -> ResultRecord | None:
+        """Store results under the next number, or read the record there.
+
+        Tried unchanged until it is settled: under another number, or with
+        other results, an item could come to stand at two positions once the
+        first call takes effect.
+
+        Failure: while results wait for their turn, what others listed is
+        read for a reader. Symptom: a record is stored with items that have
+        a position, so they stand in the store twice. What is listed is left
+        out once their turn has come, and nothing else is read until the
+        record is settled.
+
+        Returns
+        -------
+        ResultRecord or None
+            The record that has the number: this writer's, or another's.
+            None if all of the results have a position.
         """
-        tries = 0
         async with self._lock:
-            while True:
-                began = self._clock.elapsed()
-                number = self._ledger.next_number
-                found = await self._store.append(self._job, number, record)
-                if not isinstance(found, Outcome):
-                    self._proven_at = began
-                    self._ledger.append(found)
-                    return found
-                await asyncio.sleep(_PAUSES_S[min(tries, len(_PAUSES_S) - 1)])
-                tries += 1
+            left = tuple(self._ledger.unlisted(batch))
+            return (
+                await self._settle(ResultRecord(writer, left)) if left else None
+            )
 
     async def catch_up(self, age: dt.timedelta = FRESH) -> bool:
         """Read what others added; return whether the ledger is complete.
@@ -113,6 +122,19 @@
         finally:
             self._lock.release()
 
+    async def _settle(self, record: ResultRecord) -> ResultRecord:
+        tries = 0
+        while True:
+            began = self._clock.elapsed()
+            number = self._ledger.next_number
+            found = await self._store.append(self._job, number, record)
+            if not isinstance(found, Outcome):
+                self._proven_at = began
+                self._ledger.append(found)
+                return found
+            await asyncio.sleep(_PAUSES_S[min(tries, len(_PAUSES_S) - 1)])
+            tries += 1
+
     async def _read_on(self) -> bool:
         while True:
             began = self._clock.elapsed()
--- a/bergamotdoor/steps/result_writer.py
+++ b/bergamotdoor/steps/result_writer.py
@@ -6,12 +6,12 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
-from bergamotdoor.jobs.messages import ItemResult, ResultRecord
 from bergamotdoor.steps.job_run import RunState
 
 if TYPE_CHECKING:
     import random
 
+    from bergamotdoor.jobs.messages import ItemResult
     from bergamotdoor.steps.job_run import JobRun
 
 #: Results that finish within this go into one record: each record costs a
@@ -58,20 +58,14 @@
             await self._append(batch)
 
     async def _append(self, batch: tuple[ItemResult, ...]) -> None:
-        """List a batch behind whatever is listed already.
-
-        A record whose fate is unclear is tried again unchanged: under
-        another number, or with other results, an item could come to stand
-        at two positions once the first call takes effect.
-        """
+        """List a batch behind whatever is listed already."""
         run = self._run
-        # Another owner may have listed some since they finished here.
-        batch = tuple(run.ledger.unlisted(batch))
-        while batch:
+        while True:
             nonce = self._rng.getrandbits(_NONCE_BITS)
             writer = str(nonce)
-            record = ResultRecord(writer, batch)
-            listed = await run.sync.add(record)
+            listed = await run.sync.add(writer, batch)
+            if listed is None:
+                return
             run.take_listed(listed.results)
             if listed.writer == writer:
                 return
@@ -80,4 +74,3 @@
                 run.spec.job,
                 len(listed.results),
             )
-            batch = tuple(run.ledger.unlisted(batch))
--- a/lab/model/witness.py
+++ b/lab/model/witness.py
@@ -216,11 +216,10 @@
             yield Broken(
                 Promise.TEXT, f'item {item}: versions {result["versions"]}'
             )
-        score = proof_of(call) if self._scored else ''
-        if result.get('score', '') != score:
-            yield Broken(
-                Promise.TEXT, f'item {item}: score {result["score"]!r}'
-            )
+        wanted = proof_of(call) if self._scored else ''
+        score = result.get('score', '')
+        if score != wanted:
+            yield Broken(Promise.TEXT, f'item {item}: score {score!r}')
 
     def _break(self, promise: Promise, detail: str) -> None:
         self.broken.append(Broken(promise, detail))
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -24,6 +24,7 @@
 _TIMEOUT_S: Final = 300
 _SCORING: Final = 'gateway_scoring'
 _INCARNATIONS: Final = 'fleet_incarnations'
+_MODEL: Final = 'lab_model'
 
 
 class Mutation(msgspec.Struct, frozen=True):
@@ -55,18 +56,55 @@
     ),
     Mutation(
         'what is listed is left out of each record',
-        'steps/result_writer.py',
-        '        batch = tuple(run.ledger.unlisted(batch))\n        while',
-        '        while',
+        'steps/ledger_sync.py',
+        'left = tuple(self._ledger.unlisted(batch))',
+        'left = batch',
         'jobs_positions',
     ),
     Mutation(
         'a record is tried unchanged under its number until it is settled',
         'steps/ledger_sync.py',
-        'number = self._ledger.next_number\n                found',
-        'number = self._ledger.next_number + tries\n                found',
+        'number = self._ledger.next_number\n            found = await '
+        'self._store.append',
+        'number = self._ledger.next_number + tries\n            found = await '
+        'self._store.append',
         'jobs_positions',
     ),
+    Mutation(
+        'who finds a number taken reads the record that has it',
+        'objects/job_store.py',
+        'return _record(outcome.current)',
+        'return record',
+        _MODEL,
+    ),
+    Mutation(
+        'a job that is stopped here is not ended',
+        'steps/job_run.py',
+        'self.state = RunState.STOPPED',
+        'self.state = RunState.ENDED',
+        _MODEL,
+    ),
+    Mutation(
+        'a reader is told that there is nothing only by a proven ledger',
+        'steps/jobs_desk.py',
+        '    waiting = run.wait_beyond(after, last.total_seconds())\n',
+        '    return True\n',
+        _MODEL,
+    ),
+    Mutation(
+        'results that have a position are left out',
+        'jobs/ledger.py',
+        'if result.item not in self._items)',
+        'if True)',
+        _MODEL,
+    ),
+    Mutation(
+        'a ledger that was not read from the store proves nothing',
+        'steps/ledger_sync.py',
+        'self._proven_at = proven_at',
+        'self._proven_at = clock.elapsed()',
+        _MODEL,
+    ),
     Mutation(
         'nothing under the next number proves a whole ledger',
         'steps/jobs_desk.py',
