--- a/features/lab_model.feature
+++ b/features/lab_model.feature
@@ -37,3 +37,30 @@
       {"verb":"pause","gap_s":2.3},{"verb":"read","where":2,"count":2,
       "gap_s":2.3},{"verb":"go on","gap_s":1.1}]}
       """
+
+  Scenario: an owner that wakes up lists behind what another one has listed
+    The owner is paused and taken over; its items end at the engines
+    meanwhile. It goes on and lists them under a number that is taken. Were
+    the refusal read as a success, it would show its own results at positions
+    at which the other one has shown others.
+
+    Then this history breaks no promise
+      """
+      {"name":"seed 440","entries":3,"lengths":[[120,3],[3,12]],
+      "scored":false,"watched":true,"steps":[{"verb":"heal","where":2,
+      "gap_s":2.3},{"verb":"pause","gap_s":1.1},{"verb":"version","where":2,
+      "gap_s":0.05}]}
+      """
+
+  Scenario: an owner that wakes up asks before it denies a position
+    The owner is paused past a takeover. A reader has read at the new owner,
+    comes back to the one that has just gone on, which knows of nothing yet.
+    Not asking the store first, it would deny a position that was read.
+
+    Then this history breaks no promise
+      """
+      {"name":"seed 181","entries":2,"lengths":[[120,120],[120,120]],
+      "scored":true,"watched":true,"steps":[{"verb":"body","where":1,
+      "gap_s":2.3},{"verb":"pause","gap_s":2.3},{"verb":"stop","gap_s":2.3},
+      {"verb":"read","where":1,"count":2,"gap_s":0.0}]}
+      """
