Lead entries to each other over proxies; faults aimed at a step's owner

The soak never had two owners at work on one job: links between entries had no proxy, and a pause hit an owner past its takeover by chance only.

A process of the soak now starts by lab/vm.py, which leads its connections to other entries over proxies, one for each direction; the product is unchanged. Three faults wait for a record of an open step and then pause its owner past the takeover, cut it off from other entries, or stop owner after owner while the store is slow, with store writes done late around it. Readers ask every entry for results and bodies of open steps all the while. Two promises more: an item that is not listed gives its body, and a position that was read is there everywhere a second later.

--- a/features/lab_soak.feature
+++ b/features/lab_soak.feature
@@ -48,3 +48,38 @@
     Given a caller whose request may run once
     When two upstreams ran the request
     Then the promise ONCE is broken
+
+  Scenario: the soak sees an item that is denied while it waits
+    The owner stops, and takes the job that another entry goes on with for
+    an ended one: a trainer that asks for the body is told there is none.
+
+    Given a trainer that has read a step's first result
+    When it is told that an item has no body that the store has not listed
+    Then the promise BODY is broken
+
+  Scenario: the soak takes no offence at the body of a listed item
+    Given a trainer that has read a step's first result
+    When it is told that an item has no body that the store has listed
+    Then every promise holds
+
+  Scenario: the soak sees a body that is another item's
+    Given a trainer that has read a step's first result
+    When it reads a body that is another item's
+    Then the promise BODY is broken
+
+  Scenario: the soak sees a position that is missing elsewhere
+    An owner that was taken over and does not know it says that there is
+    nothing at a position that was read at its successor.
+
+    Given a trainer that has read a step's first result
+    When it reads nothing at that position a second later
+    Then the promise EVERYWHERE is broken
+
+  Scenario: an owner goes on beside the one that took its step over
+    The owner of a step is paused, or cut off from the other entries; one of
+    them takes the step over; the first one comes back and lists results of
+    its own. Planned stops follow one another while the store is slow.
+    Readers at every entry compare what they are told.
+
+    Given a soak of seed 21 with aimed faults for 4 s
+    Then every promise was kept, and positions and bodies were checked
--- a/features/steps/lab_soak_steps.py
+++ b/features/steps/lab_soak_steps.py
@@ -8,6 +8,7 @@
 import pathlib
 import random
 import tempfile
+import time
 from typing import Any
 
 from behave import given, then, when
@@ -16,9 +17,10 @@
 from lab.callers import Callers
 from lab.client import Reply
 from lab.deployment import Deployment, Size
+from lab.faults import AIMED
 from lab.promises import Promise, Promises
 from lab.soak import soak
-from lab.trainer import Step, Trainer
+from lab.step_reader import Step, StepReader
 from lab.upstreams import Seen
 from lab.wire import score_id
 
@@ -41,6 +43,21 @@
     context.outcome = asyncio.run(soak(seed, seconds, Size()))
 
 
+@given('a soak of seed {seed:d} with aimed faults for {seconds:d} s')
+def play_aimed(context: Any, seed: int, seconds: int) -> None:
+    logging.getLogger('bergamotdoor').setLevel(logging.CRITICAL)
+    size = Size(entries=3, engines=2, services=1, groups=4)
+    context.outcome = asyncio.run(soak(seed, seconds, size, AIMED))
+
+
+@then('every promise was kept, and positions and bodies were checked')
+def kept_aimed(context: Any) -> None:
+    outcome = context.outcome
+    assert not outcome.broken, (outcome.broken, outcome.folder)
+    for name in ('POSITION', 'EVERYWHERE', 'BODY', 'COMPLETE'):
+        assert outcome.checked[name], outcome.checked
+
+
 @then('every promise was kept, and results, calls and orders were checked')
 def kept(context: Any) -> None:
     outcome = context.outcome
@@ -76,13 +93,14 @@
 
 def read(context: Any, position: int, *results: dict[str, Any]) -> None:
     body = json.dumps({'results': results}).encode()
-    context.trainer._take(context.step, position, Reply(200, Headers(), body))
+    reply = Reply(200, Headers(), body)
+    context.reader._take(context.step, position, reply, time.monotonic())
 
 
 @given("a trainer that has read a step's first result")
 def has_read(context: Any) -> None:
     context.promises = Promises()
-    context.trainer = Trainer(deployment(), context.promises, random.Random(1))
+    context.reader = StepReader(deployment(), context.promises)
     # Odd steps are not scored.
     context.step = Step(1, LEAST, [3, 4, 5])
     read(context, 0, result(context.step, 0, whole(context.step, 0)))
@@ -102,7 +120,7 @@
 @given("a trainer that has read a scored step's first result")
 def has_read_scored(context: Any) -> None:
     context.promises = Promises()
-    context.trainer = Trainer(deployment(), context.promises, random.Random(1))
+    context.reader = StepReader(deployment(), context.promises)
     context.step = Step(2, LEAST, [3, 4, 5])
     read(context, 0, scored(context, 0, 0))
     assert not context.promises.broken, context.promises.broken
@@ -111,7 +129,7 @@
 def scored(context: Any, item: int, other: int) -> dict[str, Any]:
     """Return an item's result with the score of some item."""
     request = score_id(f'{context.step.job}.{other}')
-    service = context.trainer._deployment.services[0]
+    service = context.reader._deployment.services[0]
     service._proofs[request] = {service.stamp(request)}
     text = result(context.step, item, whole(context.step, item))
     return {**text, 'score': service.stamp(request)}
@@ -127,10 +145,45 @@
     read(context, 1, result(context.step, 1, whole(context.step, 1)))
 
 
+@when('it is told that an item has no body that the store has not listed')
+def no_body(context: Any) -> None:
+    item = f'{context.step.job}.1'
+    reply = Reply(404, Headers(), b'')
+    context.reader._take_body(context.step, item, reply)
+
+
+@when('it is told that an item has no body that the store has listed')
+def listed_body(context: Any) -> None:
+    step = context.step
+    record = {'writer': '1', 'results': [{'item': f'{step.job}.1'}]}
+    store = context.reader._deployment.store
+    store.put(f'job-{step.job}', 'result-000000', record)
+    no_body(context)
+
+
+@when("it reads a body that is another item's")
+def other_body(context: Any) -> None:
+    item = f'{context.step.job}.1'
+    reply = Reply(200, Headers(), b'5')
+    context.reader._take_body(context.step, item, reply)
+
+
+@when('it reads nothing at that position a second later')
+def nothing(context: Any) -> None:
+    body = json.dumps({'results': []}).encode()
+    later_s = context.step.read_at_s[0] + 1
+    context.reader._take(context.step, 0, Reply(200, Headers(), body), later_s)
+
+
+@then('every promise holds')
+def holds(context: Any) -> None:
+    assert not context.promises.broken, context.promises.broken
+
+
 @when('it reads an item as lost that failed once')
 def lost_early(context: Any) -> None:
     item = f'{context.step.job}.1'
-    service = context.trainer._deployment.services[0]
+    service = context.reader._deployment.services[0]
     service.failures[score_id(item)] = 1
     lost = {'id': item, 'state': 'lost', 'text': '', 'versions': []}
     read(context, 1, lost)
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -6,6 +6,7 @@
 import logging
 import pathlib
 import sys
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -15,6 +16,7 @@
 from lab.demo import demo
 from lab.deployment import Size
 from lab.experiment import run_scenario
+from lab.faults import AIMED, RANDOM, Fault
 from lab.report import summarize, table, write_report
 from lab.scenario import load_scenario
 from lab.soak import soak
@@ -31,6 +33,9 @@
     '       python -m lab experiment SCENARIO... [--seeds=1-4] [--out=DIR]\n'
 )
 _USUAL_S: Final = 12
+_KINDS: Final = MappingProxyType(
+    {'all': tuple(Fault), 'random': RANDOM, 'aimed': AIMED}
+)
 _SEEDS: Final = flags.DEFINE_string(
     'seeds', '1-4', 'Seeds to play, such as 3, 1-50 or 2,5,9.'
 )
@@ -43,6 +48,10 @@
 _ENTRIES: Final = flags.DEFINE_integer('entries', 3, 'Entries of a run.')
 _ENGINES: Final = flags.DEFINE_integer('engines', 3, 'Engines of a run.')
 _SERVICES: Final = flags.DEFINE_integer('services', 2, 'Services of a run.')
+_GROUPS: Final = flags.DEFINE_integer('groups', 3, 'Groups of a step.')
+_FAULTS: Final = flags.DEFINE_enum(
+    'faults', 'all', list(_KINDS), 'Which faults are drawn.'
+)
 _OUT: Final = flags.DEFINE_string(
     'out', '', 'Folder for the report of an experiment.'
 )
@@ -75,7 +84,9 @@
 
 async def _one(seed: int, room: asyncio.Semaphore) -> Outcome:
     async with room:
-        outcome = await soak(seed, _SECONDS.value, _size())
+        outcome = await soak(
+            seed, _SECONDS.value, _size(), _KINDS[_FAULTS.value]
+        )
     print(_line(outcome), flush=True)
     return outcome
 
@@ -99,7 +110,7 @@
 
 
 def _size() -> Size:
-    return Size(_ENTRIES.value, _ENGINES.value, _SERVICES.value)
+    return Size(_ENTRIES.value, _ENGINES.value, _SERVICES.value, _GROUPS.value)
 
 
 def _seed() -> int:
--- a/lab/deployment.py
+++ b/lab/deployment.py
@@ -10,10 +10,11 @@
 from bergamotdoor.settings.document import Address
 from bergamotdoor.tasks import Tasks
 from lab.client import Client
+from lab.open_steps import OpenSteps
 from lab.processes import ProductProcess
-from lab.proxy import Proxy
 from lab.store import Store
 from lab.upstreams import Engine, Upstream, register, written
+from lab.ways import STORE_PORT, Ways
 from lab.wire import DESKS, ENGINES, HOST, MODEL, manifest, route
 
 if TYPE_CHECKING:
@@ -23,9 +24,8 @@
 SAFE_PATH: Final = '/safe/'
 UNSAFE_PATH: Final = '/unsafe/'
 SCORE_PATH: Final = '/score/'
-_STORE_PORT: Final = 8266
 _UPSTREAM_PORT: Final = 8100
-_PROXY_PORT: Final = 8101
+_HOSTS_EACH: Final = 250
 _CALL_MS: Final = 2000
 _JOB_MS: Final = 20_000
 ATTEMPTS: Final = 3
@@ -40,18 +40,25 @@
     """How many of each there are."""
 
     def __init__(
-        self, entries: int = 3, engines: int = 3, services: int = 2
+        self,
+        entries: int = 3,
+        engines: int = 3,
+        services: int = 2,
+        groups: int = 3,
     ) -> None:
         self.entries = entries
         self.engines = engines
         self.services = services
+        #: Groups of a step; more make it longer.
+        self.groups = groups
 
 
 class Deployment:
     """Store, engines and services as models; entries and agents for real.
 
-    Each process has its own way to the store, and each upstream its own way
-    for all, so that a proxy can break any of them.
+    Each process has its own way to the store, each upstream its own way for
+    all, and each entry its own way to each other one, so that a proxy can
+    break any of them.
 
     Parameters
     ----------
@@ -69,8 +76,10 @@
         self._network = network
         self._hosts = 0
         clock = LoopClock()
-        store = Address(ip=self._next_ip(), port=_STORE_PORT)
+        store = Address(ip=self._next_ip(), port=STORE_PORT)
         self.store = Store(store, clock)
+        self.steps = OpenSteps(self.store)
+        self.ways = Ways(store, self._next_ip)
         self.engines = [
             Engine(f'engine-{number}', ENGINES, self._upstream_address(), clock)
             for number in range(size.engines)
@@ -79,14 +88,7 @@
             Upstream(f'desk-{number}', DESKS, self._upstream_address(), clock)
             for number in range(size.services)
         ]
-        self.store_ways: dict[str, Proxy] = {}
-        self.upstream_ways = {
-            upstream.name: Proxy(
-                Address(ip=upstream.address.ip, port=_PROXY_PORT),
-                upstream.address,
-            )
-            for upstream in (*self.engines, *self.services)
-        }
+        self.ways.add_upstreams(self.upstreams)
         self.entries = [
             self._process(f'entry-{number}', 'gateway')
             for number in range(size.entries)
@@ -95,11 +97,12 @@
             self._process(
                 f'agent-{number}',
                 'agent',
-                self.upstream_ways[engine.name].listen,
+                self.ways.to_upstream[engine.name].listen,
             )
             for number, engine in enumerate(self.engines)
         ]
         self.storage = self._process('storage-0', 'agent')
+        self.ways.join(self.entries)
         self._incarnations = 0
         self._tasks = Tasks()
         self.generation = 1
@@ -116,8 +119,7 @@
         self.put_manifest()
         for upstream in (*self.engines, *self.services):
             await upstream.start()
-        for way in (*self.store_ways.values(), *self.upstream_ways.values()):
-            await way.start()
+        await self.ways.start()
         self._tasks.start(self._keep_registered())
         for process in self.processes:
             await process.start()
@@ -130,8 +132,7 @@
         for process in self.processes:
             process.send(signal.SIGCONT)
             await process.kill()
-        for way in (*self.store_ways.values(), *self.upstream_ways.values()):
-            await way.stop()
+        await self.ways.stop()
         for upstream in (*self.engines, *self.services):
             await upstream.stop()
         await self.store.stop()
@@ -161,11 +162,11 @@
     def replace(self, upstream: Upstream) -> None:
         """Have another incarnation at an upstream's address."""
         self.store.remove('servers', upstream.name)
-        way = self.upstream_ways.pop(upstream.name)
+        way = self.ways.to_upstream.pop(upstream.name)
         way.reset()
         self._incarnations += 1
         upstream.name = f'{upstream.name}+{self._incarnations}'
-        self.upstream_ways[upstream.name] = way
+        self.ways.to_upstream[upstream.name] = way
         self._register(upstream)
 
     async def _keep_registered(self) -> None:
@@ -176,25 +177,24 @@
             await asyncio.sleep(_REGISTER_S)
 
     def _register(self, upstream: Upstream) -> None:
-        way = self.upstream_ways[upstream.name]
+        way = self.ways.to_upstream[upstream.name]
         register(self.store, upstream, address=written(way.listen))
 
     def _process(
         self, name: str, command: str, engine: Address | None = None
     ) -> ProductProcess:
         ip = self._next_ip()
-        way = Proxy(Address(ip=ip, port=_STORE_PORT), self.store.address)
-        self.store_ways[name] = way
-        return ProductProcess(
-            name, command, ip, way.listen, self._folder, engine
-        )
+        store = self.ways.add_store(name, ip)
+        return ProductProcess(name, command, ip, store, self._folder, engine)
 
     def _upstream_address(self) -> Address:
         return Address(ip=self._next_ip(), port=_UPSTREAM_PORT)
 
     def _next_ip(self) -> str:
         self._hosts += 1
-        return f'127.{self._network}.0.{self._hosts}'
+        third, fourth = divmod(self._hosts, _HOSTS_EACH)
+        # No address ends in zero.
+        return '.'.join(map(str, (127, self._network, third, fourth + 1)))
 
 
 def new_client() -> Client:
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -5,8 +5,10 @@
 import asyncio
 import enum
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Final
 
+from lab.aimed_faults import AimedFaults
 from lab.process_faults import ProcessFaults
 from lab.store_faults import StoreFaults
 from lab.upstream_faults import UpstreamFaults
@@ -42,6 +44,13 @@
     ENGINE_SLOW = 'an engine turns slow'
     LATE_ORDER = 'an order to an engine arrives late'
     MANIFEST = 'a new manifest'
+    OWNER_PAUSED = "a step's owner is paused past its takeover"
+    OWNER_CUT = "a step's owner is cut off from other entries"
+    STOP_SERIES = "a step's owners are stopped, one soon after the other"
+
+
+AIMED: Final = (Fault.OWNER_PAUSED, Fault.OWNER_CUT, Fault.STOP_SERIES)
+RANDOM: Final = tuple(fault for fault in Fault if fault not in AIMED)
 
 
 class Faults:
@@ -68,6 +77,7 @@
         processes = ProcessFaults(deployment, promises, rng)
         store = StoreFaults(deployment, rng)
         upstreams = UpstreamFaults(deployment, rng)
+        aimed = AimedFaults(deployment, processes, rng)
         self._actions = {
             Fault.KILL: processes.kill,
             Fault.STOP: processes.stop,
@@ -87,15 +97,20 @@
             Fault.ENGINE_SLOW: upstreams.slow_down,
             Fault.LATE_ORDER: upstreams.delay_order,
             Fault.MANIFEST: store.put_manifest,
+            Fault.OWNER_PAUSED: aimed.pause_owner,
+            Fault.OWNER_CUT: aimed.cut_owner,
+            Fault.STOP_SERIES: aimed.stop_series,
         }
 
-    async def run(self, seconds: float) -> None:
+    async def run(
+        self, seconds: float, kinds: tuple[Fault, ...] = RANDOM
+    ) -> None:
         """Do faults for some seconds; return once all are over."""
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
         async with asyncio.TaskGroup() as group:
             while loop.time() < until:
-                fault = self._rng.choice(tuple(Fault))
+                fault = self._rng.choice(kinds)
                 group.create_task(self.apply(fault))
                 await asyncio.sleep(self._rng.choice(_PAUSES_S))
 
@@ -103,3 +118,7 @@
         """Do one fault; return once it is over."""
         self.done[fault] += 1
         await self._actions[fault]()
+
+
+#: Does the faults of a run; returns once they are over.
+Harm = Callable[[Faults], Awaitable[None]]
--- a/lab/play.py
+++ b/lab/play.py
@@ -17,13 +17,12 @@
 from lab.callers import Callers
 from lab.client import Call
 from lab.deployment import Deployment, Size, new_client
-from lab.faults import Faults
+from lab.faults import Faults, Harm
 from lab.promises import Promise, Promises
+from lab.readers import Readers
 from lab.trainer import Trainer
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
     from bergamotdoor.settings.document import Address
     from lab.processes import ProductProcess
 
@@ -50,9 +49,7 @@
     folder: str
 
 
-async def play(
-    seed: int, size: Size, harm: Callable[[Faults], Awaitable[None]]
-) -> Outcome:
+async def play(seed: int, size: Size, harm: Harm) -> Outcome:
     """Run a deployment, do it harm, wait until all is well again.
 
     Parameters
@@ -92,21 +89,30 @@
             self._deployment, self._promises, random.Random(rng.random())
         )
         self._trainer = Trainer(
-            self._deployment, self._promises, random.Random(rng.random())
+            self._deployment,
+            self._promises,
+            random.Random(rng.random()),
+            size.groups,
         )
         self._faults = Faults(
             self._deployment, self._promises, random.Random(rng.random())
         )
+        self._readers = Readers(
+            self._deployment,
+            self._trainer,
+            random.Random(rng.random()),
+        )
         self._client = new_client()
         #: The manifest that each process was last seen with.
         self._seen: dict[str, int] = {}
 
-    async def play(self, harm: Callable[[Faults], Awaitable[None]]) -> None:
+    async def play(self, harm: Harm) -> None:
         """Let clients work under faults, then wait until all is well."""
         await self._deployment.start()
         background = [
             asyncio.create_task(self._callers.run()),
             asyncio.create_task(self._watch_manifests()),
+            asyncio.create_task(self._readers.run()),
         ]
         training = asyncio.create_task(self._trainer.run())
         try:
--- a/lab/process_faults.py
+++ b/lab/process_faults.py
@@ -51,30 +51,47 @@
         process.send(signal.SIGSTOP)
         await asyncio.sleep(span_s(self._rng))
         process.send(signal.SIGCONT)
-        self._away.discard(process.name)
+        self.give_back(process)
 
     async def reload(self) -> None:
         """Have a process read its settings again."""
         self._rng.choice(self._deployment.processes).send(signal.SIGHUP)
 
+    async def stop_one(self, process: ProductProcess) -> None:
+        """Stop this process as planned and start it again."""
+        if self.take(process):
+            await self._restart_taken(process, signal.SIGTERM)
+
+    def take(self, process: ProductProcess) -> bool:
+        """Keep other faults from a process; False if one has it."""
+        if process.name in self._away:
+            return False
+        self._away.add(process.name)
+        return True
+
+    def give_back(self, process: ProductProcess) -> None:
+        """Leave a process to other faults."""
+        self._away.discard(process.name)
+
     async def _restart(self, number: signal.Signals) -> None:
         process = self._pick()
-        if process is None:
-            return
+        if process is not None:
+            await self._restart_taken(process, number)
+
+    async def _restart_taken(
+        self, process: ProductProcess, number: signal.Signals
+    ) -> None:
         process.send(number)
         await self._ended(process, number)
         await asyncio.sleep(span_s(self._rng))
         await process.start()
         if process.command == 'gateway':
             await listens(process)
-        self._away.discard(process.name)
+        self.give_back(process)
 
     def _pick(self) -> ProductProcess | None:
         process = self._rng.choice(self._deployment.processes)
-        if process.name in self._away:
-            return None
-        self._away.add(process.name)
-        return process
+        return process if self.take(process) else None
 
     async def _ended(
         self, process: ProductProcess, number: signal.Signals
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -11,6 +11,7 @@
 
 from bergamotdoor.platform.settings import INSPECTION_PORT, SETTINGS_VARIABLE
 from bergamotdoor.settings.document import Address
+from lab.vm import WAYS_VARIABLE
 
 if TYPE_CHECKING:
     import pathlib
@@ -52,6 +53,8 @@
         self.name = name
         self.command = command
         self.ip = ip
+        #: From where other processes listen to the proxies before them.
+        self.ways: dict[str, str] = {}
         self._store = store
         self._folder = folder
         self._engine = engine
@@ -81,9 +84,13 @@
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
-                'bergamotdoor',
+                'lab.vm',
                 self.command,
-                env={**os.environ, SETTINGS_VARIABLE: str(path)},
+                env={
+                    **os.environ,
+                    SETTINGS_VARIABLE: str(path),
+                    WAYS_VARIABLE: json.dumps(self.ways),
+                },
                 stdout=log,
                 stderr=log,
             )
--- a/lab/promises.py
+++ b/lab/promises.py
@@ -17,6 +17,8 @@
     ONCE = 'a request that is not idempotent runs at most once'
     KEPT = 'a job that was taken can be read until its end'
     POSITION = 'a position that was read never changes'
+    EVERYWHERE = 'a second after a position was read, it is there everywhere'
+    BODY = 'an item that is not listed gives its body'
     EXACTLY_ONCE = 'an item stands at one position'
     TEXT = 'a text is whole and in order'
     SCORE = "a completed text has the proof of its own score call's answer"
--- a/lab/store_faults.py
+++ b/lab/store_faults.py
@@ -45,7 +45,7 @@
 
     async def break_way(self) -> None:
         """Break one process's way to the store."""
-        ways = tuple(self._deployment.store_ways.values())
+        ways = tuple(self._deployment.ways.to_store.values())
         await break_way(self._rng.choice(ways), self._rng)
 
     async def send_away(self) -> None:
--- a/lab/upstream_faults.py
+++ b/lab/upstream_faults.py
@@ -31,12 +31,12 @@
 
     async def break_way(self) -> None:
         """Break everyone's way to an upstream."""
-        ways = tuple(self._deployment.upstream_ways.values())
+        ways = tuple(self._deployment.ways.to_upstream.values())
         await break_way(self._rng.choice(ways), self._rng)
 
     async def reset(self) -> None:
         """Reset the connections to an upstream."""
-        ways = tuple(self._deployment.upstream_ways.values())
+        ways = tuple(self._deployment.ways.to_upstream.values())
         self._rng.choice(ways).reset()
 
     async def change_mode(self) -> None:
