Hold a run's loopback network, so that runs of one seed don't collide

Two test runs on one machine play the same seeds. The first address of a network is bound for the length of a run, and a run whose network is taken uses the next one.

--- a/lab/deployment.py
+++ b/lab/deployment.py
@@ -10,6 +10,7 @@
 from bergamotdoor.settings.document import Address
 from bergamotdoor.tasks import Tasks
 from lab.client import Client
+from lab.networks import Network
 from lab.open_steps import OpenSteps
 from lab.processes import ProductProcess
 from lab.store import Store
@@ -65,15 +66,15 @@
     folder
         Takes settings and logs.
     network
-        The second number of the loopback addresses, 1 to 254: several
-        deployments can run beside each other.
+        The loopback network, the next free one if another run has it:
+        several deployments can run beside each other.
     size
         How many of each there are.
     """
 
     def __init__(self, folder: pathlib.Path, network: int, size: Size) -> None:
         self._folder = folder
-        self._network = network
+        self._network = Network(network)
         self._hosts = 0
         clock = LoopClock()
         store = Address(ip=self._next_ip(), port=STORE_PORT)
@@ -136,6 +137,7 @@
         for upstream in (*self.engines, *self.services):
             await upstream.stop()
         await self.store.stop()
+        self._network.give_back()
 
     def put_manifest(self) -> None:
         """Put the next manifest in force."""
@@ -193,8 +195,10 @@
     def _next_ip(self) -> str:
         self._hosts += 1
         third, fourth = divmod(self._hosts, _HOSTS_EACH)
-        # No address ends in zero.
-        return '.'.join(map(str, (127, self._network, third, fourth + 1)))
+        # The first address marks the network as taken.
+        return '.'.join(
+            map(str, (127, self._network.number, third, fourth + 1))
+        )
 
 
 def new_client() -> Client:
--- a/lab/play.py
+++ b/lab/play.py
@@ -30,7 +30,6 @@
 #: From the end of the last fault until all is well again; the longest rest
 #: of an upstream that failed often is 8 s, a step 4 s.
 _RECOVERY_S: Final = 60
-_NETWORKS: Final = 200
 
 
 class Outcome(msgspec.Struct, frozen=True):
@@ -82,8 +81,7 @@
         self._seed = seed
         self._folder = folder
         self._promises = Promises()
-        network = 1 + seed % _NETWORKS
-        self._deployment = Deployment(folder, network, size)
+        self._deployment = Deployment(folder, seed, size)
         # Each draws from its own source, so that one does not shift another.
         self._callers = Callers(
             self._deployment, self._promises, random.Random(rng.random())
