--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -235,19 +235,30 @@
     """Return whether the feature fails with the safeguard off."""
     with tempfile.TemporaryDirectory(prefix='mutation-') as folder:
         root = pathlib.Path(folder)
-        for name in _COPIED:
-            shutil.copytree(name, root / name)
-        path = root / _PACKAGE / mutation.path
-        written = path.read_text()
-        if written.count(mutation.text) != 1:
-            raise ValueError(
-                f'{mutation.path}: {mutation.text!r} found '
-                f'{written.count(mutation.text)} times, expected once'
-            )
-        path.write_text(written.replace(mutation.text, mutation.replacement))
+        write_mutated(mutation, root)
         return _fails(root, mutation.feature)
 
 
+def write_mutated(mutation: Mutation, root: pathlib.Path) -> None:
+    """Copy the code into a folder, with the safeguard off.
+
+    Raises
+    ------
+    ValueError
+        The text to replace is not there, or more than once.
+    """
+    for name in _COPIED:
+        shutil.copytree(name, root / name)
+    path = root / _PACKAGE / mutation.path
+    written = path.read_text()
+    if written.count(mutation.text) != 1:
+        raise ValueError(
+            f'{mutation.path}: {mutation.text!r} found '
+            f'{written.count(mutation.text)} times, expected once'
+        )
+    path.write_text(written.replace(mutation.text, mutation.replacement))
+
+
 def _fails(root: pathlib.Path, feature: str) -> bool:
     command = (
         sys.executable,
