--- a/features/steps/lab_soak_steps.py
+++ b/features/steps/lab_soak_steps.py
@@ -18,8 +18,8 @@
 from lab.client import Reply
 from lab.deployment import Deployment, Size
 from lab.faults import AIMED
+from lab.play import soak
 from lab.promises import Promise, Promises
-from lab.soak import soak
 from lab.step_reader import Step, StepReader
 from lab.upstreams import Seen
 from lab.wire import score_id
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -17,14 +17,13 @@
 from lab.deployment import Size
 from lab.experiment import run_scenario
 from lab.faults import AIMED, RANDOM, Fault
+from lab.play import Outcome, soak
 from lab.report import summarize, table, write_report
 from lab.scenario import load_scenario
-from lab.soak import soak
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from lab.play import Outcome
 
 _EXPERIMENT: Final = 'experiment'
 _COMMANDS: Final = frozenset(('soak', 'demo', _EXPERIMENT))
--- a/lab/aimed_faults.py
+++ b/lab/aimed_faults.py
@@ -12,7 +12,9 @@
 import signal
 from typing import TYPE_CHECKING, Final
 
+from lab.deployment import STORE
 from lab.proxy import Link
+from lab.store import ANSWER_S
 
 if TYPE_CHECKING:
     import random
@@ -55,6 +57,7 @@
         rng: random.Random,
     ) -> None:
         self._deployment = deployment
+        self._steps = deployment.steps
         self._processes = processes
         self._store = deployment.store
         self._rng = rng
@@ -78,14 +81,13 @@
         owner = self._owner(job)
         if owner is None:
             return
-        ends = self._rng.choice(((0,), (1,), (0, 1)))
-        ways = [
-            way
-            for names, way in self._deployment.ways.between.items()
-            if owner.name in {names[end] for end in ends}
-        ]
+        entries = [entry.name for entry in self._deployment.entries]
+        to_owner = self._deployment.ways_between(entries, {owner.name})
+        of_owner = self._deployment.ways_between({owner.name}, entries)
+        both = to_owner + of_owner
+        ways = list(self._rng.choice((to_owner, of_owner, both)))
         if self._rng.random() < _STORE_CUT_SHARE:
-            ways.append(self._deployment.ways.to_store[owner.name])
+            ways.append(self._deployment.ways[owner.name, STORE])
         self._delay_writes()
         link = self._rng.choice(_LINKS)
         for way in ways:
@@ -97,33 +99,31 @@
     async def stop_series(self) -> None:
         """Stop a step's owners as planned, one soon after the other."""
         job = await self._job_at_work()
-        usual_s = self._store.answer_s
         self._store.answer_s = self._rng.uniform(*_SLOW_S)
         async with asyncio.TaskGroup() as group:
             for _ in self._deployment.entries[1:]:
-                entry = self._owner(job) or self._any_entry()
-                group.create_task(self._processes.stop_one(entry))
+                group.create_task(self._processes.stop_first(self._order(job)))
                 await asyncio.sleep(self._rng.uniform(*_STOPS_S))
-        self._store.answer_s = usual_s
+        self._store.answer_s = ANSWER_S
 
-    def _any_entry(self) -> ProductProcess:
-        return self._rng.choice(self._deployment.entries)
+    def _order(self, job: str) -> list[ProductProcess]:
+        """Return the entries, a step's owner first."""
+        entries = self._rng.sample(
+            self._deployment.entries, len(self._deployment.entries)
+        )
+        owner = self._owner(job)
+        return sorted(entries, key=lambda entry: entry is not owner)
 
     def _owner(self, job: str) -> ProductProcess | None:
         """Return the entry that the store names as owner, if it is there."""
-        name = self._deployment.steps.owner(job) if job else ''
-        return next(
-            (
-                entry
-                for entry in self._deployment.entries
-                if entry.name == name and entry.running
-            ),
-            None,
-        )
+        name = self._steps.owner(job) if job else ''
+        named = (one for one in self._deployment.entries if one.name == name)
+        entry = next(named, None)
+        return entry if entry is not None and entry.running else None
 
     async def _job_at_work(self) -> str:
         """Wait for results of an open step, not for ever."""
-        steps = self._deployment.steps
+        steps = self._steps
         grown = ''
         before = {job: len(steps.listed(job)) for job in steps.open_jobs()}
         with contextlib.suppress(TimeoutError):
@@ -136,7 +136,7 @@
     async def _taken_over(self, job: str, owner: ProductProcess) -> None:
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_TAKEOVER_S):
-                while self._deployment.steps.owner(job) == owner.name:
+                while self._steps.owner(job) == owner.name:
                     await asyncio.sleep(_LOOK_S)
         await asyncio.sleep(self._rng.uniform(0, _BEYOND_S))
 
--- a/lab/deployment.py
+++ b/lab/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import signal
 from typing import TYPE_CHECKING, Any, Final
 
@@ -13,19 +14,25 @@
 from lab.networks import Network
 from lab.open_steps import OpenSteps
 from lab.processes import ProductProcess
+from lab.proxy import Proxy
 from lab.store import Store
 from lab.upstreams import Engine, Upstream, register, written
-from lab.ways import STORE_PORT, Ways
 from lab.wire import DESKS, ENGINES, HOST, MODEL, manifest, route
 
 if TYPE_CHECKING:
     import pathlib
+    from collections.abc import Collection
 
 STEP_PATH: Final = '/steps/'
 SAFE_PATH: Final = '/safe/'
 UNSAFE_PATH: Final = '/unsafe/'
 SCORE_PATH: Final = '/score/'
+STORE: Final = 'store'
+_STORE_PORT: Final = 8266
 _UPSTREAM_PORT: Final = 8100
+_PROXY_PORT: Final = 8101
+#: Where entries listen for each other.
+_ENTRY_PORT: Final = 7300
 _HOSTS_EACH: Final = 250
 _CALL_MS: Final = 2000
 _JOB_MS: Final = 20_000
@@ -77,10 +84,11 @@
         self._network = Network(network)
         self._hosts = 0
         clock = LoopClock()
-        store = Address(ip=self._next_ip(), port=STORE_PORT)
+        store = Address(ip=self._next_ip(), port=_STORE_PORT)
         self.store = Store(store, clock)
         self.steps = OpenSteps(self.store)
-        self.ways = Ways(store, self._next_ip)
+        #: By whose way it is, nobody's if it is everyone's, and to whom.
+        self.ways: dict[tuple[str, str], Proxy] = {}
         self.engines = [
             Engine(f'engine-{number}', ENGINES, self._upstream_address(), clock)
             for number in range(size.engines)
@@ -89,7 +97,9 @@
             Upstream(f'desk-{number}', DESKS, self._upstream_address(), clock)
             for number in range(size.services)
         ]
-        self.ways.add_upstreams(self.upstreams)
+        for one in self.upstreams:
+            listen = Address(ip=one.address.ip, port=_PROXY_PORT)
+            self.ways['', one.name] = Proxy(listen, one.address)
         self.entries = [
             self._process(f'entry-{number}', 'gateway')
             for number in range(size.entries)
@@ -98,12 +108,13 @@
             self._process(
                 f'agent-{number}',
                 'agent',
-                self.ways.to_upstream[engine.name].listen,
+                self.ways['', engine.name].listen,
             )
             for number, engine in enumerate(self.engines)
         ]
         self.storage = self._process('storage-0', 'agent')
-        self.ways.join(self.entries)
+        for entry, other in itertools.permutations(self.entries, 2):
+            self._lead(entry, other)
         self._incarnations = 0
         self._tasks = Tasks()
         self.generation = 1
@@ -120,7 +131,8 @@
         self.put_manifest()
         for upstream in (*self.engines, *self.services):
             await upstream.start()
-        await self.ways.start()
+        for way in self.ways.values():
+            await way.start()
         self._tasks.start(self._keep_registered())
         for process in self.processes:
             await process.start()
@@ -133,7 +145,8 @@
         for process in self.processes:
             process.send(signal.SIGCONT)
             await process.kill()
-        await self.ways.stop()
+        for way in self.ways.values():
+            await way.stop()
         for upstream in (*self.engines, *self.services):
             await upstream.stop()
         await self.store.stop()
@@ -161,14 +174,24 @@
         """Return all engines and services."""
         return [*self.engines, *self.services]
 
+    def ways_between(
+        self, whose: Collection[str], to: Collection[str]
+    ) -> list[Proxy]:
+        """Return the ways of some to some, in the order of their making."""
+        return [
+            way
+            for (one, other), way in self.ways.items()
+            if one in whose and other in to
+        ]
+
     def replace(self, upstream: Upstream) -> None:
         """Have another incarnation at an upstream's address."""
         self.store.remove('servers', upstream.name)
-        way = self.ways.to_upstream.pop(upstream.name)
+        way = self.ways.pop(('', upstream.name))
         way.reset()
         self._incarnations += 1
         upstream.name = f'{upstream.name}+{self._incarnations}'
-        self.ways.to_upstream[upstream.name] = way
+        self.ways['', upstream.name] = way
         self._register(upstream)
 
     async def _keep_registered(self) -> None:
@@ -179,15 +202,23 @@
             await asyncio.sleep(_REGISTER_S)
 
     def _register(self, upstream: Upstream) -> None:
-        way = self.ways.to_upstream[upstream.name]
+        way = self.ways['', upstream.name]
         register(self.store, upstream, address=written(way.listen))
 
     def _process(
         self, name: str, command: str, engine: Address | None = None
     ) -> ProductProcess:
         ip = self._next_ip()
-        store = self.ways.add_store(name, ip)
-        return ProductProcess(name, command, ip, store, self._folder, engine)
+        listen = Address(ip=ip, port=_STORE_PORT)
+        self.ways[name, STORE] = Proxy(listen, self.store.address)
+        return ProductProcess(name, command, ip, listen, self._folder, engine)
+
+    def _lead(self, entry: ProductProcess, other: ProductProcess) -> None:
+        """Lead an entry to another one, which listens where it says."""
+        target = Address(ip=other.ip, port=_ENTRY_PORT)
+        listen = Address(ip=self._next_ip(), port=_ENTRY_PORT)
+        entry.ways[written(target)] = written(listen)
+        self.ways[entry.name, other.name] = Proxy(listen, target)
 
     def _upstream_address(self) -> Address:
         return Address(ip=self._next_ip(), port=_UPSTREAM_PORT)
--- a/lab/play.py
+++ b/lab/play.py
@@ -17,7 +17,7 @@
 from lab.callers import Callers
 from lab.client import Call
 from lab.deployment import Deployment, Size, new_client
-from lab.faults import Faults, Harm
+from lab.faults import RANDOM, Fault, Faults, Harm
 from lab.promises import Promise, Promises
 from lab.readers import Readers
 from lab.trainer import Trainer
@@ -73,6 +73,13 @@
     return outcome
 
 
+async def soak(
+    seed: int, seconds: float, size: Size, kinds: tuple[Fault, ...] = RANDOM
+) -> Outcome:
+    """Run a deployment under faults of these kinds, drawn from `seed`."""
+    return await play(seed, size, lambda faults: faults.run(seconds, kinds))
+
+
 class _Run:
     """One deployment, its clients and its faults."""
 
--- a/lab/process_faults.py
+++ b/lab/process_faults.py
@@ -12,6 +12,7 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Iterable
 
     from lab.deployment import Deployment
     from lab.processes import ProductProcess
@@ -57,9 +58,10 @@
         """Have a process read its settings again."""
         self._rng.choice(self._deployment.processes).send(signal.SIGHUP)
 
-    async def stop_one(self, process: ProductProcess) -> None:
-        """Stop this process as planned and start it again."""
-        if self.take(process):
+    async def stop_first(self, processes: Iterable[ProductProcess]) -> None:
+        """Stop the first that no fault has as planned, and start it again."""
+        process = next((one for one in processes if self.take(one)), None)
+        if process is not None:
             await self._restart_taken(process, signal.SIGTERM)
 
     def take(self, process: ProductProcess) -> bool:
--- a/lab/store.py
+++ b/lab/store.py
@@ -22,7 +22,7 @@
     from bergamotdoor.settings.document import Address
 
 LIMITS: Final = HttpLimits()
-_ANSWER_S: Final = 0.004
+ANSWER_S: Final = 0.004
 #: Less than this is no time: virtual clocks have a resolution.
 _TICK_S: Final = 0.0005
 #: Small, so that listings of a test's objects take several pages.
@@ -73,7 +73,7 @@
         #: How many of the next writes get no answer and are done later.
         self.delay_writes = 0
         #: How long each call takes.
-        self.answer_s = _ANSWER_S
+        self.answer_s = ANSWER_S
         #: How long a listing takes beyond other calls.
         self.list_s = float()
         self._changed = asyncio.Event()
--- a/lab/store_faults.py
+++ b/lab/store_faults.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Any, Final
 
+from lab.deployment import STORE
 from lab.proxy import break_way
 from lab.spans import span_s
 from lab.store import StoreMode
@@ -45,7 +46,8 @@
 
     async def break_way(self) -> None:
         """Break one process's way to the store."""
-        ways = tuple(self._deployment.ways.to_store.values())
+        names = [one.name for one in self._deployment.processes]
+        ways = self._deployment.ways_between(names, {STORE})
         await break_way(self._rng.choice(ways), self._rng)
 
     async def send_away(self) -> None:
--- a/lab/upstream_faults.py
+++ b/lab/upstream_faults.py
@@ -13,6 +13,7 @@
     import random
 
     from lab.deployment import Deployment
+    from lab.proxy import Proxy
     from lab.upstreams import Upstream
 
 _SLOWEST: Final = 4
@@ -31,13 +32,11 @@
 
     async def break_way(self) -> None:
         """Break everyone's way to an upstream."""
-        ways = tuple(self._deployment.ways.to_upstream.values())
-        await break_way(self._rng.choice(ways), self._rng)
+        await break_way(self._pick_way(), self._rng)
 
     async def reset(self) -> None:
         """Reset the connections to an upstream."""
-        ways = tuple(self._deployment.ways.to_upstream.values())
-        self._rng.choice(ways).reset()
+        self._pick_way().reset()
 
     async def change_mode(self) -> None:
         """Have an upstream refuse, fail, break or hang."""
@@ -65,5 +64,9 @@
         """Have an engine's next order arrive late."""
         self._rng.choice(self._deployment.engines).late_orders += 1
 
+    def _pick_way(self) -> Proxy:
+        names = [one.name for one in self._deployment.upstreams]
+        return self._rng.choice(self._deployment.ways_between({''}, names))
+
     def _pick(self) -> Upstream:
         return self._rng.choice(self._deployment.upstreams)
--- a/tools/soak_mutations.py
+++ b/tools/soak_mutations.py
@@ -84,9 +84,10 @@
     ]
     with ThreadPoolExecutor(_JOBS) as pool:
         pairs = [(mutation, run) for mutation in chosen for run in RUNS]
-        results = list(pool.map(broken_promises, *zip(*pairs, strict=True)))
-    for (mutation, run), broken in zip(pairs, results, strict=True):
-        print('; '.join((mutation.safeguard, run[2], broken or 'not noticed')))
+        results = pool.map(broken_promises, *zip(*pairs, strict=True))
+        for (mutation, run), broken in zip(pairs, results, strict=True):
+            found = (mutation.safeguard, run[2], broken or 'not noticed')
+            print('; '.join(found), flush=True)
     return 0
 
 
