Count what handing jobs on took against the grace of a stop

Cause: open calls got the grace less the lame duck, also when handing jobs on had taken longer than that. Ruled out: the store (the trial's is fast). Change: what is left is counted from the begin of the stop.

--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -95,9 +95,11 @@
     async def stop(self) -> None:
         """Leave the balancer's rotation, finish what is open, end."""
         _log.info('gateway: %s stops', self._settings.node)
+        until = self._clock.elapsed() + self._settings.grace - _STOP_MARGIN
         await self._leave_rotation()
-        left = self._settings.grace - _LAME_DUCK - _STOP_MARGIN
-        await self._servers.callers.stop(left)
+        # Handing jobs on may have taken longer than the lame duck.
+        left = until - self._clock.elapsed()
+        await self._servers.callers.stop(max(left, dt.timedelta()))
         await self._parts.owner.stop()
         await self._tasks.stop()
         await self._servers.stop_inner()
