--- a/lab/deployment.py
+++ b/lab/deployment.py
@@ -3,15 +3,16 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import itertools
 import signal
-import socket
 from typing import TYPE_CHECKING, Any, Final
 
 from bergamotdoor.clock import LoopClock
 from bergamotdoor.settings.document import Address
 from bergamotdoor.tasks import Tasks
 from lab.client import Client
+from lab.networks import Network
+from lab.open_steps import OpenSteps
 from lab.processes import ProductProcess
 from lab.proxy import Proxy
 from lab.store import Store
@@ -20,16 +21,19 @@
 
 if TYPE_CHECKING:
     import pathlib
+    from collections.abc import Collection
 
 STEP_PATH: Final = '/steps/'
 SAFE_PATH: Final = '/safe/'
 UNSAFE_PATH: Final = '/unsafe/'
 SCORE_PATH: Final = '/score/'
+STORE: Final = 'store'
 _STORE_PORT: Final = 8266
-#: Each run has the loopback addresses of a network of its own.
-_NETWORKS: Final = 200
 _UPSTREAM_PORT: Final = 8100
 _PROXY_PORT: Final = 8101
+#: Where entries listen for each other.
+_ENTRY_PORT: Final = 7300
+_HOSTS_EACH: Final = 250
 _CALL_MS: Final = 2000
 _JOB_MS: Final = 20_000
 ATTEMPTS: Final = 3
@@ -40,57 +44,51 @@
 _REGISTER_S: Final = 0.3
 
 
-def free_network(first: int) -> int:
-    """Return the first network from a number on that no other run has.
-
-    Two checkouts that play the same seed at once would want the same
-    addresses; the second one ended with "address already in use".
-    """
-    for offset in range(_NETWORKS):
-        network = 1 + (first + offset) % _NETWORKS
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            with contextlib.suppress(OSError):
-                probe.bind((f'127.{network}.0.1', _STORE_PORT))
-                return network
-    raise OSError(f'all of {_NETWORKS} loopback networks are in use')
-
-
 class Size:
     """How many of each there are."""
 
     def __init__(
-        self, entries: int = 3, engines: int = 3, services: int = 2
+        self,
+        entries: int = 3,
+        engines: int = 3,
+        services: int = 2,
+        groups: int = 3,
     ) -> None:
         self.entries = entries
         self.engines = engines
         self.services = services
+        #: Groups of a step; more make it longer.
+        self.groups = groups
 
 
 class Deployment:
     """Store, engines and services as models; entries and agents for real.
 
-    Each process has its own way to the store, and each upstream its own way
-    for all, so that a proxy can break any of them.
+    Each process has its own way to the store, each upstream its own way for
+    all, and each entry its own way to each other one, so that a proxy can
+    break any of them.
 
     Parameters
     ----------
     folder
         Takes settings and logs.
     network
-        The second number of the loopback addresses, 1 to 254: several
-        deployments can run beside each other.
+        The loopback network, the next free one if another run has it:
+        several deployments can run beside each other.
     size
         How many of each there are.
     """
 
     def __init__(self, folder: pathlib.Path, network: int, size: Size) -> None:
         self._folder = folder
-        self._network = network
+        self._network = Network(network)
         self._hosts = 0
         clock = LoopClock()
         store = Address(ip=self._next_ip(), port=_STORE_PORT)
         self.store = Store(store, clock)
+        self.steps = OpenSteps(self.store)
+        #: By whose way it is, nobody's if it is everyone's, and to whom.
+        self.ways: dict[tuple[str, str], Proxy] = {}
         self.engines = [
             Engine(f'engine-{number}', ENGINES, self._upstream_address(), clock)
             for number in range(size.engines)
@@ -99,14 +97,9 @@
             Upstream(f'desk-{number}', DESKS, self._upstream_address(), clock)
             for number in range(size.services)
         ]
-        self.store_ways: dict[str, Proxy] = {}
-        self.upstream_ways = {
-            upstream.name: Proxy(
-                Address(ip=upstream.address.ip, port=_PROXY_PORT),
-                upstream.address,
-            )
-            for upstream in (*self.engines, *self.services)
-        }
+        for one in self.upstreams:
+            listen = Address(ip=one.address.ip, port=_PROXY_PORT)
+            self.ways['', one.name] = Proxy(listen, one.address)
         self.entries = [
             self._process(f'entry-{number}', 'gateway')
             for number in range(size.entries)
@@ -115,11 +108,13 @@
             self._process(
                 f'agent-{number}',
                 'agent',
-                self.upstream_ways[engine.name].listen,
+                self.ways['', engine.name].listen,
             )
             for number, engine in enumerate(self.engines)
         ]
         self.storage = self._process('storage-0', 'agent')
+        for entry, other in itertools.permutations(self.entries, 2):
+            self._lead(entry, other)
         self._incarnations = 0
         self._tasks = Tasks()
         self.generation = 1
@@ -136,7 +131,7 @@
         self.put_manifest()
         for upstream in (*self.engines, *self.services):
             await upstream.start()
-        for way in (*self.store_ways.values(), *self.upstream_ways.values()):
+        for way in self.ways.values():
             await way.start()
         self._tasks.start(self._keep_registered())
         for process in self.processes:
@@ -150,11 +145,12 @@
         for process in self.processes:
             process.send(signal.SIGCONT)
             await process.kill()
-        for way in (*self.store_ways.values(), *self.upstream_ways.values()):
+        for way in self.ways.values():
             await way.stop()
         for upstream in (*self.engines, *self.services):
             await upstream.stop()
         await self.store.stop()
+        self._network.give_back()
 
     def put_manifest(self) -> None:
         """Put the next manifest in force."""
@@ -178,14 +174,24 @@
         """Return all engines and services."""
         return [*self.engines, *self.services]
 
+    def ways_between(
+        self, whose: Collection[str], to: Collection[str]
+    ) -> list[Proxy]:
+        """Return the ways of some to some, in the order of their making."""
+        return [
+            way
+            for (one, other), way in self.ways.items()
+            if one in whose and other in to
+        ]
+
     def replace(self, upstream: Upstream) -> None:
         """Have another incarnation at an upstream's address."""
         self.store.remove('servers', upstream.name)
-        way = self.upstream_ways.pop(upstream.name)
+        way = self.ways.pop(('', upstream.name))
         way.reset()
         self._incarnations += 1
         upstream.name = f'{upstream.name}+{self._incarnations}'
-        self.upstream_ways[upstream.name] = way
+        self.ways['', upstream.name] = way
         self._register(upstream)
 
     async def _keep_registered(self) -> None:
@@ -196,25 +202,34 @@
             await asyncio.sleep(_REGISTER_S)
 
     def _register(self, upstream: Upstream) -> None:
-        way = self.upstream_ways[upstream.name]
+        way = self.ways['', upstream.name]
         register(self.store, upstream, address=written(way.listen))
 
     def _process(
         self, name: str, command: str, engine: Address | None = None
     ) -> ProductProcess:
         ip = self._next_ip()
-        way = Proxy(Address(ip=ip, port=_STORE_PORT), self.store.address)
-        self.store_ways[name] = way
-        return ProductProcess(
-            name, command, ip, way.listen, self._folder, engine
-        )
+        listen = Address(ip=ip, port=_STORE_PORT)
+        self.ways[name, STORE] = Proxy(listen, self.store.address)
+        return ProductProcess(name, command, ip, listen, self._folder, engine)
+
+    def _lead(self, entry: ProductProcess, other: ProductProcess) -> None:
+        """Lead an entry to another one, which listens where it says."""
+        target = Address(ip=other.ip, port=_ENTRY_PORT)
+        listen = Address(ip=self._next_ip(), port=_ENTRY_PORT)
+        entry.ways[written(target)] = written(listen)
+        self.ways[entry.name, other.name] = Proxy(listen, target)
 
     def _upstream_address(self) -> Address:
         return Address(ip=self._next_ip(), port=_UPSTREAM_PORT)
 
     def _next_ip(self) -> str:
         self._hosts += 1
-        return f'127.{self._network}.0.{self._hosts}'
+        third, fourth = divmod(self._hosts, _HOSTS_EACH)
+        # The first address marks the network as taken.
+        return '.'.join(
+            map(str, (127, self._network.number, third, fourth + 1))
+        )
 
 
 def new_client() -> Client:
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -5,8 +5,10 @@
 import asyncio
 import enum
 from collections import Counter
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Final
 
+from lab.aimed_faults import AimedFaults
 from lab.process_faults import ProcessFaults
 from lab.store_faults import StoreFaults
 from lab.upstream_faults import UpstreamFaults
@@ -42,6 +44,21 @@
     ENGINE_SLOW = 'an engine turns slow'
     LATE_ORDER = 'an order to an engine arrives late'
     MANIFEST = 'a new manifest'
+    OWNER_PAUSED = "a step's owner is paused past its takeover"
+    OWNER_CUT = "a step's owner is cut off from other entries"
+    STOP_SERIES = "a step's owners are stopped, one soon after the other"
+
+
+#: In the order in which they come if only they do. A series takes long and
+#: ends what the others begin, so it comes less often.
+AIMED: Final = (
+    Fault.OWNER_PAUSED,
+    Fault.OWNER_CUT,
+    Fault.OWNER_PAUSED,
+    Fault.OWNER_CUT,
+    Fault.STOP_SERIES,
+)
+RANDOM: Final = tuple(fault for fault in Fault if fault not in AIMED)
 
 
 class Faults:
@@ -68,6 +85,7 @@
         processes = ProcessFaults(deployment, promises, rng)
         store = StoreFaults(deployment, rng)
         upstreams = UpstreamFaults(deployment, rng)
+        aimed = AimedFaults(deployment, processes, rng)
         self._actions = {
             Fault.KILL: processes.kill,
             Fault.STOP: processes.stop,
@@ -87,19 +105,36 @@
             Fault.ENGINE_SLOW: upstreams.slow_down,
             Fault.LATE_ORDER: upstreams.delay_order,
             Fault.MANIFEST: store.put_manifest,
+            Fault.OWNER_PAUSED: aimed.pause_owner,
+            Fault.OWNER_CUT: aimed.cut_owner,
+            Fault.STOP_SERIES: aimed.stop_series,
         }
 
-    async def run(self, seconds: float) -> None:
+    async def run(
+        self, seconds: float, kinds: tuple[Fault, ...] = RANDOM
+    ) -> None:
         """Do faults for some seconds; return once all are over."""
         loop = asyncio.get_running_loop()
         until = loop.time() + seconds
         async with asyncio.TaskGroup() as group:
             while loop.time() < until:
-                fault = self._rng.choice(tuple(Fault))
-                group.create_task(self.apply(fault))
+                fault = self._next(kinds)
+                applied = group.create_task(self.apply(fault))
+                if fault in AIMED:
+                    # Two owners are no longer there once others are stopped.
+                    await applied
                 await asyncio.sleep(self._rng.choice(_PAUSES_S))
 
     async def apply(self, fault: Fault) -> None:
         """Do one fault; return once it is over."""
         self.done[fault] += 1
         await self._actions[fault]()
+
+    def _next(self, kinds: tuple[Fault, ...]) -> Fault:
+        if kinds is AIMED:
+            return AIMED[self.done.total() % len(AIMED)]
+        return self._rng.choice(kinds)
+
+
+#: Does the faults of a run; returns once they are over.
+Harm = Callable[[Faults], Awaitable[None]]
--- a/lab/play.py
+++ b/lab/play.py
@@ -16,14 +16,13 @@
 from bergamotdoor.gateway.inspection import STATE_PATH
 from lab.callers import Callers
 from lab.client import Call
-from lab.deployment import Deployment, Size, free_network, new_client
-from lab.faults import Faults
+from lab.deployment import Deployment, Size, new_client
+from lab.faults import RANDOM, Fault, Faults, Harm
 from lab.promises import Promise, Promises
+from lab.readers import Readers
 from lab.trainer import Trainer
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
     from bergamotdoor.settings.document import Address
     from lab.processes import ProductProcess
 
@@ -40,6 +39,8 @@
     seconds: float
     calls: int
     steps: int
+    #: Connections between entries, which all go over proxies.
+    led: int
     faults: dict[str, int]
     checked: dict[str, int]
     broken: list[str]
@@ -49,9 +50,7 @@
     folder: str
 
 
-async def play(
-    seed: int, size: Size, harm: Callable[[Faults], Awaitable[None]]
-) -> Outcome:
+async def play(seed: int, size: Size, harm: Harm) -> Outcome:
     """Run a deployment, do it harm, wait until all is well again.
 
     Parameters
@@ -76,6 +75,13 @@
     return outcome
 
 
+async def soak(
+    seed: int, seconds: float, size: Size, kinds: tuple[Fault, ...] = RANDOM
+) -> Outcome:
+    """Run a deployment under faults of these kinds, drawn from `seed`."""
+    return await play(seed, size, lambda faults: faults.run(seconds, kinds))
+
+
 class _Run:
     """One deployment, its clients and its faults."""
 
@@ -84,28 +90,36 @@
         self._seed = seed
         self._folder = folder
         self._promises = Promises()
-        network = free_network(seed)
-        self._deployment = Deployment(folder, network, size)
+        self._deployment = Deployment(folder, seed, size)
         # Each draws from its own source, so that one does not shift another.
         self._callers = Callers(
             self._deployment, self._promises, random.Random(rng.random())
         )
         self._trainer = Trainer(
-            self._deployment, self._promises, random.Random(rng.random())
+            self._deployment,
+            self._promises,
+            random.Random(rng.random()),
+            size.groups,
         )
         self._faults = Faults(
             self._deployment, self._promises, random.Random(rng.random())
         )
+        self._readers = Readers(
+            self._deployment,
+            self._trainer,
+            random.Random(rng.random()),
+        )
         self._client = new_client()
         #: The manifest that each process was last seen with.
         self._seen: dict[str, int] = {}
 
-    async def play(self, harm: Callable[[Faults], Awaitable[None]]) -> None:
+    async def play(self, harm: Harm) -> None:
         """Let clients work under faults, then wait until all is well."""
         await self._deployment.start()
         background = [
             asyncio.create_task(self._callers.run()),
             asyncio.create_task(self._watch_manifests()),
+            asyncio.create_task(self._readers.run()),
         ]
         training = asyncio.create_task(self._trainer.run())
         try:
@@ -130,11 +144,16 @@
     def outcome(self, seconds: float) -> Outcome:
         """Return what was found."""
         promises = self._promises
+        deployment = self._deployment
+        names = [entry.name for entry in deployment.entries]
         return Outcome(
             seed=self._seed,
             seconds=round(seconds, 1),
             calls=self._callers.answered,
             steps=self._trainer.whole,
+            led=sum(
+                way.accepted for way in deployment.ways_between(names, names)
+            ),
             faults={
                 fault.name: count for fault, count in self._faults.done.items()
             },
