--- a/lab/aimed_faults.py
+++ b/lab/aimed_faults.py
@@ -33,7 +33,7 @@
 _MOST_LATE: Final = 2
 #: Pauses between planned stops, and how long the store's calls take.
 _STOPS_S: Final = (0.05, 0.4)
-_SLOW_S: Final = (0.05, 0.3)
+_SLOW_S: Final = (0.2, 0.6)
 _STORE_CUT_SHARE: Final = 0.3
 _LINKS: Final = (Link.SILENT, Link.ONE_WAY, Link.CUT)
 
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -49,15 +49,8 @@
     STOP_SERIES = "a step's owners are stopped, one soon after the other"
 
 
-#: In the order in which they come if only they do. A series takes long and
-#: ends what the others begin, so it comes less often.
-AIMED: Final = (
-    Fault.OWNER_PAUSED,
-    Fault.OWNER_CUT,
-    Fault.OWNER_PAUSED,
-    Fault.OWNER_CUT,
-    Fault.STOP_SERIES,
-)
+#: In the order in which they come if only they do.
+AIMED: Final = (Fault.OWNER_PAUSED, Fault.OWNER_CUT, Fault.STOP_SERIES)
 RANDOM: Final = tuple(fault for fault in Fault if fault not in AIMED)
 
 
--- a/lab/readers.py
+++ b/lab/readers.py
@@ -13,7 +13,7 @@
     from lab.processes import ProductProcess
     from lab.trainer import Trainer
 
-_PAUSE_S: Final = 0.1
+_PAUSE_S: Final = 0.05
 #: How far behind the newest position readers begin.
 _BEHIND: Final = 5
 
