--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -17,6 +17,7 @@
 from lab.deployment import Size
 from lab.experiment import run_scenario
 from lab.faults import AIMED, RANDOM, Fault
+from lab.help import COMMANDS, help_of, help_wanted
 from lab.model.search import search_seeds, search_small
 from lab.play import Outcome, soak
 from lab.report import summarize, table, write_report
@@ -28,12 +29,6 @@
 
 _EXPERIMENT: Final = 'experiment'
 _MODEL: Final = 'model'
-_COMMANDS: Final = frozenset(('soak', 'demo', _EXPERIMENT, _MODEL))
-_USAGE: Final = (
-    'usage: python -m lab soak|demo [FLAGS]\n'
-    '       python -m lab experiment SCENARIO... [--seeds=1-4] [--out=DIR]\n'
-    '       python -m lab model [--seeds=1-400] [--steps=20] [--depth=N]\n'
-)
 _USUAL_S: Final = 12
 _KINDS: Final = MappingProxyType(
     {'all': tuple(Fault), 'random': RANDOM, 'aimed': AIMED}
@@ -73,8 +68,8 @@
 def main(words: list[str]) -> int:
     """Play the soak or the tour; the exit code tells if a promise broke."""
     command, *files = words[1:] or ('',)
-    if command not in _COMMANDS or bool(files) != (command == _EXPERIMENT):
-        sys.stderr.write(_USAGE)
+    if command not in COMMANDS or bool(files) != (command == _EXPERIMENT):
+        sys.stderr.write(f'{help_of(words)}\n')
         return 2
     # The models log like the product; here only what they see counts.
     logging.getLogger('bergamotdoor').setLevel(logging.CRITICAL)
@@ -172,4 +167,8 @@
 
 
 if __name__ == '__main__':
+    # The library's own help lists the flags of all commands and ends as if
+    # it had failed.
+    if help_wanted(sys.argv[1:]):
+        sys.exit(print(help_of(sys.argv[1:])))
     app.run(main)
--- /dev/null
+++ b/lab/help.py
@@ -0,0 +1,86 @@
+"""What the laboratory's commands do, for a person at a terminal."""
+
+from __future__ import annotations
+
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Final, NamedTuple
+
+from absl import flags
+
+from bergamotdoor.cli.text import columns
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator, Mapping
+
+_HELP_WORDS: Final = frozenset(('--help', '-h', '-help'))
+_SIZE: Final = ('entries', 'engines', 'services', 'groups')
+
+
+class _Command(NamedTuple):
+    """One command: what it is for, an example, its flags."""
+
+    purpose: str
+    example: str
+    flags: tuple[str, ...]
+
+
+COMMANDS: Final[Mapping[str, _Command]] = MappingProxyType(
+    {
+        'demo': _Command(
+            'Runs a deployment with a tour of faults and shows what it promises.',
+            'python -m lab demo --seeds=3',
+            ('seeds', *_SIZE),
+        ),
+        'soak': _Command(
+            'Runs deployments under random faults, one for each seed.',
+            'python -m lab soak --seeds=1-50 --seconds=15 --jobs=4',
+            ('seeds', 'seconds', 'jobs', 'faults', 'json', *_SIZE),
+        ),
+        'experiment': _Command(
+            'Compares scenarios over seeds, in virtual time.',
+            'python -m lab experiment lab/scenarios/slow-engine.jsonc'
+            ' lab/scenarios/slow-engine-no-moves.jsonc --seeds=1-4 --out=report',
+            ('seeds', 'out'),
+        ),
+        'model': _Command(
+            'Plays histories of entries that share a job, in virtual time.',
+            'python -m lab model --seeds=1-400 --steps=20',
+            ('seeds', 'steps', 'depth', 'jobs'),
+        ),
+    }
+)
+
+
+def help_wanted(words: list[str]) -> bool:
+    """Return whether somebody asks what a command does."""
+    return not _HELP_WORDS.isdisjoint(words)
+
+
+def help_of(words: list[str]) -> str:
+    """Return the help of the command that is named, or of all."""
+    named = [word for word in words if word in COMMANDS]
+    return '\n'.join(_of_command(named[0]) if named else _of_all())
+
+
+def _of_all() -> Iterator[str]:
+    yield 'usage: python -m lab COMMAND [FLAGS]'
+    yield ''
+    yield from columns(
+        [(name, command.purpose) for name, command in COMMANDS.items()]
+    )
+    yield ''
+    yield 'python -m lab COMMAND --help tells more.'
+
+
+def _of_command(name: str) -> Iterator[str]:
+    command = COMMANDS[name]
+    yield command.purpose
+    yield ''
+    yield f'example: {command.example}'
+    yield ''
+    yield from columns([_of_flag(flag) for flag in command.flags])
+
+
+def _of_flag(name: str) -> tuple[str, str]:
+    flag = flags.FLAGS[name]
+    return f'--{name}={flag.default}', str(flag.help)
