--- a/lab/help.py
+++ b/lab/help.py
@@ -27,7 +27,7 @@
 COMMANDS: Final[Mapping[str, _Command]] = MappingProxyType(
     {
         'demo': _Command(
-            'Runs a deployment with a tour of faults and shows what it promises.',
+            'Runs a deployment with a tour of faults, checks its promises.',
             'python -m lab demo --seeds=3',
             ('seeds', *_SIZE),
         ),
@@ -39,7 +39,7 @@
         'experiment': _Command(
             'Compares scenarios over seeds, in virtual time.',
             'python -m lab experiment lab/scenarios/slow-engine.jsonc'
-            ' lab/scenarios/slow-engine-no-moves.jsonc --seeds=1-4 --out=report',
+            ' lab/scenarios/slow-engine-no-moves.jsonc --seeds=1-4',
             ('seeds', 'out'),
         ),
         'model': _Command(
