--- a/tools/soak_mutations.py
+++ b/tools/soak_mutations.py
@@ -25,7 +25,7 @@
     ('--seeds=5001,5011', '--seconds=12', '--faults=random', '--jobs=2'),
     (
         '--seeds=5002,5003',
-        '--seconds=25',
+        '--seconds=20',
         '--faults=aimed',
         '--jobs=2',
         '--entries=4',
