Start agents as the product itself, since they have no way to lead

Agents need no lab/vm.py, which has modules to import before signals are taken over. Not shown to be the cause: listed as open.

--- a/lab/processes.py
+++ b/lab/processes.py
@@ -84,7 +84,7 @@
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 '-m',
-                'lab.vm',
+                'lab.vm' if self.ways else 'bergamotdoor',
                 self.command,
                 env={
                     **os.environ,
