Show that the soak leaves a process ended that a signal met too early

Ruled out: a fault of the agent's own (its first line logs its start); the proxies before entries (agents start as the plain product).

Conclusion: the platform starts such a process once more; the soak has to.

--- a/features/lab_soak.feature
+++ b/features/lab_soak.feature
@@ -74,3 +74,12 @@
     Given a trainer that has read a step's first result
     When it reads nothing at that position a second later
     Then the promise EVERYWHERE is broken
+
+  Scenario: a process that is signalled before its first line is started again
+    A process is told of changed settings some milliseconds after its start,
+    before its first line has run, and ends by the system's default; its log
+    is empty. The platform starts a process that ends once more. The soak did
+    not, so an engine kept its weights for good: "engine-0 has 1".
+
+    Given an agent that is told of changed settings 1 ms after its start
+    Then it runs half a second later
--- a/features/steps/lab_soak_steps.py
+++ b/features/steps/lab_soak_steps.py
@@ -9,16 +9,20 @@
 import random
 import tempfile
 import time
+from types import SimpleNamespace
 from typing import Any
 
 from behave import given, then, when
 
 from bergamotdoor.http.messages import Headers
+from bergamotdoor.settings.document import Address
 from lab.callers import Callers
 from lab.client import Reply
 from lab.deployment import Deployment, Size
 from lab.faults import AIMED
 from lab.play import soak
+from lab.process_faults import ProcessFaults
+from lab.processes import ProductProcess
 from lab.promises import Promise, Promises
 from lab.step_reader import Step, StepReader
 from lab.upstreams import Seen
@@ -237,3 +241,27 @@
         asyncio.run(context.callers.close())
     found = {line.partition(':')[0] for line in context.promises.broken}
     assert found == {Promise[name].name}, context.promises.broken
+
+
+@given('an agent that is told of changed settings {after:d} ms after its start')
+def told_early(context: Any, after: int) -> None:
+    async def scene(folder: pathlib.Path) -> bool:
+        nowhere = Address(ip='127.0.0.1', port=1)
+        process = ProductProcess('a', 'agent', '127.0.0.1', nowhere, folder)
+        there: Any = SimpleNamespace(processes=[process])
+        faults = ProcessFaults(there, Promises(), random.Random(1))
+        await process.start()
+        await asyncio.sleep(after / 1000)
+        await faults.reload()
+        await asyncio.sleep(0.5)
+        running = process.running
+        await process.kill()
+        return running
+
+    with tempfile.TemporaryDirectory() as folder:
+        context.running = asyncio.run(scene(pathlib.Path(folder)))
+
+
+@then('it runs half a second later')
+def runs(context: Any) -> None:
+    assert context.running
