Have the soak start a process again that a signal met before its first line

Cause: the soak left such a process ended, where the platform starts it once more with the settings in force.

Ruled out: starting again whatever ends; a process that ends by itself, with a code of its own, still breaks what it broke.

Change: lab/process_faults.py starts a process again that the default of SIGHUP ended.

--- a/lab/process_faults.py
+++ b/lab/process_faults.py
@@ -19,6 +19,8 @@
 
 #: Within the grace of eight seconds, and a little for the machine.
 _STOP_S: Final = 12
+#: How long a process takes to end by a signal that it does not handle.
+_END_S: Final = 0.2
 
 
 class ProcessFaults:
@@ -55,8 +57,16 @@
         self.give_back(process)
 
     async def reload(self) -> None:
-        """Have a process read its settings again."""
-        self._rng.choice(self._deployment.processes).send(signal.SIGHUP)
+        """Have a process read its settings again.
+
+        One that has not run its first line yet ends by the system's default;
+        the platform starts it once more.
+        """
+        process = self._rng.choice(self._deployment.processes)
+        process.send(signal.SIGHUP)
+        await asyncio.sleep(_END_S)
+        if process.ended_by is signal.SIGHUP and self.take(process):
+            await self._start_taken(process)
 
     async def stop_first(self, processes: Iterable[ProductProcess]) -> None:
         """Stop the first that no fault has as planned, and start it again."""
@@ -86,6 +96,9 @@
         process.send(number)
         await self._ended(process, number)
         await asyncio.sleep(span_s(self._rng))
+        await self._start_taken(process)
+
+    async def _start_taken(self, process: ProductProcess) -> None:
         await process.start()
         if process.command == 'gateway':
             await listens(process)
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -76,6 +76,12 @@
         process = self._process
         return process is not None and process.returncode is None
 
+    @property
+    def ended_by(self) -> signal.Signals | None:
+        """The signal whose default ended the process, if one did."""
+        code = None if self._process is None else self._process.returncode
+        return signal.Signals(-code) if code is not None and code < 0 else None
+
     async def start(self) -> None:
         """Write the settings and start the process."""
         path = self._folder / f'{self.name}.json'
