Copy the tools as well where safeguards are switched off

Cause: the scenario that keeps mutations in step with the code imports the tools; the copies in which make mutations plays features had none, so every feature broke off before its first assertion: 0 of 36 noticed.

Ruled out: a safeguard without a test; each feature fails on loading.

Change: the copies hold tools.

Conclusion: mended.

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -18,7 +18,7 @@
 
 import msgspec
 
-_COPIED: Final = ('bergamotdoor', 'features', 'lab')
+_COPIED: Final = ('bergamotdoor', 'features', 'lab', 'tools')
 _PACKAGE: Final = pathlib.Path('bergamotdoor')
 _JOBS: Final = 4
 _TIMEOUT_S: Final = 300
