One scene for engines with agents, one for a takeover, one check of texts

Cause: the read of the whole change found scenes written again: an engine with its agent and a named version (two files), a takeover by another entry (three places), the requests that engines work on, and the check that all items are listed whole.

No product code.

Ruled out: the same for the shapes of imports that duplicates lists.

--- a/features/fleet_scenes.py
+++ b/features/fleet_scenes.py
@@ -1,13 +1,18 @@
-"""Upstreams for scenarios about decisions."""
+"""Upstreams for scenarios about decisions, and engines with agents."""
 
 from __future__ import annotations
 
-from typing import Any
+import asyncio
+from typing import TYPE_CHECKING, Any
 
 from bergamotdoor.fleet.upstreams import Upstream
 from bergamotdoor.types import RegistrationId, ServiceId, UpstreamId, ZoneId
 from lab.site import at
 
+if TYPE_CHECKING:
+    from lab.site import Site
+    from lab.upstreams import Engine
+
 ZONE = ZoneId('here')
 _PORT = 8100
 
@@ -31,3 +36,17 @@
 def upstreams(count: int, prefix: str = 'e', **fields: Any) -> list[Upstream]:
     """Return so many upstreams of one service."""
     return [upstream(number, prefix, **fields) for number in range(count)]
+
+
+async def with_agent(site: Site) -> Engine:
+    """Start an engine and its agent beside one entry."""
+    await site.start(engines=1, services=0, entries=1)
+    engine = site.engines['engine-0']
+    await site.add_agent('side-0', engine)
+    await asyncio.sleep(2)
+    return engine
+
+
+def publish(site: Site, version: int) -> None:
+    """Name a version of the model's weights."""
+    site.store.put('versions', 'm', {'model': 'm', 'version': version})
--- a/features/steps/agent_weights_steps.py
+++ b/features/steps/agent_weights_steps.py
@@ -15,25 +15,13 @@
     ModelId,
     WeightVersion,
 )
-from features.fleet_scenes import upstreams
+from features.fleet_scenes import publish, upstreams, with_agent
 from lab.site import Site, at, play
 
 if TYPE_CHECKING:
     from lab.upstreams import Engine
 
 
-async def an_agent(site: Site) -> Engine:
-    await site.start(engines=1, services=0, entries=1)
-    engine = site.engines['engine-0']
-    await site.add_agent('side-0', engine)
-    await asyncio.sleep(2)
-    return engine
-
-
-def publish(site: Site, version: int) -> None:
-    site.store.put('versions', 'm', {'model': 'm', 'version': version})
-
-
 async def until_version(site: Site, engine: Engine, version: int) -> float:
     began = site.clock.elapsed()
     while engine.version < version:
@@ -44,13 +32,13 @@
 
 @given('an engine and its agent')
 def engine_and_agent(context: Any) -> None:
-    context.prepare = an_agent
+    context.prepare = with_agent
 
 
 @given('an engine whose agent loses its way to the store')
 def cut_agent(context: Any) -> None:
     async def prepare(site: Site) -> Engine:
-        engine = await an_agent(site)
+        engine = await with_agent(site)
         agent = site.agents['side-0']
         agent._access.direct.address = at(8999)
         site.store.cut_watches()
--- a/features/steps/fleet_incarnations_steps.py
+++ b/features/steps/fleet_incarnations_steps.py
@@ -19,7 +19,7 @@
     ServiceId,
     WeightVersion,
 )
-from features.fleet_scenes import upstream
+from features.fleet_scenes import publish, upstream, with_agent
 from features.job_scenes import JOB, handed_in, lengths_of
 from lab.site import Site, at, play
 
@@ -193,18 +193,6 @@
     assert context.next_runs, context.next_runs
 
 
-async def with_agent(site: Site) -> Engine:
-    await site.start(engines=1, services=0, entries=1)
-    engine = site.engines['engine-0']
-    await site.add_agent('side-0', engine)
-    await asyncio.sleep(2)
-    return engine
-
-
-def publish(site: Site, version: int) -> None:
-    site.store.put('versions', 'm', {'model': 'm', 'version': version})
-
-
 async def until(site: Site, holds: Any, most_s: float) -> float:
     began = site.clock.elapsed()
     while not holds():
--- a/features/steps/gateway_owners_steps.py
+++ b/features/steps/gateway_owners_steps.py
@@ -7,11 +7,11 @@
 
 from behave import given, then
 
-from bergamotdoor.stored import Outcome
 from bergamotdoor.types import JobId
 from bergamotdoor.utils import hrw_order
 from features.job_scenes import (
     JOB,
+    at_work,
     check_whole,
     handed_in,
     lengths_of,
@@ -20,6 +20,7 @@
     owner_of,
     parsed,
     starts,
+    taken_over_by,
 )
 from lab.site import Site, play
 from lab.store import StoreMode
@@ -167,11 +168,7 @@
         await asyncio.sleep(0.6)
         owner = owner_of(site)
         second = other(site, owner)
-        # What the other entry does when the owner does not answer.
-        finder = site.entries[second]._parts.finder
-        record = await finder.record(JobId(JOB))
-        assert not isinstance(record, Outcome)
-        await finder.take_over(JobId(JOB), record)
+        await taken_over_by(site, second)
         await listed_at_both(context, site)
 
     play(scene)
@@ -200,10 +197,7 @@
         for item in tuple(run.running.values()):
             item.task.cancel()
         second = other(site, owner)
-        finder = site.entries[second]._parts.finder
-        record = await finder.record(JobId(JOB))
-        assert not isinstance(record, Outcome)
-        await finder.take_over(JobId(JOB), record)
+        await taken_over_by(site, second)
         await asyncio.sleep(1.4)
         page = await site.results(second, JOB)
         assert len(page['results']) == 2, page
@@ -237,11 +231,7 @@
         before = await site.results(entry, JOB)
         first = await site.ask(entry, 'DELETE', f'/-/lots/{JOB}')
         await asyncio.sleep(0.5)
-        context.running = [
-            request
-            for engine in site.engines.values()
-            for request in engine.running
-        ]
+        context.running = at_work(site)
         second = await site.ask(entry, 'DELETE', f'/-/lots/{JOB}')
         after_end = await site.results('entry-0', JOB)
         context.statuses = [first, second]
--- a/features/steps/planned_stops_steps.py
+++ b/features/steps/planned_stops_steps.py
@@ -8,14 +8,14 @@
 
 from behave import given, then
 
-from bergamotdoor.stored import Outcome
-from bergamotdoor.types import JobId
 from features.job_scenes import (
     JOB,
+    check_whole,
     handed_in,
     lengths_of,
     other,
     owner_of,
+    taken_over_by,
 )
 from features.support import logged
 from lab.site import Site, play
@@ -174,11 +174,7 @@
 
 @then('all {count:d} results are listed, each once and whole')
 def listed_whole(context: Any, count: int) -> None:
-    found = {result['id']: result['text'] for result in context.results}
-    assert len(context.results) == len(found) == count, found.keys()
-    for item, length in lengths_of(GROUPS).items():
-        expected = [f'{item}/{number}' for number in range(1, length + 1)]
-        assert found[item].split('\n') == expected, item
+    check_whole(context.results, GROUPS, count)
 
 
 @given(
@@ -190,12 +186,9 @@
         await handed_in(site, [[20, 20], [90, 90]])
         owner = owner_of(site)
         second = other(site, owner)
-        finder = site.entries[second]._parts.finder
-        record = await finder.record(JobId(JOB))
-        assert not isinstance(record, Outcome)
         site.store.list_s = load
         began_s = asyncio.get_running_loop().time()
-        taking = asyncio.create_task(finder.take_over(JobId(JOB), record))
+        taking = asyncio.create_task(taken_over_by(site, second))
         context.read = await site.results(owner, JOB)
         read_s = asyncio.get_running_loop().time()
         await taking
