Shorten the end of a step: whole pages, homes with fast links, one listing

Cause: between a step's last text and the trainer's last read lay 0.4 to 1.5 s (logs of each read on the large deployment). Results were shown in pages of 250 kB, as small as an entry's own link of 30 Mbit/s, so the last groups took two or three reads, half a second apart; homes had links of 30 Mbit/s as often as of 100; and a group listed just before the last one took the read that waited. Change: a caller is shown all that is listed; the entries of a zone with the fastest links run its steps; results that are whole wait up to a second for a target that comes within it, never beyond the due time.

--- a/bergamotdoor/entry/context.py
+++ b/bergamotdoor/entry/context.py
@@ -71,7 +71,9 @@
     @property
     def own_entry(self) -> EntryRecord:
         """What other processes are told of this one."""
-        return EntryRecord(self.own_address, self.settings.zone)
+        return EntryRecord(
+            self.own_address, self.settings.zone, self.settings.link_mbps
+        )
 
     def own_record(self, term: int, parts: int) -> JobRecord:
         """Return the record of a job owned by this process."""
--- a/bergamotdoor/gateway/wiring.py
+++ b/bergamotdoor/gateway/wiring.py
@@ -51,7 +51,7 @@
             self.owner,
             self.finder,
             self.others,
-            context.fleet,
+            context,
             access.direct,
         )
         self.front = Front(
@@ -67,7 +67,6 @@
                     self.finder,
                     access.peers,
                     context.clock,
-                    context.settings.link_mbps,
                 ),
             ),
         )
--- a/bergamotdoor/jobs/board.py
+++ b/bergamotdoor/jobs/board.py
@@ -150,7 +150,7 @@
         slot.running = max(slot.running - 1, 0)
         if slot.result is not None:
             return
-        if self._hopeless(slot, end):
+        if _hopeless(slot, end, self.max_failures):
             self.finish(ItemResult(item, ItemState.LOST))
             return
         if end in {RunEnd.FAILED, RunEnd.BROKEN, RunEnd.MOVED}:
@@ -166,6 +166,14 @@
         """Return how many items of a group have no result."""
         return self._open_in_group[group]
 
+    def open_groups(self) -> dict[GroupId, list[ItemId]]:
+        """Return the items without a result of each group that has some."""
+        groups: dict[GroupId, list[ItemId]] = {}
+        for slot in self._slots.values():
+            if slot.result is None:
+                groups.setdefault(slot.spec.group, []).append(slot.spec.item)
+        return groups
+
     def unlisted(self) -> Iterator[ItemResult]:
         """Return the texts that are whole and wait for their group."""
         for results in self._partial.values():
@@ -213,19 +221,20 @@
         if not self._open_in_group[group]:
             self._finished.extend(self._partial.pop(group, ()))
 
-    def _hopeless(self, slot: Slot, end: RunEnd) -> bool:
-        if end is RunEnd.IMPOSSIBLE:
-            return True
-        if end is RunEnd.FAILED:
-            slot.failures += 1
-        return slot.failures >= self.max_failures
-
     def _wake(self, now: dt.timedelta) -> None:
         while self._later and self._later[0][0] <= now:
             _, order, item = heapq.heappop(self._later)
             heapq.heappush(self._waiting, (order, item))
 
 
+def _hopeless(slot: Slot, end: RunEnd, max_failures: int) -> bool:
+    if end is RunEnd.IMPOSSIBLE:
+        return True
+    if end is RunEnd.FAILED:
+        slot.failures += 1
+    return slot.failures >= max_failures
+
+
 def _longest_first(items: tuple[ItemSpec, ...]) -> list[ItemSpec]:
     """Return those that are expected to be long, then the others in order.
 
--- a/bergamotdoor/jobs/ledger.py
+++ b/bergamotdoor/jobs/ledger.py
@@ -18,7 +18,7 @@
 
 #: What a page may hold: a reader takes a megabyte at most, escapes and
 #: names included.
-_LARGEST_BYTES: Final = 900_000
+LARGEST_PAGE_BYTES: Final = 900_000
 #: The smallest links are 30 Mbit/s; used where the link is not told.
 _SMALLEST_BYTES: Final = 250_000
 #: What a link carries within some 70 ms. A reader's entry takes an owner
@@ -27,7 +27,7 @@
 
 
 def page_limit_bytes(link_mbps: float) -> int:
-    """Return how much text a page of results may hold.
+    """Return how much text an owner shows another entry at once.
 
     Failure: pages that are large for a link queue behind each other.
     Symptom: a job is taken over though its owner lives. Where the link is
@@ -40,7 +40,7 @@
         The bandwidth of the owner's link, in Mbit/s; 0 is not known.
     """
     carried = int(link_mbps * _BYTES_PER_MBPS)
-    return min(max(carried, _SMALLEST_BYTES), _LARGEST_BYTES)
+    return min(max(carried, _SMALLEST_BYTES), LARGEST_PAGE_BYTES)
 
 
 class Ledger:
--- a/bergamotdoor/peers/directory.py
+++ b/bergamotdoor/peers/directory.py
@@ -35,6 +35,8 @@
 
     address: Address
     zone: ZoneId = ZoneId('')
+    #: The bandwidth of its VM's link, in Mbit/s; 0 is not known.
+    link_mbps: float = 0
 
 
 def home_order(
@@ -46,7 +48,11 @@
     engines, 202 new ones instead of 473 on a quiet day of five engines, and
     places the items of steps that overlap knowing of both. It is one of the
     zone in which the trainer hands its steps in: their bodies and results
-    would otherwise cross the zones' borders twice.
+    would otherwise cross the zones' borders twice. Among these it is one
+    with the fastest link. Failure: the home has a link of 30 Mbit/s, and a
+    step's last groups are 400 kB, which it sends to the store and then to
+    the reader's entry. Symptom: each takes 0.1 s, and in pages small enough
+    for the link the trainer needs two or three reads, half a second apart.
 
     Parameters
     ----------
@@ -58,7 +64,10 @@
         Where the job was handed in.
     """
     order = [NodeId(name) for name in hrw_order(model, entries)]
-    return sorted(order, key=lambda name: entries[name].zone != zone)
+    return sorted(
+        order,
+        key=lambda name: (entries[name].zone != zone, -entries[name].link_mbps),
+    )
 
 
 class Directory:
--- a/bergamotdoor/steps/job_run.py
+++ b/bergamotdoor/steps/job_run.py
@@ -9,7 +9,6 @@
 
 import msgspec
 
-from bergamotdoor.jobs.ledger import page_limit_bytes
 from bergamotdoor.jobs.open_items import OpenItems
 from bergamotdoor.jobs.progress import Progress
 from bergamotdoor.observe.events import Counted
@@ -181,11 +180,6 @@
         except TimeoutError:
             return
 
-    def page(self, after: int) -> tuple[ItemResult, ...]:
-        """Return results from a position on, as many as fit a page."""
-        limit_bytes = page_limit_bytes(self._context.settings.link_mbps)
-        return self.ledger.page(after, limit_bytes)
-
     @property
     def complete(self) -> bool:
         """Whether every item is listed."""
--- a/bergamotdoor/steps/jobs_desk.py
+++ b/bergamotdoor/steps/jobs_desk.py
@@ -6,7 +6,7 @@
 import datetime as dt
 from typing import TYPE_CHECKING, Final
 
-from bergamotdoor.jobs.ledger import page_limit_bytes, that_fit
+from bergamotdoor.jobs.ledger import LARGEST_PAGE_BYTES, that_fit
 from bergamotdoor.peers.messages import (
     ItemBody,
     NotKnown,
@@ -55,8 +55,6 @@
         Reaches them.
     clock
         Tells how long that takes.
-    link_mbps
-        The bandwidth of this VM's link, in Mbit/s; 0 is not known.
     """
 
     def __init__(
@@ -65,10 +63,8 @@
         finder: JobFinder,
         peers: PeerClient,
         clock: Clock,
-        link_mbps: float,
     ) -> None:
         self._listed = ListedResults()
-        self._link_mbps = link_mbps
         self._owner = owner
         self._finder = finder
         self._peers = peers
@@ -77,12 +73,16 @@
     async def read(
         self, job: JobId, after: int, wait: dt.timedelta
     ) -> ResultPage | Outcome:
-        """Return results from a position on; ABSENT if there is no job."""
+        """Return results from a position on; ABSENT if there is no job.
+
+        As many as the caller takes: it has no other way, and half a second
+        between two reads is longer than the largest page takes on the
+        slowest link, a quarter of a second on 30 Mbit/s.
+        """
         run = self._owner.get(job)
         if run is not None:
-            return await page_of(run, after, wait)
-        limit_bytes = page_limit_bytes(self._link_mbps)
-        shown = self._listed.shown(job, after, limit_bytes)
+            return await page_of(run, after, wait, LARGEST_PAGE_BYTES)
+        shown = self._listed.shown(job, after, LARGEST_PAGE_BYTES)
         if shown.enough:
             return ResultPage(shown.total, shown.results)
         behind = after + len(shown.results)
@@ -94,7 +94,7 @@
                 return more
             # What was shown once stays listed, whoever can be reached.
             return ResultPage(shown.total, shown.results)
-        results = that_fit((*shown.results, *more.results), limit_bytes)
+        results = that_fit((*shown.results, *more.results), LARGEST_PAGE_BYTES)
         return ResultPage(more.total, tuple(results))
 
     async def body(self, job: JobId, item: ItemId) -> bytes | Outcome:
@@ -113,7 +113,7 @@
         message = ReadResults(job, after, wait // _MS)
         found = await self._locate(job, message, wait)
         if isinstance(found, JobRun):
-            return await page_of(found, after, wait)
+            return await page_of(found, after, wait, LARGEST_PAGE_BYTES)
         if isinstance(found, ItemBody):
             return Outcome.NOT_DONE
         if isinstance(found, ResultPage):
@@ -165,12 +165,31 @@
 
 
 async def page_of(
-    run: JobRun, after: int, wait: dt.timedelta
+    run: JobRun,
+    after: int,
+    wait: dt.timedelta,
+    limit_bytes: int,
 ) -> ResultPage | Outcome:
     """Return results of a job that this process has.
 
-    NOT_DONE is that it cannot tell whether another one has listed more.
-
+    Parameters
+    ----------
+    run
+        The job.
+    after
+        The first position, from zero.
+    wait
+        How long to wait until there is one.
+    limit_bytes
+        How much text the page may hold, if it is more than one result.
+
+    Returns
+    -------
+    ResultPage or Outcome
+        NOT_DONE is that it cannot tell whether another one has listed more.
+
+    Notes
+    -----
     Failure: the store is slow, and the owner asks it before it says that
     there is nothing more. Symptom: its answer comes too late, it is taken
     for gone, and the step begins anew elsewhere. So the store is asked while
@@ -184,7 +203,7 @@
         if not known and not _has_more(run, after):
             return Outcome.NOT_DONE
     total = len(run.spec.items)
-    return ResultPage(total, run.page(after))
+    return ResultPage(total, run.ledger.page(after, limit_bytes))
 
 
 def _has_more(run: JobRun, after: int) -> bool:
--- a/bergamotdoor/steps/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -13,6 +13,7 @@
 from bergamotdoor.steps.job_run import JobRun, RunState
 from bergamotdoor.steps.result_writer import ResultWriter
 from bergamotdoor.steps.scorer import Scorer
+from bergamotdoor.steps.target import groups_again
 from bergamotdoor.stored import Outcome
 from bergamotdoor.tasks import Tasks
 
@@ -123,6 +124,7 @@
         now = self._context.clock.elapsed()
         route = self._manifests.batch_route(loaded.spec)
         patience = _ROUTE_PATIENCE if route is None else route.due
+        earlier = tuple(one.spec for one in self._runs.values())
         run = JobRun(self._context, self._store, found, loaded, now + patience)
         self._runs[found.job] = run
         self._context.metrics.count(Counted.JOB_OWNED)
@@ -131,7 +133,9 @@
         if found.status.ended or found.job in self._told_ended:
             run.end()
         else:
-            writer = ResultWriter(run, self._context.rng)
+            writer = ResultWriter(
+                run, self._context, groups_again(loaded.spec, earlier)
+            )
             self._tasks.start(writer.run())
             self._tasks.start(
                 keep_open_items(run, self._store, self._context.clock)
--- a/bergamotdoor/steps/peer_service.py
+++ b/bergamotdoor/steps/peer_service.py
@@ -5,7 +5,7 @@
 import datetime as dt
 from typing import TYPE_CHECKING, Final
 
-from bergamotdoor.jobs.ledger import Ledger
+from bergamotdoor.jobs.ledger import Ledger, page_limit_bytes
 from bergamotdoor.jobs.messages import JobStatus
 from bergamotdoor.objects.job_codec import FoundJob, LoadedJob
 from bergamotdoor.peers.messages import (
@@ -29,7 +29,7 @@
 from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
-    from bergamotdoor.fleet.fleet import Fleet
+    from bergamotdoor.entry.context import Context
     from bergamotdoor.objects.client import Caller
     from bergamotdoor.peers.messages import PeerReply, PeerRequest
     from bergamotdoor.steps.job_finder import JobFinder
@@ -50,8 +50,8 @@
         Knows the owners.
     others
         Told of what is not for this process.
-    fleet
-        Learns of loaded versions.
+    context
+        Whose fleet learns of loaded versions, and how fast its link is.
     direct
         The store, reached from this VM only.
     """
@@ -61,13 +61,14 @@
         owner: JobOwner,
         finder: JobFinder,
         others: OtherEntries,
-        fleet: Fleet,
+        context: Context,
         direct: Caller,
     ) -> None:
+        self._page_bytes = page_limit_bytes(context.settings.link_mbps)
         self._others = others
         self._owner = owner
         self._finder = finder
-        self._fleet = fleet
+        self._fleet = context.fleet
         self._direct = direct
 
     async def handle(self, message: PeerRequest) -> PeerReply:
@@ -110,7 +111,8 @@
         if isinstance(message, ReadBody):
             body = body_of(run, message.item)
             return ItemBody(None if isinstance(body, Outcome) else body)
-        page = await page_of(run, message.after, message.wait_ms * _MS)
+        wait = message.wait_ms * _MS
+        page = await page_of(run, message.after, wait, self._page_bytes)
         return NotKnown() if isinstance(page, Outcome) else page
 
     async def _take_over(self, message: TakeOver) -> PeerReply:
--- a/bergamotdoor/steps/result_writer.py
+++ b/bergamotdoor/steps/result_writer.py
@@ -2,24 +2,30 @@
 
 from __future__ import annotations
 
-import asyncio
+import datetime as dt
 import logging
 from typing import TYPE_CHECKING, Final
 
+from bergamotdoor import utils
+from bergamotdoor.jobs.listing import holds
 from bergamotdoor.steps.job_run import RunState
+from bergamotdoor.steps.target import target_progress
 
 if TYPE_CHECKING:
-    import random
-
+    from bergamotdoor.entry.context import Context
+    from bergamotdoor.jobs.listing import TargetProgress
     from bergamotdoor.jobs.messages import ItemResult
     from bergamotdoor.steps.job_run import JobRun
+    from bergamotdoor.types import GroupId
 
 #: Results that finish within this go into one record: each record costs a
 #: call of the store and reaches readers some milliseconds later.
-GATHER_S: Final = 0.06
+_GATHER_MS: Final = 60
+GATHER: Final = dt.timedelta(milliseconds=_GATHER_MS)
 #: Room in an object of a megabyte, texts escaped.
 RECORD_BYTES: Final = 400_000
 _NONCE_BITS: Final = 64
+_NO_GROUPS: Final[frozenset[GroupId]] = frozenset()
 
 _log = logging.getLogger('bergamotdoor.gateway')
 
@@ -31,13 +37,22 @@
     ----------
     run
         Whose results.
-    rng
-        Tells this process's records from others'.
+    context
+        The time, the engines' pace, and chance, which tells this process's
+        records from others'.
+    again
+        Groups of the job that came again from an earlier one.
     """
 
-    def __init__(self, run: JobRun, rng: random.Random) -> None:
+    def __init__(
+        self,
+        run: JobRun,
+        context: Context,
+        again: frozenset[GroupId] = _NO_GROUPS,
+    ) -> None:
         self._run = run
-        self._rng = rng
+        self._again = again
+        self._context = context
 
     async def run(self) -> None:
         """Store results as groups become whole, until all are listed."""
@@ -47,10 +62,34 @@
             if run.state is not RunState.RUNNING:
                 return
             if run.items.board.open_items:
-                await asyncio.sleep(GATHER_S)
+                await self._hold()
             run.finished.clear()
             await self._store_finished()
 
+    async def _hold(self) -> None:
+        """Wait for what readers should get together with what is whole."""
+        run = self._run
+        clock = self._context.clock
+        began = clock.elapsed()
+        held = dt.timedelta()
+        await clock.sleep(GATHER)
+        progress = self._progress()
+        while holds(progress, held, run.due_at - clock.elapsed()):
+            await clock.sleep(GATHER)
+            if run.state is not RunState.RUNNING:
+                return
+            held = clock.elapsed() - began
+            progress = self._progress()
+        _log.info(
+            'gateway: job %s: results held for %d ms, %s',
+            run.spec.job,
+            utils.to_ms(held),
+            'target reached' if progress.reached else 'target not reached',
+        )
+
+    def _progress(self) -> TargetProgress:
+        return target_progress(self._run, self._again, self._context.speeds)
+
     async def _store_finished(self) -> None:
         run = self._run
         while run.items.board.has_finished:
@@ -61,7 +100,7 @@
         """List a batch behind whatever is listed already."""
         run = self._run
         while True:
-            nonce = self._rng.getrandbits(_NONCE_BITS)
+            nonce = self._context.rng.getrandbits(_NONCE_BITS)
             writer = str(nonce)
             listed = await run.sync.add(writer, batch)
             if listed is None:
--- a/features/jobs_pages.feature
+++ b/features/jobs_pages.feature
@@ -23,3 +23,11 @@
   Scenario: no page is larger than a reader takes
     Given 80 results of 25 kB and a link of 10000 Mbit/s
     Then a page holds at most 1000000 bytes
+
+  Scenario: a caller gets all that is listed in one read, however slow a link
+    Twelve long texts of a step's last groups are listed together. In pages
+    of 250 kB a trainer reads three times, half a second apart, and hands in
+    its next step a second later.
+
+    Given a site whose entries have links of 30 Mbit/s, and 500 kB of results
+    Then one read at their owner shows them all
--- a/features/steps/jobs_pages_steps.py
+++ b/features/steps/jobs_pages_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import Any
 
 from behave import given, then
@@ -10,6 +11,7 @@
 from bergamotdoor.jobs.ledger import page_limit_bytes
 from bergamotdoor.jobs.messages import ResultRecord
 from bergamotdoor.types import ItemId
+from lab.site import Site, play
 
 
 @given('{count:d} results of {size_kb:d} kB and a link of {mbps:d} Mbit/s')
@@ -34,3 +36,29 @@
 def at_most(context: Any, most: int) -> None:
     size = sum(len(result.text) for result in context.page)
     assert 0 < size <= most, size
+
+
+@given('a site whose entries have links of 30 Mbit/s, and 500 kB of results')
+def slow_links(context: Any) -> None:
+    # Each event of the models repeats the item's id.
+    job = 'j' * 300
+
+    async def scene(site: Site) -> None:
+        site.link_mbps = 30
+        await site.start(engines=3)
+        reply = await site.submit(
+            'entry-0', job, [[150, 150, 150, 150] for _ in range(3)]
+        )
+        assert reply is not None
+        await asyncio.sleep(8)
+        owner = site.store.table.specs('jobs')[job]['owner']
+        context.page = await site.results(owner, job)
+
+    play(scene)
+
+
+@then('one read at their owner shows them all')
+def one_read(context: Any) -> None:
+    texts = [result['text'] for result in context.page['results']]
+    assert len(texts) == 12, len(texts)
+    assert sum(map(len, texts)) > 500_000
--- a/features/steps/jobs_positions_steps.py
+++ b/features/steps/jobs_positions_steps.py
@@ -11,7 +11,7 @@
 import hypothesis
 from behave import given, then, when
 
-from bergamotdoor.jobs.ledger import Ledger
+from bergamotdoor.jobs.ledger import LARGEST_PAGE_BYTES, Ledger
 from bergamotdoor.jobs.messages import (
     ItemResult,
     ItemSpec,
@@ -21,6 +21,7 @@
     JobStatus,
     ResultRecord,
 )
+from bergamotdoor.jobs.progress import Speeds
 from bergamotdoor.objects.job_codec import FoundJob, LoadedJob
 from bergamotdoor.steps.job_run import JobRun
 from bergamotdoor.steps.jobs_desk import page_of
@@ -82,7 +83,10 @@
         self.clock = virtual_clock()
         settings = SimpleNamespace(link_mbps=0)
         context: Any = SimpleNamespace(
-            clock=self.clock, rng=random.Random(seed), settings=settings
+            clock=self.clock,
+            rng=random.Random(seed),
+            settings=settings,
+            speeds=Speeds(),
         )
         record = JobRecord(NodeId('e'), at(1), 1, 1)
         found = FoundJob(JobId('j'), record, JobStatus(), Revision(1))
@@ -90,7 +94,7 @@
         loaded = LoadedJob(spec_of(), Ledger())
         due_at = dt.timedelta(seconds=9)
         self.run = JobRun(context, store, found, loaded, due_at)
-        self.writer = ResultWriter(self.run, context.rng)
+        self.writer = ResultWriter(self.run, context)
 
     async def finish_all(self, order: list[int], pauses: list[int]) -> None:
         for number, pause in zip(order, pauses, strict=True):
@@ -219,7 +223,7 @@
         owner = Owner(context.shelf, 1)
         writer = asyncio.create_task(owner.writer.run())
         reader = asyncio.create_task(
-            page_of(owner.run, 0, dt.timedelta(seconds=1))
+            page_of(owner.run, 0, dt.timedelta(seconds=1), LARGEST_PAGE_BYTES)
         )
         await asyncio.sleep(0.75)
         for member in range(MEMBERS):
--- a/features/steps/peers_directory_steps.py
+++ b/features/steps/peers_directory_steps.py
@@ -99,3 +99,20 @@
 @then('a step that takes no older one begins within {most_s:g} s')
 def begins(context: Any, most_s: float) -> None:
     assert context.took_s <= most_s, context.took_s
+
+
+@given('6 entries in 3 zones, one of each zone with a link of 100 Mbit/s')
+def fast_links(context: Any) -> None:
+    six(context)
+    context.entries = {
+        name: EntryRecord(entry.address, entry.zone, 100 if '1' in name else 30)
+        for name, entry in context.entries.items()
+    }
+
+
+@then("every model's steps are run by the fast entry of the zone")
+def fast_home(context: Any) -> None:
+    for model in MODELS:
+        for zone in ZONES:
+            home = home_order(model, context.entries, ZoneId(zone))[0]
+            assert home == f'entry-{zone}-1', (model, zone, home)
--- a/lab/site.py
+++ b/lab/site.py
@@ -69,6 +69,9 @@
 class Site:
     """Starts and stops the parts of a deployment."""
 
+    #: The bandwidth of each entry's link, in Mbit/s; 0 is not told.
+    link_mbps: float = 0
+
     def __init__(self) -> None:
         self.clock = virtual_clock()
         self.store = Store(at(_STORE_PORT), self.clock)
@@ -167,6 +170,7 @@
             drain=dt.timedelta(seconds=2),
             grace=dt.timedelta(seconds=8),
             retention=dt.timedelta(seconds=_RETENTION_S),
+            link_mbps=self.link_mbps,
         )
 
     async def kill(self, name: str) -> None:
--- a/lab/wire.py
+++ b/lab/wire.py
@@ -14,6 +14,9 @@
 ENGINES: Final = 'lm'
 DESKS: Final = 'desk'
 _MODEL_HEADER: Final = 'X-Bergamotdoor-Model'
+_HINT_HEADER: Final = 'X-Bergamotdoor-Length-Hint'
+#: Of an event, as the engines of a deployment make them.
+_TOKENS: Final = 58
 
 
 class JobItem(NamedTuple):
@@ -25,6 +28,8 @@
     group: str
     #: Where its text is scored; empty for one that is taken as it is.
     score_path: str = ''
+    #: The trainer's guess at its length, in events; 0 is none.
+    hint: int = 0
 
 
 def route(
@@ -71,13 +76,15 @@
 
 
 def _item(prefix: str, item: JobItem) -> dict[str, Any]:
-    written = {
+    written: dict[str, Any] = {
         'id': item.item,
         'path': f'{prefix}{item.item}',
         'headers': {_MODEL_HEADER: MODEL},
         'body': _base64(str(item.length)),
         'group': item.group,
     }
+    if item.hint:
+        written['headers'][_HINT_HEADER] = str(item.hint * _TOKENS)
     if item.score_path:
         written['scorer_url'] = {
             'id': score_id(item.item),
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -171,8 +171,8 @@
     Mutation(
         'pages are no larger than the link carries',
         'jobs/ledger.py',
-        'return min(max(carried, _SMALLEST_BYTES), _LARGEST_BYTES)',
-        'return _LARGEST_BYTES',
+        'return min(max(carried, _SMALLEST_BYTES), LARGEST_PAGE_BYTES)',
+        'return LARGEST_PAGE_BYTES',
         'jobs_pages',
     ),
     Mutation(
