One entry of a zone watches the store for the others

Every process watches alone, and every change ends every watch. Change: the first entry of a zone by rendezvous hashing follows a kind once others ask it, and they wait at it. It tells nothing when its own watch is not answered in time; whoever hears nothing from it lists, and goes to the next or to the store. All waits are shares of the drain bound.

--- a/bergamotdoor/agent/daemon.py
+++ b/bergamotdoor/agent/daemon.py
@@ -12,8 +12,8 @@
 from bergamotdoor.agent.weights import WeightsAgent
 from bergamotdoor.clock import Clock, LoopClock
 from bergamotdoor.http import HttpClient
+from bergamotdoor.objects import Watch, Watcher
 from bergamotdoor.objects.job_store import JobStore
-from bergamotdoor.objects.watcher import Watcher
 from bergamotdoor.peers.access import StoreAccess
 from bergamotdoor.peers.directory import home_order
 from bergamotdoor.peers.messages import EngineLoaded
@@ -98,5 +98,8 @@
         await self._access.peers.ask(address, message)
 
     def _follow(self, kind: str, view: EvacuationAgent | WeightsAgent) -> None:
-        watcher = Watcher(self._access.store, kind, view, self._clock, _GATHER)
+        watch = Watch(kind, _GATHER)
+        watcher = Watcher(
+            self._access.store, self._access.news, watch, view, self._clock
+        )
         self._tasks.start(watcher.run())
--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -86,7 +86,11 @@
         await self._servers.start()
         self._parts.owner.start()
         follow_platform(
-            self._context, self._manifests, self._parts.owner, self._tasks
+            self._context,
+            self._access.news,
+            self._manifests,
+            self._parts.owner,
+            self._tasks,
         )
         self._tasks.start(self._resume_jobs())
         self._tasks.start(self._expire_upstreams())
@@ -156,6 +160,7 @@
 
     async def _leave_rotation(self) -> None:
         self._stopping = True
+        self._parts.news_source.closed = True
         self._servers.callers.end_connections()
         began = self._clock.elapsed()
         await self._parts.hand_over.run()
--- a/bergamotdoor/gateway/following.py
+++ b/bergamotdoor/gateway/following.py
@@ -6,11 +6,12 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.entry.views import FleetView, ManifestView
-from bergamotdoor.objects import Watcher
+from bergamotdoor.objects import Watch, Watcher
 from bergamotdoor.platform import headers as names
 
 if TYPE_CHECKING:
     from bergamotdoor.entry.context import Context
+    from bergamotdoor.objects.news import News
     from bergamotdoor.steps.owner import JobOwner
     from bergamotdoor.tasks import Tasks
 
@@ -29,28 +30,20 @@
 
 
 def follow_platform(
-    context: Context, manifests: ManifestView, owner: JobOwner, tasks: Tasks
+    context: Context,
+    news: News,
+    manifests: ManifestView,
+    owner: JobOwner,
+    tasks: Tasks,
 ) -> None:
     """Keep manifest and upstreams up to date from now on."""
     gather = context.settings.drain * _DRAIN_SHARE
     wait = context.settings.contact - _LISTING_TIME
     fleet = FleetView(context.fleet, context.clock, owner.poke, context.startup)
-    for watcher in (
-        Watcher(
-            context.store,
-            names.MANIFEST_KIND,
-            manifests,
-            context.clock,
-            _GATHER_MANIFEST,
-            wait,
-        ),
-        Watcher(
-            context.store,
-            names.UPSTREAM_KIND,
-            fleet,
-            context.clock,
-            gather,
-            wait,
-        ),
-    ):
+    followed = (
+        (Watch(names.MANIFEST_KIND, _GATHER_MANIFEST, wait), manifests),
+        (Watch(names.UPSTREAM_KIND, gather, wait), fleet),
+    )
+    for watch, view in followed:
+        watcher = Watcher(context.store, news, watch, view, context.clock)
         tasks.start(watcher.run())
--- a/bergamotdoor/gateway/wiring.py
+++ b/bergamotdoor/gateway/wiring.py
@@ -8,6 +8,7 @@
 from bergamotdoor.gateway.batch_front import BatchFront
 from bergamotdoor.gateway.front import Front
 from bergamotdoor.objects.job_store import JobStore
+from bergamotdoor.peers.news_source import NewsSource
 from bergamotdoor.steps.hand_over import HandOver
 from bergamotdoor.steps.job_finder import JobFinder
 from bergamotdoor.steps.jobs_desk import JobsDesk
@@ -47,12 +48,17 @@
         self.hand_over = HandOver(
             self.owner, self.others, self.store, context.clock
         )
+        self.news_source = NewsSource(
+            context.store, context.clock, tasks, access.sharing
+        )
+        access.news.own_source = self.news_source
         self.peer_service = PeerService(
             self.owner,
             self.finder,
             self.others,
             context,
             access.direct,
+            self.news_source,
         )
         self.front = Front(
             context,
--- a/bergamotdoor/objects/__init__.py
+++ b/bergamotdoor/objects/__init__.py
@@ -3,6 +3,15 @@
 from __future__ import annotations
 
 from bergamotdoor.objects.client import DirectCaller, ObjectClient
+from bergamotdoor.objects.news import News, StoreNews, Watch
 from bergamotdoor.objects.watcher import View, Watcher
 
-__all__ = ('DirectCaller', 'ObjectClient', 'View', 'Watcher')
+__all__ = (
+    'DirectCaller',
+    'News',
+    'ObjectClient',
+    'StoreNews',
+    'View',
+    'Watch',
+    'Watcher',
+)
--- a/bergamotdoor/objects/watcher.py
+++ b/bergamotdoor/objects/watcher.py
@@ -12,14 +12,9 @@
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
     from bergamotdoor.objects.client import ObjectClient
+    from bergamotdoor.objects.news import News, Watch
     from bergamotdoor.stored import Change
 
-#: For views whose age no rule bounds. A waiting watch counts as one call,
-#: so a long wait is cheap; the store takes at most 30 s.
-LONG_WAIT_S: Final = 10
-LONG_WAIT: Final = dt.timedelta(seconds=LONG_WAIT_S)
-#: A watch that lasted for this share of its time has ended in order.
-_WHOLE: Final = 0.9
 _FIRST_BACKOFF: Final = dt.timedelta(milliseconds=100)
 _LAST_BACKOFF_MS: Final = 800
 _LAST_BACKOFF: Final = dt.timedelta(milliseconds=_LAST_BACKOFF_MS)
@@ -54,36 +49,30 @@
     ----------
     store
         Where the objects are.
-    kind
-        Which objects.
+    news
+        Tells of their changes.
+    watch
+        Which objects, and how closely they are followed.
     view
         Takes what is found.
     clock
         For the pauses.
-    gather
-        How long to wait before the next watch. Each change ends the watch
-        and each watch costs a call, so changes that come close together
-        are gathered into one call.
-    wait
-        How long a watch is trusted. One whose history was dropped stays
-        open and silent; the next one is told that it has to list.
     """
 
     def __init__(
         self,
         store: ObjectClient,
-        kind: str,
+        news: News,
+        watch: Watch,
         view: View,
         clock: Clock,
-        gather: dt.timedelta,
-        wait: dt.timedelta = LONG_WAIT,
     ) -> None:
         self._store = store
-        self._kind = kind
+        self._news = news
+        self._watch = watch
+        self._kind = watch.kind
         self._view = view
         self._clock = clock
-        self._gather = gather
-        self._wait = wait
         self._backoff = _FIRST_BACKOFF
         #: The highest revision seen.
         self.revision = Revision(0)
@@ -101,23 +90,16 @@
         self._reached(found.revision)
         outcome: Outcome | None = None
         while outcome is None:
-            await self._clock.sleep(self._gather)
             outcome = await self._follow_changes()
 
     async def _follow_changes(self) -> Outcome | None:
-        began = self._clock.elapsed()
-        found = await self._store.changes(self._kind, self.revision, self._wait)
+        found = await self._news.changes(self._watch, self.revision)
         if isinstance(found, Outcome):
             return await self._interrupted(found)
         if found.changes:
             self._view.apply(found.changes)
             self._reached(found.revision)
-            return None
-        # Without an event it may have ended while it was told of none: the
-        # next one begins where this one did, and is told, or has to list.
-        # One that ended before its time was cut off.
-        took = self._clock.elapsed() - began
-        return None if took > self._wait * _WHOLE else Outcome.UNCLEAR
+        return None
 
     async def _interrupted(self, found: Outcome) -> Outcome:
         if found is Outcome.HISTORY_GONE:
--- a/bergamotdoor/peers/access.py
+++ b/bergamotdoor/peers/access.py
@@ -10,6 +10,8 @@
 from bergamotdoor.peers.client import PeerClient
 from bergamotdoor.peers.directory import Directory
 from bergamotdoor.peers.relay import PeerRelay, RelayingCaller
+from bergamotdoor.peers.shared_news import SharedNews
+from bergamotdoor.peers.sharing import SharingBounds, SourceChoice
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
@@ -47,6 +49,15 @@
         self.store = ObjectClient(caller)
         self.directory = Directory(self.store, settings.node, clock)
         caller.directory = self.directory
+        self.sharing = SharingBounds(settings.drain)
+        self.news = SharedNews(
+            self.store,
+            self.peers,
+            self.directory,
+            SourceChoice(settings.node, settings.zone),
+            self.sharing,
+            clock,
+        )
 
     def use_settings(self, settings: NodeSettings) -> None:
         """Take another address of the store, if the settings have one."""
--- a/bergamotdoor/peers/directory.py
+++ b/bergamotdoor/peers/directory.py
@@ -88,10 +88,19 @@
         self._node = node
         self._clock = clock
         self.entries: dict[NodeId, EntryRecord] = {}
+        #: Of this process, if it is an entry.
+        self._own: EntryRecord | None = None
         self._reader = ObjectReader(_log, 'peers')
 
+    @property
+    def with_own(self) -> dict[NodeId, EntryRecord]:
+        """All entries, this process among them if it is one."""
+        own = {} if self._own is None else {self._node: self._own}
+        return {**self.entries, **own}
+
     async def register(self, entry: EntryRecord) -> None:
         """Write where this entry listens; tried until it is known."""
+        self._own = entry
         spec = msgspec.json.encode(entry)
         done = False
         while not done:
--- a/bergamotdoor/peers/messages.py
+++ b/bergamotdoor/peers/messages.py
@@ -8,6 +8,11 @@
 
 from bergamotdoor.jobs.messages import ItemResult, JobRecord, JobSpec
 from bergamotdoor.jobs.transcript import SavedTranscript
+from bergamotdoor.peers.news_messages import (
+    HistoryGone,
+    KindChanges,
+    WatchKind,
+)
 from bergamotdoor.settings.document import Address
 from bergamotdoor.types import ItemId, JobId, ModelId, Revision, WeightVersion
 
@@ -97,6 +102,7 @@
     | JobOwned
     | EngineLoaded
     | StoreCall
+    | WatchKind
 )
 
 
@@ -135,5 +141,12 @@
 
 
 PeerReply: TypeAlias = (
-    ResultPage | ItemBody | Done | NotOwner | NotKnown | StoreReply
+    ResultPage
+    | ItemBody
+    | Done
+    | NotOwner
+    | NotKnown
+    | StoreReply
+    | KindChanges
+    | HistoryGone
 )
--- /dev/null
+++ b/bergamotdoor/peers/shared_news.py
@@ -0,0 +1,106 @@
+"""Hears of changes from another entry, or from the store itself."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING
+
+from bergamotdoor import utils
+from bergamotdoor.objects.news import StoreNews
+from bergamotdoor.peers.news_messages import (
+    HistoryGone,
+    KindChanges,
+    WatchKind,
+)
+from bergamotdoor.stored import Changes, Outcome
+
+if TYPE_CHECKING:
+    from bergamotdoor.clock import Clock
+    from bergamotdoor.objects.client import ObjectClient
+    from bergamotdoor.objects.news import Watch
+    from bergamotdoor.peers.client import PeerClient
+    from bergamotdoor.peers.directory import Directory
+    from bergamotdoor.peers.news_source import NewsSource
+    from bergamotdoor.peers.sharing import SharingBounds, SourceChoice
+    from bergamotdoor.types import NodeId, Revision
+
+_log = logging.getLogger('bergamotdoor.peers')
+
+
+class SharedNews:
+    """Waits for changes at the source of the zone.
+
+    Failure: the source is gone, silent, or can't tell. Symptom: this process
+    would hear of changes late, or go on behind a gap. It lists the kind then,
+    which can't miss a change, and goes on at the next source or at the store.
+
+    Parameters
+    ----------
+    store
+        Where the objects are.
+    peers, directory
+        The other entries.
+    choice
+        Which of them to ask.
+    bounds
+        How long to wait there.
+    clock
+        The time.
+    """
+
+    def __init__(
+        self,
+        store: ObjectClient,
+        peers: PeerClient,
+        directory: Directory,
+        choice: SourceChoice,
+        bounds: SharingBounds,
+        clock: Clock,
+    ) -> None:
+        self._direct = StoreNews(store, clock)
+        self._peers = peers
+        self._directory = directory
+        self._choice = choice
+        self._bounds = bounds
+        self._clock = clock
+        #: What this process follows for others, if it is an entry.
+        self.own_source: NewsSource | None = None
+
+    async def changes(self, watch: Watch, since: Revision) -> Changes | Outcome:
+        """Wait for changes since a revision; none came if it is empty."""
+        own = self.own_source
+        if own is not None and own.follows(watch.kind):
+            found = await own.changes(watch.kind, since, watch.gather)
+            return Outcome.HISTORY_GONE if isinstance(found, Outcome) else found
+        source = self._choice.choose(
+            self._directory.with_own, self._clock.elapsed()
+        )
+        if source is None:
+            return await self._direct.changes(watch, since)
+        return await self._ask(source, watch, since)
+
+    async def _ask(
+        self, source: NodeId, watch: Watch, since: Revision
+    ) -> Changes | Outcome:
+        reply = await self._peers.ask(
+            self._directory.entries[source].address,
+            WatchKind(watch.kind, since, utils.to_ms(watch.gather)),
+            self._bounds.answer_wait,
+        )
+        if isinstance(reply, KindChanges):
+            return Changes(reply.changes, reply.revision)
+        if not isinstance(reply, HistoryGone):
+            self._leave_alone(source, silent=reply is None)
+        return Outcome.HISTORY_GONE
+
+    def _leave_alone(self, source: NodeId, silent: bool) -> None:
+        _log.info(
+            'peers: no news from %s: %s',
+            source,
+            'no answer' if silent else 'it has lost the store',
+        )
+        now = self._clock.elapsed()
+        if silent:
+            self._choice.unreachable(source, now)
+        else:
+            self._choice.ignorant(source, now)
--- a/bergamotdoor/steps/peer_service.py
+++ b/bergamotdoor/steps/peer_service.py
@@ -22,16 +22,22 @@
     StoreCall,
     TakeOver,
 )
+from bergamotdoor.peers.news_messages import (
+    HistoryGone,
+    KindChanges,
+    WatchKind,
+)
 from bergamotdoor.peers.relay import relayed
 from bergamotdoor.steps.hand_over import found_in, loaded_in
 from bergamotdoor.steps.item_bodies import body_of
 from bergamotdoor.steps.jobs_desk import page_of
-from bergamotdoor.stored import Outcome
+from bergamotdoor.stored import Changes, Outcome
 
 if TYPE_CHECKING:
     from bergamotdoor.entry.context import Context
     from bergamotdoor.objects.client import Caller
     from bergamotdoor.peers.messages import PeerReply, PeerRequest
+    from bergamotdoor.peers.news_source import NewsSource
     from bergamotdoor.steps.job_finder import JobFinder
     from bergamotdoor.steps.other_entries import OtherEntries
     from bergamotdoor.steps.owner import JobOwner
@@ -54,6 +60,8 @@
         Whose fleet learns of loaded versions, and how fast its link is.
     direct
         The store, reached from this VM only.
+    news
+        Follows the store for other processes.
     """
 
     def __init__(
@@ -63,7 +71,9 @@
         others: OtherEntries,
         context: Context,
         direct: Caller,
+        news: NewsSource,
     ) -> None:
+        self._news = news
         self._page_bytes = page_limit_bytes(context.settings.link_mbps)
         self._others = others
         self._owner = owner
@@ -77,6 +87,8 @@
             return await relayed(self._direct, message)
         if isinstance(message, AdoptJob) and not self._owner.takes_jobs:
             return NotOwner()
+        if isinstance(message, WatchKind):
+            return await self._tell(message)
         if isinstance(message, TakeOver):
             return await self._take_over(message)
         if isinstance(message, (ReadBody, ReadResults)):
@@ -115,6 +127,16 @@
         page = await page_of(run, message.after, wait, self._page_bytes)
         return NotKnown() if isinstance(page, Outcome) else page
 
+    async def _tell(self, message: WatchKind) -> PeerReply:
+        found = await self._news.changes(
+            message.kind, message.since, message.gather_ms * _MS
+        )
+        if isinstance(found, Changes):
+            return KindChanges(found.changes, found.revision)
+        if found is Outcome.HISTORY_GONE:
+            return HistoryGone()
+        return NotKnown()
+
     async def _take_over(self, message: TakeOver) -> PeerReply:
         found = await self._finder.take_handed(
             found_in(message), loaded_in(message)
--- a/features/peers_directory.feature
+++ b/features/peers_directory.feature
@@ -23,9 +23,9 @@
     Then a step that takes no older one begins within 0.3 s
 
   Scenario: a step is run by an entry with a fast link
-    The last groups of a step are several hundred kB, sent to the store and
-    then to the reader's entry. On a link of 30 Mbit/s each takes a tenth of
-    a second, and they come in two or three pages.
+    The last groups of a step are several hundred kB. They are sent to the
+    store and to the reader's entry; on a link of 30 Mbit/s each way takes a
+    tenth of a second, and they come in two or three pages.
 
     Given 6 entries in 3 zones, one of each zone with a link of 100 Mbit/s
     Then every model's steps are run by the fast entry of the zone
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -49,9 +49,9 @@
     ),
     Mutation(
         'a watch is trusted for a bounded time',
-        'objects/watcher.py',
-        'self._store.changes(self._kind, self.revision, self._wait)',
-        'self._store.changes(self._kind, self.revision, LONG_WAIT)',
+        'objects/news.py',
+        'self._store.changes(watch.kind, since, watch.wait)',
+        'self._store.changes(watch.kind, since, LONG_WAIT)',
         'objects_watcher',
     ),
     Mutation(
