Have a source that hears nothing give its watch up, and nobody ask in a loop

The source's own views then listed, were told at once that the feed can't tell, and listed again, a hundred times a second. Ruled out: the processes that follow the source; they leave it for 5 s. Change: a source gives a watch up when it can't be trusted any more; its own views leave their feed alone as others do.

--- a/bergamotdoor/peers/news_source.py
+++ b/bergamotdoor/peers/news_source.py
@@ -111,7 +111,7 @@
 
     async def _follow(self, known: ChangeLog) -> None:
         self._sound_until = self._clock.elapsed() + self._trusted
-        found = await self._news.changes(self._watch, known.until)
+        found = await self._watched(known)
         if isinstance(found, Outcome):
             _log.info('peers: news of %s: %s', self._watch.kind, found.value)
             self._known = None
@@ -122,6 +122,19 @@
             known.append(found)
             self._announce()
 
+    async def _watched(self, known: ChangeLog) -> Changes | Outcome:
+        """Watch the store, and give up once it can't be trusted.
+
+        Failure: a watch whose history was dropped stays open beyond its
+        time. Symptom: nobody is told of anything until the call is given
+        up, seconds later.
+        """
+        try:
+            async with asyncio.timeout(self._trusted.total_seconds()):
+                return await self._news.changes(self._watch, known.until)
+        except TimeoutError:
+            return Outcome.UNCLEAR
+
     def _announce(self) -> None:
         self._grown.set()
         self._grown = asyncio.Event()
--- a/bergamotdoor/peers/shared_news.py
+++ b/bergamotdoor/peers/shared_news.py
@@ -68,17 +68,29 @@
 
     async def changes(self, watch: Watch, since: Revision) -> Changes | Outcome:
         """Wait for changes since a revision; none came if it is empty."""
+        now = self._clock.elapsed()
         own = self.own_source
-        if own is not None and own.follows(watch.kind):
-            found = await own.changes(watch.kind, since, watch.gather)
-            return Outcome.HISTORY_GONE if isinstance(found, Outcome) else found
-        source = self._choice.choose(
-            self._directory.with_own, self._clock.elapsed()
-        )
+        if (
+            own is not None
+            and own.follows(watch.kind)
+            and not self._choice.rests(self._choice.node, now)
+        ):
+            return await self._ask_own(own, watch, since)
+        source = self._choice.choose(self._directory.with_own, now)
         if source is None:
             return await self._direct.changes(watch, since)
         return await self._ask(source, watch, since)
 
+    async def _ask_own(
+        self, own: NewsSource, watch: Watch, since: Revision
+    ) -> Changes | Outcome:
+        found = await own.changes(watch.kind, since, watch.gather)
+        if not isinstance(found, Outcome):
+            return found
+        if found is not Outcome.HISTORY_GONE:
+            self._leave_alone(self._choice.node, silent=False)
+        return Outcome.HISTORY_GONE
+
     async def _ask(
         self, source: NodeId, watch: Watch, since: Revision
     ) -> Changes | Outcome:
--- a/bergamotdoor/peers/sharing.py
+++ b/bergamotdoor/peers/sharing.py
@@ -81,7 +81,7 @@
     """
 
     def __init__(self, node: NodeId, zone: ZoneId) -> None:
-        self._node = node
+        self.node = node
         self._zone = zone
         self._rests: dict[NodeId, dt.timedelta] = {}
 
@@ -104,12 +104,16 @@
             return None
         order = [NodeId(name) for name in hrw_order(self._zone, near)]
         for name in order[:_MOST_SOURCES]:
-            if name == self._node:
+            if name == self.node:
                 return None
-            if now >= self._rests.get(name, now):
+            if not self.rests(name, now):
                 return name
         return None
 
+    def rests(self, name: NodeId, now: dt.timedelta) -> bool:
+        """Return whether an entry is left alone."""
+        return now < self._rests.get(name, now)
+
     def unreachable(self, name: NodeId, now: dt.timedelta) -> None:
         """Take that an entry did not answer."""
         self._rests[name] = now + _GONE_REST
--- a/features/peers_news.feature
+++ b/features/peers_news.feature
@@ -60,3 +60,12 @@
     Then all choose one of them, which watches the store itself
     And while it is unreachable all choose the next, and after 30 s it again
     And with 3 of them unreachable all watch the store
+
+  Scenario: a source whose watch is never answered asks the store no faster
+    The store drops its history and leaves the source's watch open, beyond
+    its time. An entry that lists again and again until its own watch ends
+    makes hundreds of calls a second.
+
+    Given a zone of 6 entries, of which one watches for the others
+    When the store answers no watch of the source for 6 s
+    Then no more than 12 listings of a kind are made for each entry
--- a/features/steps/peers_news_steps.py
+++ b/features/steps/peers_news_steps.py
@@ -105,6 +105,7 @@
     direct = entry._access.direct
     direct.call = answers_nothing
     direct.watch = answers_nothing
+    entry._access.store._caller.watch = answers_nothing
     entry._access.store._caller.directory = None
 
 
@@ -187,6 +188,26 @@
         assert known['desk-0'] is True, known
 
 
+@when('the store answers no watch of the source for {seconds:d} s')
+def unanswered(context: Any, seconds: int) -> None:
+    async def scene(site: Site) -> None:
+        await settled(context, site)
+        source = site.entries[sources(site)[0]]
+        source._access.store._caller.watch = answers_nothing  # type: ignore
+        site.store.calls.clear()
+        await asyncio.sleep(seconds)
+        context.calls = list(site.store.calls)
+
+    play(scene)
+
+
+@then('no more than {most:d} listings of a kind are made for each entry')
+def few_listings(context: Any, most: int) -> None:
+    for kind in ('config', 'servers'):
+        listings = [one for one in context.calls if one.endswith(f'/{kind}')]
+        assert len(listings) <= most * context.count, (kind, len(listings))
+
+
 #: Names that are written (True) or removed (False), in order.
 HISTORIES = strategies.lists(
     strategies.tuples(strategies.sampled_from('abc'), strategies.booleans()),
