Tell what steps were made of, and keep free slots for items that move

Cause: nobody could say what the 8 to 11 s of a large step consist of. By the logs the slowest items of large steps ran 2 to 4 s at engines that are slower by a third before they left: their pace differs from a filled fast engine's by 1.25, the least for a move, and every slot that comes free is taken by an item that has not begun before one that moves has given its own up. Ruled out: items placed by their hints; those go to fast engines. Change: 'bergamotdoor anatomy' reads logs and shows each step's times, its floor and the runs of the item it waited for; items tell their events, owners each listing, entries what readers are shown. A move needs a difference of 1.15; it is decided before items are started, and its slot is kept for it. Found by the command's own scenario: an item that was told to leave was told so again until its connection was closed; it is passed over now.

--- /dev/null
+++ b/bergamotdoor/anatomy/__init__.py
@@ -0,0 +1,16 @@
+"""What steps were made of, told from logs afterwards."""
+
+from __future__ import annotations
+
+from bergamotdoor.anatomy.events import read_events
+from bergamotdoor.anatomy.report import table, timeline
+from bergamotdoor.anatomy.steps import StepAnatomy, best_pace_s, gather_steps
+
+__all__ = (
+    'StepAnatomy',
+    'best_pace_s',
+    'gather_steps',
+    'read_events',
+    'table',
+    'timeline',
+)
--- a/bergamotdoor/cli/main.py
+++ b/bergamotdoor/cli/main.py
@@ -46,6 +46,11 @@
             'CTL',
             'ask running entries what they know and do',
         ),
+        'anatomy': _Listed(
+            'bergamotdoor.cli.anatomy',
+            'ANATOMY',
+            'tell from logs what the time of steps was spent on',
+        ),
     }
 )
 
--- a/bergamotdoor/fleet/loads.py
+++ b/bergamotdoor/fleet/loads.py
@@ -49,6 +49,8 @@
 
     def __init__(self) -> None:
         self.in_flight = 0
+        #: Slots that are kept for requests on their way from elsewhere.
+        self.kept = 0
         #: How long its answers take, in seconds; 0 while unmeasured.
         self.latency_s = float()
         #: Requests of other processes that it told of.
@@ -128,7 +130,7 @@
 
     def busy(self, now: dt.timedelta) -> int:
         """Return how many requests it probably has."""
-        return self.in_flight + self.others(now)
+        return self.in_flight + self.kept + self.others(now)
 
     def others(self, now: dt.timedelta) -> int:
         """Return how many of these are probably of other processes."""
--- a/bergamotdoor/jobs/__init__.py
+++ b/bergamotdoor/jobs/__init__.py
@@ -7,6 +7,7 @@
 from bergamotdoor.jobs.messages import ItemResult, ItemState, JobSpec
 from bergamotdoor.jobs.placement import free_slots, place_item
 from bergamotdoor.jobs.progress import Progress, Speeds, moves
+from bergamotdoor.jobs.reservations import Reservations
 from bergamotdoor.jobs.scoring import ScoreEnd, ScoreQueue, score_room
 from bergamotdoor.jobs.transcript import GeneratedEvent, Transcript
 
@@ -18,6 +19,7 @@
     'JobSpec',
     'Ledger',
     'Progress',
+    'Reservations',
     'RunEnd',
     'ScoreEnd',
     'ScoreQueue',
--- a/bergamotdoor/jobs/board.py
+++ b/bergamotdoor/jobs/board.py
@@ -31,6 +31,8 @@
 #: that comes back in milliseconds would use up all attempts in one fault.
 _RETRY_PAUSES_S: Final = (0, 0.1, 0.3, 0.6)
 
+#: The place of an item that goes before all others.
+_FIRST: Final = -1
 
 #: An item counts as long from so many times the mean on.
 LONG_RATIO: Final = 1.5
@@ -160,7 +162,9 @@
             ready_at = now + type(now)(seconds=pause_s)
             heapq.heappush(self._later, (ready_at, slot.order, item))
         else:
-            heapq.heappush(self._waiting, (slot.order, item))
+            # One that moves is before all others: a slot is kept for it.
+            order = _FIRST if end is RunEnd.MOVED else slot.order
+            heapq.heappush(self._waiting, (order, item))
 
     def open_in_group(self, group: GroupId) -> int:
         """Return how many items of a group have no result."""
--- a/bergamotdoor/jobs/progress.py
+++ b/bergamotdoor/jobs/progress.py
@@ -44,9 +44,9 @@
 #: Assumed while no engine was measured.
 _USUAL_S: Final = 0.04
 #: How much slower an engine must be for its items to leave it. A full engine
-#: is 4 to 10 % slower than an empty one; one that has turned slow is several
-#: times as slow.
-_LEAST_RATIO: Final = 1.25
+#: is 4 to 10 % slower than an empty one; engines of one service differ by up
+#: to a third, one that has turned slow is several times as slow.
+_LEAST_RATIO: Final = 1.15
 
 
 class Progress:
@@ -194,6 +194,8 @@
     item: ItemId
     #: Why, for the log.
     stalled: bool
+    #: Where it should go on.
+    goal: UpstreamId
 
 
 def moves(
@@ -231,7 +233,7 @@
         gains = _gain(progress, speeds, interval_s) > LEAST_GAIN
         if best != progress.upstream and (stalled or gains):
             places.pop(0)
-            yield Move(progress.item, stalled)
+            yield Move(progress.item, stalled, best)
 
 
 def _remaining(progress: Progress) -> float:
--- a/bergamotdoor/steps/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -11,6 +11,7 @@
 from bergamotdoor.jobs import (
     ItemResult,
     Progress,
+    Reservations,
     RunEnd,
     free_slots,
     moves,
@@ -53,6 +54,7 @@
     def __init__(self, context: Context, poke: Callable[[], None]) -> None:
         self._context = context
         self._poke = poke
+        self._reservations = Reservations(context.loads)
 
     def start_items(self, run: JobRun, route: Route) -> None:
         """Start as many items as the engines have room for."""
@@ -70,13 +72,18 @@
     def move_items(self, run: JobRun, route: Route) -> None:
         """Stop items that should go on at another engine."""
         now = self._context.clock.elapsed()
-        progresses = [item.progress for item in run.running.values()]
+        self._reservations.expire(now)
+        # One that was told to leave is here until its connection is closed.
+        progresses = [
+            item.progress
+            for item in run.running.values()
+            if not item.task.cancelling()
+        ]
         for progress in progresses:
             self._context.speeds.learn(progress)
-        loads = self._context.loads
         room: dict[UpstreamId, int] = {}
         for upstream in self._engines(run, route):
-            free = free_slots(upstream, loads, now)
+            free = free_slots(upstream, self._context.loads, now)
             if free > 0:
                 room[upstream.upstream] = free
         for move in moves(progresses, room, self._context.speeds, now):
@@ -100,6 +107,10 @@
         now: dt.timedelta,
     ) -> Upstream | None:
         group = slot.spec.group
+        kept = self._reservations.take(slot.spec.item)
+        found = next((one for one in upstreams if one.upstream == kept), None)
+        if found and free_slots(found, self._context.loads, now) > 0:
+            return found
         found = place_item(
             upstreams,
             self._context.loads,
@@ -158,6 +169,8 @@
 
     def _move(self, run: JobRun, move: Move) -> None:
         item = run.running[move.item]
+        now = self._context.clock.elapsed()
+        self._reservations.keep(move.item, move.goal, now)
         self._context.metrics.count(Counted.ITEM_MOVED)
         _log.info(
             'gateway: item %s of job %s leaves %s after %d events: %s',
--- a/bergamotdoor/steps/item_run.py
+++ b/bergamotdoor/steps/item_run.py
@@ -34,12 +34,14 @@
     end = await _run(context, run)
     now = context.clock.elapsed()
     _log.info(
-        'gateway: item %s of job %s at %s: %s after %d ms, %d in flight',
+        'gateway: item %s of job %s at %s: %s after %d ms, %d events, '
+        '%d in flight',
         run.spec.item,
         run.job.job,
         run.upstream.upstream,
         end.value if isinstance(end, RunEnd) else end.state.value,
         utils.to_ms(now - began),
+        run.transcript.count,
         load.in_flight,
     )
     note_outcome(context, run, end, now - began)
--- a/bergamotdoor/steps/jobs_desk.py
+++ b/bergamotdoor/steps/jobs_desk.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import datetime as dt
+import logging
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.jobs.ledger import LARGEST_PAGE_BYTES, that_fit
@@ -39,6 +40,7 @@
 _MARGIN_MS: Final = 250
 _MARGIN: Final = dt.timedelta(milliseconds=_MARGIN_MS)
 _MS: Final = dt.timedelta(milliseconds=1)
+_log = logging.getLogger('bergamotdoor.gateway')
 _NO_WAIT: Final = dt.timedelta()
 
 
@@ -73,7 +75,30 @@
     async def read(
         self, job: JobId, after: int, wait: dt.timedelta
     ) -> ResultPage | Outcome:
-        """Return results from a position on; ABSENT if there is no job.
+        """Return results from a position on; ABSENT if there is no job."""
+        page = await self._page(job, after, wait)
+        if isinstance(page, ResultPage) and page.results:
+            _log.info(
+                'gateway: job %s: shown to position %d',
+                job,
+                after + len(page.results),
+            )
+        return page
+
+    async def body(self, job: JobId, item: ItemId) -> bytes | Outcome:
+        """Return an item's body, ABSENT if it is listed or unknown."""
+        message = ReadBody(job, item)
+        found = await self._locate(job, message, dt.timedelta())
+        if isinstance(found, JobRun):
+            return body_of(found, item)
+        if isinstance(found, ItemBody):
+            return Outcome.ABSENT if found.body is None else found.body
+        return found if isinstance(found, Outcome) else Outcome.NOT_DONE
+
+    async def _page(
+        self, job: JobId, after: int, wait: dt.timedelta
+    ) -> ResultPage | Outcome:
+        """Return a page for a caller.
 
         As many as the caller takes: it has no other way, and half a second
         between two reads is longer than the largest page takes on the
@@ -97,16 +122,6 @@
         results = that_fit((*shown.results, *more.results), LARGEST_PAGE_BYTES)
         return ResultPage(more.total, tuple(results))
 
-    async def body(self, job: JobId, item: ItemId) -> bytes | Outcome:
-        """Return an item's body, ABSENT if it is listed or unknown."""
-        message = ReadBody(job, item)
-        found = await self._locate(job, message, dt.timedelta())
-        if isinstance(found, JobRun):
-            return body_of(found, item)
-        if isinstance(found, ItemBody):
-            return Outcome.ABSENT if found.body is None else found.body
-        return found if isinstance(found, Outcome) else Outcome.NOT_DONE
-
     async def _read_owner(
         self, job: JobId, after: int, wait: dt.timedelta
     ) -> ResultPage | Outcome:
--- a/bergamotdoor/steps/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -180,6 +180,10 @@
             route = self._manifests.batch_route(run.spec)
             if route is not None:
                 run.items.board.max_failures = route.max_attempts
+                # A slot that comes free at a fast engine is for an item that
+                # has outgrown its hint at a slow one: the step waits for it
+                # longer than for one that has not begun.
+                self._dispatcher.move_items(run, route)
                 self._dispatcher.start_items(run, route)
 
     def _tick(self) -> None:
--- a/bergamotdoor/steps/result_writer.py
+++ b/bergamotdoor/steps/result_writer.py
@@ -59,12 +59,14 @@
         run = self._run
         while not run.complete:
             await run.finished.wait()
+            began = self._context.clock.elapsed()
             if run.state is not RunState.RUNNING:
                 return
             if run.items.board.open_items:
                 await self._hold()
             run.finished.clear()
             await self._store_finished()
+            self._log_listed(began)
 
     async def _hold(self) -> None:
         """Wait for what readers should get together with what is whole."""
@@ -80,11 +82,16 @@
                 return
             held = clock.elapsed() - began
             progress = self._progress()
+
+    def _log_listed(self, began: dt.timedelta) -> None:
+        run = self._run
+        reached = self._progress().reached
         _log.info(
-            'gateway: job %s: results held for %d ms, %s',
+            'gateway: job %s: %d results listed in %d ms, target %s',
             run.spec.job,
-            utils.to_ms(held),
-            'target reached' if progress.reached else 'target not reached',
+            len(run.ledger),
+            utils.to_ms(self._context.clock.elapsed() - began),
+            'reached' if reached else 'not reached',
         )
 
     def _progress(self) -> TargetProgress:
--- a/features/jobs_progress.feature
+++ b/features/jobs_progress.feature
@@ -99,3 +99,17 @@
 
     Given an upstream whose 16 requests break in one moment
     Then it rests for half a second, and longer only if it breaks again
+
+  Scenario: a slot at a fast engine goes to an outgrown item first
+    A step has five times as many items as the engines have slots. Two of
+    them have outgrown their hints, one of these at an engine that is half as
+    slow again. While others wait, each slot that comes free is taken in the
+    same moment; an item that gives its own slot up to move would find none.
+
+    Given a site with a slow engine and a step of 2 long and 40 short items
+    Then a long item leaves the slow engine while items wait for slots
+    And it begins at the other one within 50 ms
+
+  Scenario: a slot that is kept for an item is given up
+    Given an engine with 1 free slot, kept for an item that moves
+    Then nothing else is placed there for 200 ms, and then it is
--- a/features/steps/jobs_progress_steps.py
+++ b/features/steps/jobs_progress_steps.py
@@ -14,6 +14,7 @@
     JobBoard,
     JobSpec,
     Progress,
+    Reservations,
     RunEnd,
     Speeds,
     Transcript,
@@ -32,8 +33,12 @@
     WeightVersion,
 )
 from features.fleet_scenes import upstreams
+from lab.site import Site, play
+from lab.wire import JobItem, job_body
 
 WHERE = UpstreamId('e0')
+#: Of an engine that is half as slow again as the models usually are.
+SLOW_EVENT_S = 0.06
 
 
 def ms(value: float) -> dt.timedelta:
@@ -365,3 +370,69 @@
     load.failed(ms(600))
     assert load.resting(ms(1599))
     assert not load.resting(ms(1601))
+
+
+@given('a site with a slow engine and a step of 2 long and 40 short items')
+def slow_and_long(context: Any) -> None:
+    lengths = [100, 100, *(20 for _ in range(40))]
+    items = [
+        JobItem(f'i{number}', length, f'g{number}', hint=20)
+        for number, length in enumerate(lengths)
+    ]
+
+    async def scene(site: Site) -> None:
+        await site.start(engines=2)
+        site.engines['engine-0'].event_s = SLOW_EVENT_S
+        body = job_body('/roll/', items, 1, len(items))
+        reply = await site.ask(
+            'entry-0', 'POST', '/roll/j', body, Request_Id='j'
+        )
+        assert reply is not None
+        await site.all_results('entry-0', 'j')
+        context.runs = {}
+        for name, engine in site.engines.items():
+            for seen in engine.seen:
+                context.runs.setdefault(seen.request, []).append((name, seen))
+
+    play(scene)
+
+
+@then('a long item leaves the slow engine while items wait for slots')
+def leaves_slow(context: Any) -> None:
+    last_start_s = max(
+        min(seen.at_s for _, seen in runs) for runs in context.runs.values()
+    )
+    long = [context.runs['i0'], context.runs['i1']]
+    context.moved = [runs for runs in long if runs[0][0] == 'engine-0']
+    assert context.moved, long
+    for runs in context.moved:
+        assert [name for name, _ in runs] == ['engine-0', 'engine-1'], runs
+        assert runs[1][1].at_s < last_start_s, (runs, last_start_s)
+
+
+@then('it begins at the other one within 50 ms')
+def begins_soon(context: Any) -> None:
+    for (_, first), (_, second) in context.moved:
+        events = int(second.headers['last-event-id'])
+        left_s = first.at_s + events * SLOW_EVENT_S
+        assert second.at_s - left_s < SLOW_EVENT_S + 0.05, (first, second)
+
+
+@given('an engine with 1 free slot, kept for an item that moves')
+def kept_slot(context: Any) -> None:
+    context.engines = upstreams(1)
+    context.loads = Loads()
+    load = context.loads.of(WHERE)
+    load.in_flight = context.engines[0].slots - 1
+    context.reservations = Reservations(context.loads)
+    context.reservations.keep(ItemId('i'), WHERE, ms(0))
+
+
+@then('nothing else is placed there for 200 ms, and then it is')
+def given_up(context: Any) -> None:
+    engine = context.engines[0]
+    context.reservations.expire(ms(199))
+    assert free_slots(engine, context.loads, ms(199)) == 0
+    context.reservations.expire(ms(200))
+    assert free_slots(engine, context.loads, ms(200)) == 1
+    assert context.reservations.take(ItemId('i')) is None
