Count calls of the store by what they do and to which kind

Change: each process counts its calls; metrics and state of an entry show them. Jobs, which have a kind each, are counted as one.

--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -76,7 +76,10 @@
             self._context, self._access, self._manifests, self._tasks
         )
         self._inspector = GatewayInspector(
-            self._context, self._manifests, self._parts.owner
+            self._context,
+            self._manifests,
+            self._parts.owner,
+            self._access.direct.counts,
         )
         self._servers = Servers(self, self._clock, listening)
 
--- a/bergamotdoor/gateway/inspection.py
+++ b/bergamotdoor/gateway/inspection.py
@@ -9,6 +9,7 @@
 
 from bergamotdoor.gateway.refusals import plain
 from bergamotdoor.http.messages import Headers, HttpResponse
+from bergamotdoor.observe.call_counts import StoreCalls
 from bergamotdoor.observe.dump import DumpRegistry
 from bergamotdoor.observe.exposition import exposition
 from bergamotdoor.types import Generation, JobId, UpstreamId
@@ -17,6 +18,7 @@
     from bergamotdoor.entry.context import Context
     from bergamotdoor.entry.views import ManifestView
     from bergamotdoor.http.messages import HttpRequest
+    from bergamotdoor.observe.call_counts import CallCounts
     from bergamotdoor.steps.owner import JobOwner
 
 METRICS_PATH: Final = '/metrics'
@@ -53,14 +55,21 @@
     generation: Generation | None
     upstreams: tuple[UpstreamState, ...]
     jobs: tuple[JobState, ...]
+    #: Calls of the store since the start, the most frequent first.
+    store_calls: tuple[StoreCalls, ...] = ()
 
 
 class GatewayInspector:
     """Shows an entry's metrics and state."""
 
     def __init__(
-        self, context: Context, manifests: ManifestView, owner: JobOwner
+        self,
+        context: Context,
+        manifests: ManifestView,
+        owner: JobOwner,
+        store_calls: CallCounts,
     ) -> None:
+        self._store_calls = store_calls
         self._context = context
         self._manifests = manifests
         self._owner = owner
@@ -70,7 +79,9 @@
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer with metrics or state."""
         if request.target == METRICS_PATH:
-            text = exposition(self._context.metrics.snapshot())
+            text = exposition(
+                self._context.metrics.snapshot(), self._store_calls
+            )
             return plain(HTTPStatus.OK, text)
         if request.target == STATE_PATH:
             return HttpResponse(
@@ -87,6 +98,7 @@
             None if manifest is None else manifest.generation,
             tuple(self._upstreams()),
             tuple(self._jobs()),
+            tuple(self._store_calls),
         )
 
     def _upstreams(self) -> list[UpstreamState]:
--- a/bergamotdoor/objects/client.py
+++ b/bergamotdoor/objects/client.py
@@ -18,6 +18,7 @@
     Headers,
 )
 from bergamotdoor.http.sending import send
+from bergamotdoor.observe.call_counts import CallCounts
 from bergamotdoor.platform import store_paths, store_wire
 from bergamotdoor.stored import (
     Changes,
@@ -79,11 +80,14 @@
     def __init__(self, client: Client, address: Address) -> None:
         self._client = client
         self.address = address
+        #: Calls that were made here, also those for other processes.
+        self.counts = CallCounts()
 
     async def call(
         self, method: str, path: str, body: bytes, timeout: dt.timedelta
     ) -> Answer | Outcome:
         """Send one call; say what is known if no answer comes."""
+        self.counts.add(*store_paths.call_of(method, path))
         request = ClientRequest(
             address=self.address,
             method=method,
--- a/bergamotdoor/observe/exposition.py
+++ b/bergamotdoor/observe/exposition.py
@@ -5,8 +5,9 @@
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterable, Iterator
 
+    from bergamotdoor.observe.call_counts import StoreCalls
     from bergamotdoor.observe.metrics import (
         CounterValue,
         LatencySummary,
@@ -16,14 +17,23 @@
 _PREFIX: Final = 'bergamotdoor'
 
 
-def exposition(snapshot: MetricsSnapshot) -> str:
+def exposition(
+    snapshot: MetricsSnapshot, store_calls: Iterable[StoreCalls] = ()
+) -> str:
     """Return all series as ``name{labels} value`` lines."""
     lines = [_counter(counter) for counter in snapshot.counters]
+    lines.extend(_store_calls(calls) for calls in store_calls)
     for summary in snapshot.latencies:
         lines.extend(_summary(summary))
     return '\n'.join((*lines, ''))
 
 
+def _store_calls(calls: StoreCalls) -> str:
+    call = calls.call.value
+    labels = f'call="{call}",kind="{calls.kind}"'
+    return f'{_PREFIX}_store_calls_total{{{labels}}} {calls.count}'
+
+
 def _counter(counter: CounterValue) -> str:
     labels = f'service="{counter.service}"'
     return f'{_PREFIX}_{counter.name}_total{{{labels}}} {counter.count}'
--- a/features/steps/gateway_inspection_steps.py
+++ b/features/steps/gateway_inspection_steps.py
@@ -52,3 +52,17 @@
     assert found['generation'] == 5, found
     assert len(found['upstreams']) == 4, found
     assert found['jobs'][0]['listed'] == 2, found
+
+
+@then('both tell its calls of the store, by what they do and to which kind')
+def store_calls(context: Any) -> None:
+    found = {
+        (one['call'], one['kind']): one['count']
+        for one in context.state['gateway']['store_calls']
+    }
+    assert found['write', 'jobs'] >= 2, found
+    assert found['watch', 'servers'] >= 1, found
+    # The parts and results of all jobs are counted as one kind.
+    assert found['write', 'job'] >= 2, found
+    line = 'bergamotdoor_store_calls_total{call="watch",kind="servers"}'
+    assert line in context.metrics, context.metrics
