--- a/bergamotdoor/steps/job_finder.py
+++ b/bergamotdoor/steps/job_finder.py
@@ -138,7 +138,7 @@
             return Outcome.NOT_DONE
         known = self._owner.get(found.job)
         if known is not None and known.state is RunState.RUNNING:
-            known.found = found
+            known.take_record(found)
             return known
         began = self._context.clock.elapsed()
         loaded = await self._store.load(found.job)
--- a/bergamotdoor/steps/job_run.py
+++ b/bergamotdoor/steps/job_run.py
@@ -103,6 +103,16 @@
             self._routed_at = now
         return now - self._routed_at
 
+    def take_record(self, found: FoundJob) -> None:
+        """Take the job's record, if it is of a later term.
+
+        Failure: a lookup of the record is answered seconds late, by when the
+        job was handed back here. Symptom: the owner has an older term than
+        the store, takes its own for another's, and stops. A term only grows.
+        """
+        if found.record.term > self.found.record.term:
+            self.found = found
+
     @property
     def active(self) -> bool:
         """Whether items may still be started."""
--- a/bergamotdoor/steps/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -116,10 +116,8 @@
         """Run a job whose record names this process, or serve an ended one."""
         known = self._runs.get(found.job)
         if known is not None and known.state is RunState.RUNNING:
-            if found.record.term > known.found.record.term:
-                # Handed back before its loss was noticed: without its new
-                # term the owner would take that for another's, and stop.
-                known.found = found
+            # Perhaps handed back before its loss was noticed.
+            known.take_record(found)
             return known
         now = self._context.clock.elapsed()
         route = self._manifests.batch_route(loaded.spec)
--- a/features/gateway_again.feature
+++ b/features/gateway_again.feature
@@ -41,3 +41,11 @@
 
     Given a site whose entry gets a new job after another has listed 2 results
     Then the second position is shown or not known, at every entry
+
+  Scenario: a lookup that is answered late does not take a term back
+    An owner was given its job back in a later term. A lookup that it began
+    before that is answered seconds late, with the record of then. It took
+    that for its own, and with the next look at the store it stopped.
+
+    Given a site whose owner has its job in a later term, and an old record
+    Then its term stays, and the job is listed whole
--- a/features/steps/gateway_again_steps.py
+++ b/features/steps/gateway_again_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import Any
 
+import msgspec
 from behave import given, then
 
 from bergamotdoor.peers.messages import AdoptJob
@@ -13,6 +14,7 @@
     JOB,
     SHORT_AND_LONG,
     at_work,
+    check_whole,
     handed_in,
     other,
     owner_of,
@@ -160,3 +162,28 @@
         context.pages = [await second_position(site, first)]
 
     play(scene)
+
+
+@given('a site whose owner has its job in a later term, and an old record')
+def late_lookup(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        await handed_in(site, [[60, 60]])
+        first = owner_of(site)
+        parts = site.entries[first]._parts
+        run = parts.owner.get(JobId(JOB))
+        assert run is not None
+        old = run.found
+        later = msgspec.structs.replace(old.record, term=3)
+        run.found = msgspec.structs.replace(old, record=later)
+        await parts.finder.adopt(old)
+        context.term = run.found.record.term
+        context.results = await site.all_results(first, JOB)
+
+    play(scene)
+
+
+@then('its term stays, and the job is listed whole')
+def term_stays(context: Any) -> None:
+    assert context.term == 3, context.term
+    check_whole(context.results, [[60, 60]], 2)
