--- a/features/steps/lab_soak_steps.py
+++ b/features/steps/lab_soak_steps.py
@@ -47,6 +47,16 @@
     context.outcome = asyncio.run(soak(seed, seconds, Size()))
 
 
+@given(
+    'a soak of seed {seed:d} with faults for {seconds:d} s on {entries:d} '
+    'entries'
+)
+def play_zone(context: Any, seed: int, seconds: int, entries: int) -> None:
+    logging.getLogger('bergamotdoor').setLevel(logging.CRITICAL)
+    size = Size(entries=entries)
+    context.outcome = asyncio.run(soak(seed, seconds, size))
+
+
 @given('a soak of seed {seed:d} with aimed faults for {seconds:d} s')
 def play_aimed(context: Any, seed: int, seconds: int) -> None:
     logging.getLogger('bergamotdoor').setLevel(logging.CRITICAL)
