--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -331,6 +331,13 @@
         'if item.task is not None',
         'cli_anatomy',
     ),
+    Mutation(
+        'an engine that no step can use loads at once',
+        'agent/weights.py',
+        'while now < until and not self._useless(report, model):',
+        'while now < until:',
+        'agent_weights',
+    ),
     Mutation(
         'a source tells nothing once its watch is not answered in time',
         'peers/news_source.py',
