Begin a listing beside one that is not answered

The mend of swallowed watches gave up sooner, 4.3 s, while the store was still silent, so that the listing behind it was swallowed: 3.9 s and a pause. Ruled out: the watch itself, given up as meant after 3.0 s. Change: the depth was wrong. What may be swallowed is any call, so the listing of a followed kind is begun again beside the first after 1.5 s, three at most; the first that succeeds counts. None is cut short, for slow links. A mutation that takes it out is noticed.

--- a/bergamotdoor/objects/watcher.py
+++ b/bergamotdoor/objects/watcher.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, Final, Protocol
 
+from bergamotdoor.objects.patient_listing import list_patiently
 from bergamotdoor.stored import Listing, Outcome
 from bergamotdoor.types import Revision
 
@@ -80,7 +81,8 @@
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         while True:
-            await self._follow_listing(await self._store.listing(self._kind))
+            found = await list_patiently(self._store, self._kind)
+            await self._follow_listing(found)
 
     async def _follow_listing(self, found: Listing | Outcome) -> None:
         if isinstance(found, Outcome):
--- a/features/objects_watcher.feature
+++ b/features/objects_watcher.feature
@@ -63,3 +63,13 @@
 
     Given a site whose store is silent for 6.5 s and never answers its watches
     Then every entry has the newest manifest 3 s later
+
+  Scenario: a listing that the store has swallowed is not waited for
+    The store is silent when its watches are cut. Each entry lists, by itself
+    as well as through others; nothing of that is ever answered, not even the
+    second attempts on new connections. Right after those the store is back
+    with a new manifest. The listings run out of time three seconds later;
+    callers were answered by the manifest of before meanwhile.
+
+    Given a site whose store swallows the listings after its watches were cut
+    Then every entry has the newest manifest 3 s later
--- a/features/steps/objects_watcher_steps.py
+++ b/features/steps/objects_watcher_steps.py
@@ -179,3 +179,20 @@
         return generations(site)
 
     context.generations = play(scene)
+
+
+@given('a site whose store swallows the listings after its watches were cut')
+def swallowed_listing(context: Any) -> None:
+    async def scene(site: Site) -> list[int]:
+        await site.start(entries=3)
+        site.store.mode = StoreMode.SILENT
+        site.store.cut_watches()
+        # The listings were sent again after 3.1 s, those through others after
+        # 3.45 s: all of them have been swallowed twice.
+        await asyncio.sleep(3.5)
+        site.store.mode = StoreMode.UP
+        site.put_manifest()
+        await asyncio.sleep(3)
+        return generations(site)
+
+    context.generations = play(scene)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -331,6 +331,13 @@
         'if item.task is not None',
         'cli_anatomy',
     ),
+    Mutation(
+        'a listing that is not answered has others begun beside it',
+        'objects/watcher.py',
+        'await list_patiently(self._store, self._kind)',
+        'await self._store.listing(self._kind)',
+        'objects_watcher',
+    ),
     Mutation(
         'an engine that no step can use loads at once',
         'agent/weights.py',
