Take out what the change left over: a pace nobody reads, a message made too early

Cause: the writer of results told of engines' pace in its doc comment and its test context, which an earlier form of the hold had read; a watch built its message for another entry also where it goes to the store itself. Change: both out; no behaviour.

--- a/bergamotdoor/peers/relay.py
+++ b/bergamotdoor/peers/relay.py
@@ -133,9 +133,9 @@
         Its silence tells nothing, and one that was cut is not begun again
         on another way: its caller lists first.
         """
-        call = StoreCall('GET', path, b'', timeout // _MS)
         addresses = self._addresses()
         if addresses and self._clock.elapsed() < self._detour_until:
+            call = StoreCall('GET', path, b'', timeout // _MS)
             return await self._relay.call(addresses[0], call, timeout)
         return await self._direct.watch(path, timeout)
 
--- a/bergamotdoor/steps/result_writer.py
+++ b/bergamotdoor/steps/result_writer.py
@@ -38,8 +38,8 @@
     run
         Whose results.
     context
-        The time, the engines' pace, and chance, which tells this process's
-        records from others'.
+        The time, and chance, which tells this process's records from
+        others'.
     again
         Groups of the job that came again from an earlier one.
     """
--- a/features/steps/jobs_positions_steps.py
+++ b/features/steps/jobs_positions_steps.py
@@ -21,7 +21,6 @@
     JobStatus,
     ResultRecord,
 )
-from bergamotdoor.jobs.progress import Speeds
 from bergamotdoor.objects.job_codec import FoundJob, LoadedJob
 from bergamotdoor.steps.job_run import JobRun
 from bergamotdoor.steps.jobs_desk import page_of
@@ -86,7 +85,6 @@
             clock=self.clock,
             rng=random.Random(seed),
             settings=settings,
-            speeds=Speeds(),
         )
         record = JobRecord(NodeId('e'), at(1), 1, 1)
         found = FoundJob(JobId('j'), record, JobStatus(), Revision(1))
