Log each failed attempt of a call, with what stays the same when it comes again

Callers saw a service lost for seconds while the logs told of one server: a call has one line, which names its last attempt. Two hypotheses could not be told apart by that, whether one call reaches more servers than it should, or many arrivals reach a few each. A line per failed attempt now tells the verdict, and a fingerprint of method, host, path and body joins what entries log of a request that comes again under new ids; a counter counts them.

Ruled out: logging each attempt, which would double the lines under load.

--- a/bergamotdoor/forwarding/attempt.py
+++ b/bergamotdoor/forwarding/attempt.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 
+from bergamotdoor import utils
 from bergamotdoor.forwarding.answers import judge
 from bergamotdoor.forwarding.call import Attempt, Call
 from bergamotdoor.forwarding.call_request import call_request
 from bergamotdoor.http.messages import ClientFailure
 from bergamotdoor.http.sending import send
+from bergamotdoor.observe.events import Counted
 from bergamotdoor.platform import headers as names
 from bergamotdoor.verdict import Verdict
 
@@ -19,6 +22,8 @@
     from bergamotdoor.fleet.loads import UpstreamLoad
     from bergamotdoor.fleet.upstreams import Upstream
 
+_log = logging.getLogger('bergamotdoor.gateway')
+
 
 async def send_call(
     context: Context, call: Call, upstream: Upstream, left: dt.timedelta
@@ -38,10 +43,27 @@
     """
     began = context.clock.elapsed()
     attempt = await _send(context, call, upstream, left)
-    _learn(context, attempt, upstream, context.clock.elapsed() - began)
+    took = context.clock.elapsed() - began
+    _learn(context, attempt, upstream, took)
+    if attempt.failed:
+        context.metrics.count(Counted.ATTEMPT_FAILED, upstream.service)
+        _tell_failure(call, attempt, took)
     return attempt
 
 
+def _tell_failure(call: Call, attempt: Attempt, took: dt.timedelta) -> None:
+    """Log one attempt: a call's own line tells of its last one only."""
+    _log.info(
+        'gateway: call %s, fingerprint %s, at %s: %s, %s after %d ms',
+        call.request_id,
+        call.fingerprint,
+        attempt.upstream,
+        attempt.verdict.value,
+        attempt.detail,
+        utils.to_ms(took),
+    )
+
+
 async def _send(
     context: Context, call: Call, upstream: Upstream, left: dt.timedelta
 ) -> Attempt:
--- a/bergamotdoor/forwarding/call.py
+++ b/bergamotdoor/forwarding/call.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import datetime as dt
+from typing import TYPE_CHECKING
 
 import msgspec
 
+from bergamotdoor.calls.fingerprint import fingerprint
 from bergamotdoor.calls.manifest import Route
 from bergamotdoor.calls.tries import CallRules
 from bergamotdoor.http.messages import Headers, HttpResponse
 from bergamotdoor.verdict import Verdict
 
+if TYPE_CHECKING:
+    from bergamotdoor.types import Fingerprint
+
 
 class Call(msgspec.Struct):
     """A request as its caller, or a trainer, wants it sent."""
@@ -25,6 +30,12 @@
     #: In the clock's time.
     began: dt.timedelta
 
+    @property
+    def fingerprint(self) -> Fingerprint:
+        """What stays the same when the call comes again."""
+        host = self.headers.first('host')
+        return fingerprint(self.method, host, self.target, self.body)
+
 
 class Attempt(msgspec.Struct, frozen=True):
     """What one upstream made of a call; `answer` only if it is whole."""
--- a/bergamotdoor/observe/events.py
+++ b/bergamotdoor/observe/events.py
@@ -12,6 +12,8 @@
     CALL_REFUSED = 'calls_refused'
     CALL_UNCLEAR = 'calls_unclear'
     CALL_WITHOUT_ROUTE = 'calls_without_route'
+    #: Attempts that gave no whole answer.
+    ATTEMPT_FAILED = 'call_attempts_failed'
     ITEM_COMPLETED = 'items_completed'
     ITEM_LOST = 'items_lost'
     ITEM_REFUSED = 'items_refused'
--- a/bergamotdoor/types.py
+++ b/bergamotdoor/types.py
@@ -31,3 +31,5 @@
 ItemId = NewType('ItemId', str)
 #: The store's count of changes, over all objects; only grows.
 Revision = NewType('Revision', int)
+#: What a request asks for, whoever sends it and under which id.
+Fingerprint = NewType('Fingerprint', str)
--- /dev/null
+++ b/features/gateway_crashes.feature
@@ -0,0 +1,11 @@
+Feature: requests under which upstreams end
+
+  Scenario: the log tells of each attempt under which an upstream ended
+    A call ends the upstream that runs it, and the next one, and comes again
+    at another entry under another id. The line of the call itself tells of
+    its last attempt only. Each attempt has a line with what stays the same,
+    so that the logs of all entries can be joined.
+
+    Given a site with 2 entries and a request that ends the upstreams it reaches
+    When it comes at each entry, 6 s apart
+    Then each end of an upstream has a line with the same fingerprint
--- /dev/null
+++ b/features/steps/gateway_crashes_steps.py
@@ -0,0 +1,79 @@
+"""Steps for requests under which upstreams end."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+import re
+from typing import Any
+
+from behave import given, then, when
+
+from features.support import logged
+from lab.site import Site, play
+from lab.upstreams import Upstream, register
+
+CRASHING = '/book/crashing'
+
+
+class CrashPlan:
+    """A site where one request ends each upstream that runs it."""
+
+    def __init__(self, entries: int, services: int = 3) -> None:
+        self.entries = entries
+        self.services = services
+        self.engines = 0
+        self.act: Any = None
+
+    async def __call__(self, site: Site) -> Any:
+        await site.start(self.engines, self.services, self.entries)
+        for upstream in (*site.services.values(), *site.engines.values()):
+            upstream.crashes.targets.add(CRASHING)
+            upstream.crashes.started_again = functools.partial(
+                again, site, upstream
+            )
+        return await self.act(site)
+
+
+def again(site: Site, upstream: Upstream) -> None:
+    register(site.store, upstream)
+
+
+async def arrive(site: Site, entry: str, request: str) -> Any:
+    return await site.ask(
+        entry, 'POST', CRASHING, b'x', Request_Id=request, Deadline_Ms='1500'
+    )
+
+
+@given(
+    'a site with {entries:d} entries and a request that ends the upstreams '
+    'it reaches'
+)
+def crashing_site(context: Any, entries: int) -> None:
+    context.plan = CrashPlan(entries)
+
+
+@when('it comes at each entry, {pause_s:d} s apart')
+def comes_at_each(context: Any, pause_s: int) -> None:
+    async def act(site: Site) -> int:
+        for number, entry in enumerate(site.entries):
+            await arrive(site, entry, f'call-{number}')
+            await asyncio.sleep(pause_s)
+        return sum(one.crashes.count for one in site.services.values())
+
+    context.plan.act = act
+    with logged('bergamotdoor.gateway') as lines:
+        context.ends = play(context.plan)
+        context.lines = tuple(lines)
+
+
+@then('each end of an upstream has a line with the same fingerprint')
+def same_fingerprint(context: Any) -> None:
+    found = [
+        told.group(1)
+        for line in context.lines
+        if (told := re.search(r'fingerprint (\w+), at .*may-have-run', line))
+    ]
+    assert context.ends >= 2, context.ends
+    assert len(found) == context.ends, (context.ends, context.lines)
+    assert len(set(found)) == 1, found
--- a/lab/upstreams.py
+++ b/lab/upstreams.py
@@ -15,7 +15,7 @@
 from lab.store import LIMITS, LostError, Store, cut_off
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable, Callable
 
     from bergamotdoor.clock import Clock
     from bergamotdoor.settings.document import Address
@@ -23,6 +23,7 @@
 EVENT_S: Final = 0.04
 _WORK_S: Final = 0.03
 _LOAD_S: Final = 0.9
+_DOWN_S: Final = 2
 #: When an order that was delayed is taken.
 _LATE_S: Final = 3
 #: How often a stream looks whether the weights are loaded.
@@ -64,6 +65,29 @@
     at_s: float = 0
 
 
+class Crashes:
+    """Requests under which an upstream ends, with all that it runs."""
+
+    def __init__(self) -> None:
+        self.targets: set[str] = set()
+        #: How often it ended, and how long it is away each time.
+        self.count = 0
+        self.down_s = _DOWN_S
+        #: Called once it has started again, to register it.
+        self.started_again: Callable[[], None] | None = None
+        self._ending: asyncio.Task[None] | None = None
+
+    def begin(self, restart: Callable[[float], Awaitable[None]]) -> None:
+        """Have the upstream end: nobody is told, and nobody listens."""
+        self.count += 1
+        self._ending = asyncio.create_task(self._run(restart))
+
+    async def _run(self, restart: Callable[[float], Awaitable[None]]) -> None:
+        await restart(self.down_s)
+        if self.started_again is not None:
+            self.started_again()
+
+
 class Upstream:
     """Runs requests, and remembers what it was sent."""
 
@@ -87,6 +111,7 @@
         #: How often each request was answered with 500.
         self.failures: Counter[str] = Counter()
         self.work_s = _WORK_S
+        self.crashes = Crashes()
         self._clock = clock
         self._server = self._new_server()
 
@@ -160,6 +185,10 @@
         )
         if self.mode is UpstreamMode.DARK:
             await asyncio.Event().wait()
+        if request.target in self.crashes.targets:
+            await asyncio.sleep(self.work_s)
+            self.crashes.begin(self.restart)
+            await asyncio.Event().wait()
         self.running.add(request_id)
         try:
             return await self.run(request, headers, body)
