Reproduce a request that is sent to servers however many ended under it

Callers see a service lost for seconds each time the same request comes: it ends every server that runs it, and every entry sends it on again. The scenario brings that about in virtual time, with four entries and three servers that are back after two seconds.

--- a/features/gateway_crashes.feature
+++ b/features/gateway_crashes.feature
@@ -9,3 +9,13 @@
     Given a site with 2 entries and a request that ends the upstreams it reaches
     When it comes at each entry, 6 s apart
     Then each end of an upstream has a line with the same fingerprint
+
+  Scenario: a request under which three upstreams ended is left alone
+    A call ends each upstream that runs it; they are back after two seconds.
+    It comes again, every five seconds, under another id and at another
+    entry. No entry knows what it did elsewhere, so each sends it to every
+    upstream there is, and all other callers find none.
+
+    Given a site with 4 entries and a request that ends the upstreams it reaches
+    When it comes 10 times, each time at the next entry, 5 s apart
+    Then at most 3 of its retries reach an upstream once three have ended
--- a/features/steps/gateway_crashes_steps.py
+++ b/features/steps/gateway_crashes_steps.py
@@ -5,7 +5,7 @@
 import asyncio
 import functools
 import re
-from typing import Any
+from typing import Any, NamedTuple
 
 from behave import given, then, when
 
@@ -77,3 +77,45 @@
     assert context.ends >= 2, context.ends
     assert len(found) == context.ends, (context.ends, context.lines)
     assert len(set(found)) == 1, found
+
+
+class Arrival(NamedTuple):
+    """One time at which the request came."""
+
+    #: Upstreams that had ended under it before.
+    ended_before: int
+    #: Those that it reached.
+    reached: int
+    status: int
+
+
+def ended(site: Site) -> int:
+    return sum(one.crashes.count for one in site.services.values())
+
+
+@when(
+    'it comes {times:d} times, each time at the next entry, {pause_s:d} s apart'
+)
+def comes_often(context: Any, times: int, pause_s: int) -> None:
+    async def act(site: Site) -> list[Arrival]:
+        found = []
+        entries = list(site.entries)
+        for number in range(times):
+            before = ended(site)
+            entry = entries[number % len(entries)]
+            reply = await arrive(site, entry, f'call-{number}')
+            reached = ended(site) - before
+            found.append(Arrival(before, reached, reply.status))
+            await asyncio.sleep(pause_s)
+        return found
+
+    context.plan.act = act
+    context.arrivals = play(context.plan)
+
+
+@then('at most {most:d} of its retries reach an upstream once three have ended')
+def left_alone(context: Any, most: int) -> None:
+    late = [one for one in context.arrivals if one.ended_before >= 3]
+    assert late, context.arrivals
+    reaching = [one for one in late if one.reached]
+    assert len(reaching) <= most, context.arrivals
--- a/lab/upstreams.py
+++ b/lab/upstreams.py
@@ -5,6 +5,7 @@
 import asyncio
 import datetime as dt
 import enum
+import functools
 import json
 from collections import Counter
 from http import HTTPStatus
@@ -111,10 +112,14 @@
         #: How often each request was answered with 500.
         self.failures: Counter[str] = Counter()
         self.work_s = _WORK_S
-        self.crashes = Crashes()
         self._clock = clock
         self._server = self._new_server()
 
+    @functools.cached_property
+    def crashes(self) -> Crashes:
+        """The requests under which it ends."""
+        return Crashes()
+
     async def start(self) -> None:
         """Serve."""
         await self._server.start()
