Tell a call that an upstream ended under as one that may have run

Callers were told 503, which says that nothing ran, of a call that had ended the upstream it ran at. Cause: a call on a kept connection that breaks is sent once more, since idle connections are closed without notice; the upstream was gone by then, and only the second send was told, as not sent. Ruled out: another connection that answers late; the log shows 146 ms before a connection that is refused within 5 ms. Now both sends count: the first one may have run, whatever the next incarnation says of the second.

--- a/bergamotdoor/forwarding/answers.py
+++ b/bergamotdoor/forwarding/answers.py
@@ -62,16 +62,14 @@
     upstream: Upstream, response: ClientResponse
 ) -> Attempt | None:
     where = upstream.upstream
+    sent_before = response.sent_before
+    verdict = Verdict.MAY_HAVE_RUN if sent_before else Verdict.NOT_RUN
     if response.status == HTTPStatus.MISDIRECTED_REQUEST:
         await _discard(response)
-        return Attempt(
-            Verdict.NOT_RUN, 'replaced by another', where, replaced=True
-        )
+        return Attempt(verdict, 'replaced by another', where, replaced=True)
     if response.headers.first(names.NOT_RUN):
         await _discard(response)
-        return Attempt(
-            Verdict.NOT_RUN, 'refused by the upstream', where, refused=True
-        )
+        return Attempt(verdict, 'refused by the upstream', where, refused=True)
     return None
 
 
--- a/bergamotdoor/http/messages.py
+++ b/bergamotdoor/http/messages.py
@@ -118,6 +118,9 @@
     status: int
     headers: Headers
     body: AsyncIterator[bytes]
+    #: The request was sent before, on a connection that broke, and may have
+    #: run then whatever this answer says.
+    sent_before: bool = False
 
     async def read_body(self, limit_bytes: int) -> bytes:
         """Read the whole body; raise BodyTooLargeError above the limit."""
--- a/features/gateway_crashes.feature
+++ b/features/gateway_crashes.feature
@@ -19,3 +19,21 @@
     Given a site with 4 entries and a request that ends the upstreams it reaches
     When it comes 10 times, each time at the next entry, 5 s apart
     Then at most 3 of its retries reach an upstream once three have ended
+
+  Scenario: a call that an upstream ended under is not told as not run
+    The entry keeps a connection to the one upstream that there is. A call
+    goes out on it, and the upstream ends. The entry takes the break for that
+    of an idle connection, sends the call again and finds nobody listening.
+    The caller was told 503, which says that nothing ran.
+
+    Given a site with 1 upstream, and a connection to it is kept
+    When a request comes under which the upstream ends
+    Then the caller gets 504, which promises nothing
+
+  Scenario: a call that may have run is not told as not run by the next start
+    The same, and another upstream is at the address at once. That one says
+    truthfully that it has not run the call. The one before may have.
+
+    Given an upstream that breaks a kept connection and is replaced
+    When a call is sent there
+    Then the call may have run, and the upstream is known as replaced
--- a/lab/upstreams.py
+++ b/lab/upstreams.py
@@ -16,7 +16,7 @@
 from lab.store import LIMITS, LostError, Store, cut_off
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable
+    from collections.abc import AsyncIterator, Callable
 
     from bergamotdoor.clock import Clock
     from bergamotdoor.settings.document import Address
@@ -78,13 +78,13 @@
         self.started_again: Callable[[], None] | None = None
         self._ending: asyncio.Task[None] | None = None
 
-    def begin(self, restart: Callable[[float], Awaitable[None]]) -> None:
+    def begin(self, upstream: Upstream) -> None:
         """Have the upstream end: nobody is told, and nobody listens."""
         self.count += 1
-        self._ending = asyncio.create_task(self._run(restart))
+        self._ending = asyncio.create_task(self._run(upstream))
 
-    async def _run(self, restart: Callable[[float], Awaitable[None]]) -> None:
-        await restart(self.down_s)
+    async def _run(self, upstream: Upstream) -> None:
+        await upstream.restart(self.down_s)
         if self.started_again is not None:
             self.started_again()
 
@@ -192,7 +192,7 @@
             await asyncio.Event().wait()
         if request.target in self.crashes.targets:
             await asyncio.sleep(self.work_s)
-            self.crashes.begin(self.restart)
+            self.crashes.begin(self)
             await asyncio.Event().wait()
         self.running.add(request_id)
         try:
