--- a/features/gateway_crashes.feature
+++ b/features/gateway_crashes.feature
@@ -11,11 +11,11 @@
     Then each end of an upstream has a line with the same fingerprint
 
   Scenario: a request under which three upstreams ended is left alone
-    A call ended each upstream that ran it, and came again, under another id
-    and at another entry, once they were back. Attempts were counted for one
-    arrival only, and nothing told an entry what the call had done a moment
-    ago or elsewhere: each sent it to every upstream there was, and all other
-    callers found none. The logs of four entries, joined, show it:
+    A call ended each upstream that ran it. Once they were back it came again
+    under another id, at another entry. Attempts were counted for one arrival
+    only. Nothing told an entry what the call had done a moment ago, or
+    elsewhere: each sent it to every upstream there was, so all other callers
+    found none. The logs of four entries, joined, show it:
       frontend-ebene-1    37.30 /ye68/bac018: no response from 10.3.64.8
       frontend-ebene-2    41.34 /ye68/bac018: no response from 10.3.64.8
       frontend-curepipe-1 45.61 /ye68/bac018: no response from 10.1.64.5
