Reproduce an item that ends every engine it is placed on

The class of the quarantined call, looked for on the other ways to engines: an item that breaks goes on at the next engine at once, and so on until its job is over, also with the next owner. A trainer sees its step stand still: all that runs at an engine begins anew each time.

Ruled out: score calls, which go the way of calls, with a pause that doubles.

--- /dev/null
+++ b/features/steps/steps_crashes_steps.py
@@ -0,0 +1,90 @@
+"""Steps for items under which engines end."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+from typing import Any
+
+from behave import given, then, when
+
+from features.job_scenes import JOB, handed_in, other, owner_of
+from lab.site import Site, play
+from lab.upstreams import register
+
+#: In events: two and a half seconds.
+LENGTH = 60
+ITEM = f'{JOB}.0.1'
+
+
+class ItemPlan:
+    """A site where one item ends each engine that runs it."""
+
+    def __init__(self, engines: int) -> None:
+        self.engines = engines
+        self.act: Any = None
+
+    async def __call__(self, site: Site) -> Any:
+        await site.start(self.engines, services=0)
+        for engine in site.engines.values():
+            engine.crashes.targets.add(f'/roll/{ITEM}')
+            engine.crashes.started_again = functools.partial(
+                register, site.store, engine
+            )
+        return await self.act(site)
+
+
+def engines_ended(site: Site) -> int:
+    return sum(one.crashes.count for one in site.engines.values())
+
+
+@given(
+    'a site with {engines:d} engines and a job in which one item ends engines'
+)
+def crashing_item(context: Any, engines: int) -> None:
+    context.plan = ItemPlan(engines)
+
+
+@when('the job of {groups:d} groups of {items:d} items runs for {run_s:d} s')
+def runs_for(context: Any, groups: int, items: int, run_s: int) -> None:
+    async def act(site: Site) -> None:
+        await handed_in(site, [[LENGTH] * items] * groups)
+        context.listed = await site.all_results('entry-0', JOB, run_s)
+        context.ends = engines_ended(site)
+
+    context.plan.act = act
+    context.expected = {
+        f'{JOB}.{group}.{item}'
+        for group in range(1, groups)
+        for item in range(items)
+    }
+    play(context.plan)
+
+
+@when(
+    'the job of {groups:d} groups of {items:d} items runs, and its owner is '
+    'killed after {wait_s:d} s'
+)
+def owner_killed(context: Any, groups: int, items: int, wait_s: int) -> None:
+    async def act(site: Site) -> None:
+        await handed_in(site, [[LENGTH] * items] * groups)
+        await asyncio.sleep(wait_s)
+        owner = owner_of(site)
+        await site.kill(owner)
+        await site.all_results(other(site, owner), JOB, 10)
+        context.ends = engines_ended(site)
+
+    context.plan.act = act
+    play(context.plan)
+
+
+@then('at most {most:d} engines end under the item')
+def engines_end(context: Any, most: int) -> None:
+    assert 1 <= context.ends <= most, context.ends
+
+
+@then('every other item is listed as completed, the item not at all')
+def others_listed(context: Any) -> None:
+    listed = {one['id']: one['state'] for one in context.listed}
+    assert set(listed) == context.expected, sorted(listed)
+    assert set(listed.values()) == {'completed'}, listed
--- /dev/null
+++ b/features/steps_crashes.feature
@@ -0,0 +1,19 @@
+Feature: items under which engines end
+
+  Scenario: an item that ends every engine it reaches does not cost its step
+    An item ends each engine that begins to run it. It goes on at the next
+    one at once, and all that runs there begins anew with it. The step ends
+    without it, and it is not told as lost: no engine has said so.
+
+    Given a site with 5 engines and a job in which one item ends engines
+    When the job of 4 groups of 5 items runs for 12 s
+    Then at most 6 engines end under the item
+    And every other item is listed as completed, the item not at all
+
+  Scenario: an item that ends engines rests with its next owner, too
+    The owner is killed after three engines have ended under an item. The
+    entry that takes the job over knows of it.
+
+    Given a site with 5 engines and a job in which one item ends engines
+    When the job of 2 groups of 4 items runs, and its owner is killed after 2 s
+    Then at most 6 engines end under the item
