Test what counts against a request, and what does not

Beside the scenario of the incident: a call in quarantine is refused at once with the time to come back; what was mended is answered again; requests that ran beside it, upstreams that crash together, lose power or leave count against nobody; a restart of all entries and an entry that was cut off know. For the decision itself a property: strikes give the same counts in any order, so entries that heard of them differently judge alike.

--- /dev/null
+++ b/features/fleet_quarantine.feature
@@ -0,0 +1,31 @@
+Feature: which requests rest for what ended under them
+
+  Scenario: entries that know the same judge alike
+    Strikes reach each entry in another order, from whoever saw them, from
+    the store, and more than once. What they say of a request must not depend
+    on that, or one entry would send what another holds back.
+
+    Then strikes in any order give each request the same count
+
+  Scenario: a request rests longer with each upstream that ends under it
+    Given a chain of upstreams that end under a request
+    Then a call rests for 0, 5, 30 and 120 s behind the 1st to the 4th of them
+    And an item rests for 0, 0, 5 and 30 s behind them
+
+  Scenario: upstreams that end at once are one link of a chain
+    The same request is in progress at three upstreams when these end. It was
+    sent to none of them because another one had ended.
+
+    Given three upstreams that end at once with the same request
+    Then one strike is held against it
+
+  Scenario: the one with the longer chain is to blame
+    Two requests are at the upstream that ends. Under one of them another one
+    had ended before.
+
+    Given an upstream that ends under a request that is suspected and a new one
+    Then nothing is held against the new one
+
+  Scenario: memory is bounded
+    Given 1000 upstreams that end, each under a request of its own
+    Then at most 256 of them are remembered, the latest
--- a/features/gateway_crashes.feature
+++ b/features/gateway_crashes.feature
@@ -43,3 +43,61 @@
     Given an upstream that breaks a kept connection and is replaced
     When a call is sent there
     Then the call may have run, and the upstream is known as replaced
+
+  Scenario: a quarantined call is refused at once, with the time to come back
+    Two upstreams have ended under a call. What comes again is not kept
+    waiting, at whichever entry: it did not run, and will not for some
+    seconds. The upstream that is left serves all others meanwhile.
+
+    Given a site with 2 entries and a request that ends the upstreams it reaches
+    When it comes at one entry and 0.1 s later at the other
+    Then the second one gets 503 within 20 ms, to come back after 4 to 5 s
+    And one upstream has not ended, and serves other callers
+
+  Scenario: new software may have mended what made upstreams end
+    A call rests longer with each upstream that ends under it, but not for
+    ever. Once one has answered it, nothing is held against it.
+
+    Given a site with 1 entries and a request that ends the upstreams it reaches
+    When it comes twice, and again 40 s later when they have been mended
+    Then it is answered, and hedged and repeated like any other
+
+  Scenario: a request is not suspected for what ran beside it
+    Another call is in progress at each upstream that ends, and goes on
+    elsewhere. It has no part in it: the chain of the one that ends them is
+    longer, or it is answered.
+
+    Given a site with 1 entries and a request that ends the upstreams it reaches
+    When a slow call starts at the same upstreams as each of its 4 arrivals
+    Then only the request that ends upstreams rests
+
+  Scenario Outline: upstreams that end for another cause count against nobody
+    Calls are in progress at all upstreams when these end: at one moment, by
+    a loss of power or because they were told to leave. The same calls come
+    again each time. None of them is ever held back.
+
+    Given a site with 2 entries and callers that ask for the same all the time
+    When all upstreams <end>, 4 times, 4 s apart
+    Then no call was quarantined
+
+    Examples:
+      | end                          |
+      | crash at the same moment     |
+      | lose power                   |
+      | leave, with calls in progress |
+
+  Scenario: all entries lose power, and still know
+    Two upstreams have ended under a call that may run once. All entries
+    start again a moment later, knowing nothing but what the store has.
+
+    Given a site with 2 entries and a request that ends the upstreams it reaches
+    When it comes, all entries start again, and it comes 4 s later
+    Then it reaches no upstream after the restart
+
+  Scenario: an entry that was cut off learns once it is back
+    One entry can't be reached by the others for six seconds, in which two
+    upstreams end under a call that comes at another one.
+
+    Given a site with 3 entries and a request that ends the upstreams it reaches
+    When it comes while one entry is cut off for 6 s, and 2 s later there
+    Then the entry that was cut off refuses it at once
--- a/features/steps/gateway_crashes_steps.py
+++ b/features/steps/gateway_crashes_steps.py
@@ -23,7 +23,7 @@
 from bergamotdoor.verdict import Verdict
 from features.support import logged
 from lab.site import Site, play
-from lab.upstreams import Upstream, register
+from lab.upstreams import Upstream, UpstreamMode, register
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -218,3 +218,296 @@
     assert context.client.sends == 2
     assert context.attempt.verdict is Verdict.MAY_HAVE_RUN, context.attempt
     assert context.attempt.replaced
+
+
+class Answer(NamedTuple):
+    """What came back, and how long it took."""
+
+    status: int
+    retry_after_s: float
+    took_s: float
+
+
+async def answered(site: Site, entry: str, request: str) -> Answer:
+    began = site.clock.elapsed()
+    reply = await arrive(site, entry, request)
+    took_s = (site.clock.elapsed() - began).total_seconds()
+    told = reply.headers.first('retry-after', '0')
+    return Answer(reply.status, float(told), took_s)
+
+
+@when('it comes at one entry and {pause_s:f} s later at the other')
+def comes_at_other(context: Any, pause_s: float) -> None:
+    async def act(site: Site) -> None:
+        await arrive(site, 'entry-0', 'call-0')
+        await asyncio.sleep(pause_s)
+        context.second = await answered(site, 'entry-1', 'call-1')
+        context.ends = ended(site)
+        other = await site.ask(
+            'entry-1', 'POST', '/book/sound', b'x', Request_Id='sound'
+        )
+        context.other = other and other.status
+
+    context.plan.act = act
+    play(context.plan)
+
+
+@then(
+    'the second one gets 503 within {most_ms:d} ms, to come back after '
+    '{least_s:d} to {most_s:d} s'
+)
+def refused_at_once(
+    context: Any, most_ms: int, least_s: int, most_s: int
+) -> None:
+    second = context.second
+    assert second.status == 503, second
+    assert second.took_s * 1000 <= most_ms, second
+    assert least_s <= second.retry_after_s <= most_s, second
+
+
+@then('one upstream has not ended, and serves other callers')
+def one_left(context: Any) -> None:
+    assert context.ends == 2, context.ends
+    assert context.other == 200, context.other
+
+
+@when(
+    'it comes twice, and again {pause_s:d} s later when they have been mended'
+)
+def mended(context: Any, pause_s: int) -> None:
+    async def act(site: Site) -> None:
+        await arrive(site, 'entry-0', 'call-0')
+        await asyncio.sleep(6)
+        await arrive(site, 'entry-0', 'call-1')
+        context.ends = ended(site)
+        for service in site.services.values():
+            service.crashes.targets.clear()
+        await asyncio.sleep(pause_s)
+        context.first = await answered(site, 'entry-0', 'call-2')
+        set_slow(site)
+        context.second = await answered(site, 'entry-0', 'call-3')
+        context.seen = requests_seen(site)
+
+    context.plan.act = act
+    play(context.plan)
+
+
+def requests_seen(site: Site) -> list[str]:
+    return [
+        seen.request
+        for service in site.services.values()
+        for seen in service.seen
+    ]
+
+
+def set_slow(site: Site) -> None:
+    for service in site.services.values():
+        service.work_s = 0.5
+
+
+@then('it is answered, and hedged and repeated like any other')
+def like_any_other(context: Any) -> None:
+    assert context.ends == 3, context.ends
+    assert context.first.status == 200, context.first
+    assert context.second.status == 200, context.second
+    assert context.seen.count('call-3') == 2, context.seen
+
+
+def rested(site: Site) -> int:
+    """Return how many calls and items all entries have held back."""
+    return sum(
+        row.count
+        for entry in site.entries.values()
+        for row in entry._context.metrics.snapshot().counters
+        if row.name in {'calls_quarantined', 'items_quarantined'}
+    )
+
+
+@when(
+    'a slow call starts at the same upstreams as each of its {times:d} arrivals'
+)
+def slow_beside(context: Any, times: int) -> None:
+    async def act(site: Site) -> None:
+        context.slow = []
+        for number in range(times):
+            for service in site.services.values():
+                service.work_s = 0.04
+            beside = [
+                asyncio.create_task(ask_beside(site, number, one))
+                for one in range(6)
+            ]
+            await asyncio.sleep(0.01)
+            await arrive(site, 'entry-0', f'call-{number}')
+            context.slow.extend(await asyncio.gather(*beside))
+            await asyncio.sleep(7)
+        context.again = await ask_all_again(site, times)
+
+    context.plan.act = act
+    play(context.plan)
+
+
+async def ask_all_again(site: Site, times: int) -> list[int]:
+    return [
+        await ask_beside(site, number, one)
+        for number in range(times)
+        for one in range(6)
+    ]
+
+
+async def ask_beside(site: Site, number: int, one: int) -> int:
+    reply = await site.ask(
+        'entry-0',
+        'POST',
+        f'/book/slow-{number}-{one}',
+        b'x',
+        Request_Id=f'slow-{number}-{one}',
+    )
+    return 0 if reply is None else reply.status
+
+
+@then('only the request that ends upstreams rests')
+def only_that(context: Any) -> None:
+    assert set(context.again) == {200}, context.again
+
+
+@given(
+    'a site with {entries:d} entries and callers that ask for the same all '
+    'the time'
+)
+def same_callers(context: Any, entries: int) -> None:
+    context.plan = CrashPlan(entries)
+
+
+@when('all upstreams {end}, {times:d} times, {pause_s:d} s apart')
+def all_end(context: Any, end: str, times: int, pause_s: int) -> None:
+    async def act(site: Site) -> None:
+        for service in site.services.values():
+            service.work_s = 0.3
+        callers = [
+            asyncio.create_task(keep_asking(site, entry, number))
+            for entry in site.entries
+            for number in range(5)
+        ]
+        try:
+            await end_often(site, ENDS[end], times, pause_s)
+        finally:
+            for caller in callers:
+                caller.cancel()
+        context.rested = rested(site)
+        context.struck = [
+            len(entry._context.quarantine._ended)
+            for entry in site.entries.values()
+        ]
+
+    context.plan.act = act
+    play(context.plan)
+
+
+async def end_often(site: Site, end: Any, times: int, pause_s: int) -> None:
+    for _ in range(times):
+        await asyncio.sleep(pause_s)
+        while not any(one.running for one in site.services.values()):
+            await asyncio.sleep(0.01)
+        await asyncio.gather(
+            *(end(site, one) for one in site.services.values())
+        )
+
+
+async def keep_asking(site: Site, entry: str, number: int) -> None:
+    while True:
+        await site.ask(entry, 'POST', f'/book/same-{number}', b'x', timeout_s=1)
+        await asyncio.sleep(0.05 + 0.03 * number)
+
+
+async def crash(site: Site, upstream: Upstream) -> None:
+    await upstream.restart(1)
+    register(site.store, upstream)
+
+
+async def lose_power(site: Site, upstream: Upstream) -> None:
+    """Fall silent, and start again with nothing of before."""
+    upstream.mode = UpstreamMode.DARK
+    await asyncio.sleep(1)
+    upstream.mode = UpstreamMode.GOOD
+    await crash(site, upstream)
+
+
+async def leave(site: Site, upstream: Upstream) -> None:
+    register(site.store, upstream, state='draining')
+    await asyncio.sleep(0.5)
+    await crash(site, upstream)
+
+
+ENDS = {
+    'crash at the same moment': crash,
+    'lose power': lose_power,
+    'leave, with calls in progress': leave,
+}
+
+
+@then('no call was quarantined')
+def none_rested(context: Any) -> None:
+    assert all(context.struck), context.struck
+    assert not context.rested, (context.rested, context.struck)
+
+
+@when('it comes, all entries start again, and it comes {pause_s:d} s later')
+def entries_restart(context: Any, pause_s: int) -> None:
+    async def act(site: Site) -> None:
+        await arrive(site, 'entry-0', 'call-0')
+        await asyncio.sleep(0.3)
+        context.before = ended(site)
+        names = list(site.entries)
+        for name in names:
+            await site.kill(name)
+        for name in names:
+            await site.add_entry(name)
+        await asyncio.sleep(pause_s)
+        context.answers = await answered_by_all(site, names)
+        context.ends = ended(site)
+
+    context.plan.act = act
+    play(context.plan)
+
+
+async def answered_by_all(site: Site, names: list[str]) -> list[Answer]:
+    return [await answered(site, name, f'again-{name}') for name in names]
+
+
+@then('it reaches no upstream after the restart')
+def none_after(context: Any) -> None:
+    assert context.before == 2, context.before
+    assert context.ends == context.before, context.ends
+    assert {one.status for one in context.answers} == {503}, context.answers
+
+
+@when(
+    'it comes while one entry is cut off for {cut_s:d} s, and {later_s:d} s '
+    'later there'
+)
+def one_cut_off(context: Any, cut_s: int, later_s: int) -> None:
+    async def act(site: Site) -> None:
+        cut = site.entries['entry-2']
+        handle = cut._parts.peer_service.handle
+
+        async def silent(_: Any) -> Any:
+            await asyncio.Event().wait()
+
+        setattr(cut._parts.peer_service, 'handle', silent)  # noqa: B010
+        await asyncio.sleep(0.1)
+        await arrive(site, 'entry-0', 'call-0')
+        await asyncio.sleep(cut_s)
+        setattr(cut._parts.peer_service, 'handle', handle)  # noqa: B010
+        # Upstreams have rested by then: one more ends under it elsewhere.
+        await arrive(site, 'entry-1', 'call-1')
+        await asyncio.sleep(later_s)
+        context.second = await answered(site, 'entry-2', 'call-2')
+
+    context.plan.act = act
+    play(context.plan)
+
+
+@then('the entry that was cut off refuses it at once')
+def cut_off_refuses(context: Any) -> None:
+    assert context.second.status == 503, context.second
+    assert not round(context.second.took_s, 1), context.second
