Show the requests that are held back in the state and in ctl status

Operators who are told that callers get 503 for one request had to search logs for its fingerprint. The state of each entry has the requests under which more than one upstream ended, with how many and for how long calls are held back; ctl status puts those of all entries on its page, only where there are some.

--- a/bergamotdoor/cli/ctl.py
+++ b/bergamotdoor/cli/ctl.py
@@ -117,6 +117,7 @@
     yield f'manifest: {lowest} and newer in force everywhere'
     yield from _upstream_lines(entries)
     yield from _job_lines(entries)
+    yield from _quarantine_lines(entries)
 
 
 def _upstream_lines(entries: list[GatewayState]) -> Iterator[str]:
@@ -152,6 +153,19 @@
         yield f'  {job.job}: {job.listed} of {job.items} results listed'
 
 
+def _quarantine_lines(entries: list[GatewayState]) -> Iterator[str]:
+    known = {
+        one.fingerprint: one for entry in entries for one in entry.quarantine
+    }
+    if known:
+        yield f'requests that end upstreams: {len(known)}'
+    for one in known.values():
+        yield (
+            f'  {one.fingerprint}: {one.strikes} upstreams ended, '
+            f'calls are held back for {one.rest_s:.0f} s'
+        )
+
+
 def _shown(seen: Seen) -> str:
     body = 'null' if seen.body is None else seen.body.decode()
     return f'{{"{_written(seen.address)}": {body}}}'
--- a/bergamotdoor/fleet/quarantine.py
+++ b/bergamotdoor/fleet/quarantine.py
@@ -124,12 +124,12 @@
         rest = _RESTS[min(beyond, len(_RESTS) - 1)]
         return max(self._learned[fingerprint] + rest - now, _NO_REST)
 
-    def resting(self, now: dt.timedelta) -> Iterator[Fingerprint]:
-        """Return the calls that rest now."""
+    def suspected(self) -> Iterator[Fingerprint]:
+        """Return the requests under which more than one upstream ended."""
         return (
             fingerprint
             for fingerprint in self._counting
-            if self.rest(fingerprint, CALL_STRIKES, now)
+            if self.strikes(fingerprint) > 1
         )
 
     def _is_suspect(self, upstream: UpstreamId, before: int) -> bool:
--- a/bergamotdoor/gateway/inspection.py
+++ b/bergamotdoor/gateway/inspection.py
@@ -7,12 +7,13 @@
 
 import msgspec
 
+from bergamotdoor.fleet.quarantine import CALL_STRIKES
 from bergamotdoor.gateway.refusals import plain
 from bergamotdoor.http.messages import Headers, HttpResponse
 from bergamotdoor.observe.call_counts import StoreCalls
 from bergamotdoor.observe.dump import DumpRegistry
 from bergamotdoor.observe.exposition import exposition
-from bergamotdoor.types import Generation, JobId, UpstreamId
+from bergamotdoor.types import Fingerprint, Generation, JobId, UpstreamId
 
 if TYPE_CHECKING:
     from bergamotdoor.entry.context import Context
@@ -49,6 +50,16 @@
     running: int
 
 
+class QuarantinedState(msgspec.Struct, frozen=True):
+    """A request that an entry suspects of ending upstreams."""
+
+    fingerprint: Fingerprint
+    #: Upstreams that ended under it in a chain.
+    strikes: int
+    #: For how long a call is held back; an item is from one strike more on.
+    rest_s: float
+
+
 class GatewayState(msgspec.Struct, frozen=True):
     """The state of an entry."""
 
@@ -57,6 +68,8 @@
     jobs: tuple[JobState, ...]
     #: Calls of the store since the start, the most frequent first.
     store_calls: tuple[StoreCalls, ...] = ()
+    #: Those that rest longest first.
+    quarantine: tuple[QuarantinedState, ...] = ()
 
 
 class GatewayInspector:
@@ -99,8 +112,22 @@
             tuple(self._upstreams()),
             tuple(self._jobs()),
             tuple(self._store_calls),
+            tuple(self._quarantined()),
         )
 
+    def _quarantined(self) -> list[QuarantinedState]:
+        now = self._context.clock.elapsed()
+        quarantine = self._context.quarantine
+        states = [
+            QuarantinedState(
+                fingerprint,
+                quarantine.strikes(fingerprint),
+                quarantine.rest(fingerprint, CALL_STRIKES, now).total_seconds(),
+            )
+            for fingerprint in quarantine.suspected()
+        ]
+        return sorted(states, key=lambda state: state.rest_s, reverse=True)
+
     def _upstreams(self) -> list[UpstreamState]:
         now = self._context.clock.elapsed()
         states = []
--- a/features/gateway_crashes.feature
+++ b/features/gateway_crashes.feature
@@ -53,6 +53,7 @@
     When it comes at one entry and 0.1 s later at the other
     Then the second one gets 503 within 20 ms, to come back after 4 to 5 s
     And one upstream has not ended, and serves other callers
+    And the status of both entries names it, with 2 upstreams ended
 
   Scenario: new software may have mended what made upstreams end
     A call rests longer with each upstream that ends under it, but not for
--- a/features/steps/gateway_crashes_steps.py
+++ b/features/steps/gateway_crashes_steps.py
@@ -9,8 +9,10 @@
 from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+import msgspec
 from behave import given, then, when
 
+from bergamotdoor.cli.ctl import Seen, status_lines
 from bergamotdoor.forwarding.answers import judge
 from bergamotdoor.http.messages import (
     ClientFailure,
@@ -247,6 +249,9 @@
             'entry-1', 'POST', '/book/sound', b'x', Request_Id='sound'
         )
         context.other = other and other.status
+        context.states = [
+            entry._inspector.dump() for entry in site.entries.values()
+        ]
 
     context.plan.act = act
     play(context.plan)
@@ -265,6 +270,17 @@
     assert least_s <= second.retry_after_s <= most_s, second
 
 
+@then('the status of both entries names it, with {count:d} upstreams ended')
+def named(context: Any, count: int) -> None:
+    assert len(context.states) == 2
+    for state in context.states:
+        body = msgspec.json.encode({'gateway': state})
+        answer = Seen(Address(ip='127.0.0.1', port=1), body)
+        last = list(status_lines((answer,)))[-2:]
+        assert last[0] == 'requests that end upstreams: 1', last
+        assert f'{count} upstreams ended, calls are held back' in last[1]
+
+
 @then('one upstream has not ended, and serves other callers')
 def one_left(context: Any) -> None:
     assert context.ends == 2, context.ends
