Send requests that end services in the soak, and switch their safeguards off

The soak has such a request now, with entries killed, paused and cut off meanwhile, and a promise that counts whom it reaches; eight mutations switch one safeguard of the quarantine off each.

--- a/features/steps/lab_soak_steps.py
+++ b/features/steps/lab_soak_steps.py
@@ -19,7 +19,7 @@
 from lab.callers import Callers
 from lab.client import Reply
 from lab.deployment import Deployment, Size
-from lab.faults import AIMED
+from lab.faults import AIMED, CRASHING
 from lab.play import soak
 from lab.process_faults import ProcessFaults
 from lab.processes import ProductProcess
@@ -64,6 +64,22 @@
     context.outcome = asyncio.run(soak(seed, seconds, size, AIMED))
 
 
+@given(
+    'a soak of seed {seed:d} with requests that end services for {seconds:d} s'
+)
+def play_crashing(context: Any, seed: int, seconds: int) -> None:
+    logging.getLogger('bergamotdoor').setLevel(logging.CRITICAL)
+    size = Size(entries=4, services=3)
+    context.outcome = asyncio.run(soak(seed, seconds, size, CRASHING))
+
+
+@then('every promise was kept, and such a request was left alone')
+def kept_crashing(context: Any) -> None:
+    outcome = context.outcome
+    assert not outcome.broken, (outcome.broken, outcome.folder)
+    assert outcome.checked['SPARED'], outcome.checked
+
+
 @then(
     'every promise was kept, positions and bodies were checked, and entries '
     'reached each other over proxies'
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -16,7 +16,7 @@
 from lab.demo import demo
 from lab.deployment import Size
 from lab.experiment import run_scenario
-from lab.faults import AIMED, RANDOM, Fault
+from lab.faults import AIMED, CRASHING, RANDOM
 from lab.help import COMMANDS, help_of, help_wanted
 from lab.model.search import search_seeds, search_small
 from lab.play import Outcome, soak
@@ -31,7 +31,12 @@
 _MODEL: Final = 'model'
 _USUAL_S: Final = 12
 _KINDS: Final = MappingProxyType(
-    {'all': tuple(Fault), 'random': RANDOM, 'aimed': AIMED}
+    {
+        'all': (*RANDOM, *AIMED),
+        'random': RANDOM,
+        'aimed': AIMED,
+        'crashing': CRASHING,
+    }
 )
 _SEEDS: Final = flags.DEFINE_string(
     'seeds', '1-4', 'Seeds to play, such as 3, 1-50 or 2,5,9.'
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Final
 
 from lab.aimed_faults import AimedFaults
+from lab.crash_faults import CrashFaults
 from lab.process_faults import ProcessFaults
 from lab.store_faults import StoreFaults
 from lab.upstream_faults import UpstreamFaults
@@ -47,11 +48,22 @@
     OWNER_PAUSED = "a step's owner is paused past its takeover"
     OWNER_CUT = "a step's owner is cut off from other entries"
     STOP_SERIES = "a step's owners are stopped, one soon after the other"
+    ENDING_REQUEST = 'a request ends each service that runs it'
 
 
 #: In the order in which they come if only they do.
 AIMED: Final = (Fault.OWNER_PAUSED, Fault.OWNER_CUT, Fault.STOP_SERIES)
-RANDOM: Final = tuple(fault for fault in Fault if fault not in AIMED)
+#: Not drawn with the others: seeds that failed would play other runs.
+CRASHING: Final = (
+    Fault.ENDING_REQUEST,
+    Fault.KILL,
+    Fault.PAUSE,
+    Fault.STORE_LINK,
+    Fault.UPSTREAM_RESET,
+)
+RANDOM: Final = tuple(
+    fault for fault in Fault if fault not in {*AIMED, Fault.ENDING_REQUEST}
+)
 
 
 class Faults:
@@ -79,6 +91,7 @@
         store = StoreFaults(deployment, rng)
         upstreams = UpstreamFaults(deployment, rng)
         aimed = AimedFaults(deployment, processes, rng)
+        crashes = CrashFaults(deployment, promises, rng)
         self._actions = {
             Fault.KILL: processes.kill,
             Fault.STOP: processes.stop,
@@ -101,6 +114,7 @@
             Fault.OWNER_PAUSED: aimed.pause_owner,
             Fault.OWNER_CUT: aimed.cut_owner,
             Fault.STOP_SERIES: aimed.stop_series,
+            Fault.ENDING_REQUEST: crashes.send,
         }
 
     async def run(
--- a/lab/promises.py
+++ b/lab/promises.py
@@ -30,6 +30,7 @@
     WEIGHTS = 'engines have the newest version once the faults are over'
     ORDERS = 'an engine is never ordered back to an older version'
     STOP = 'a planned stop ends in time'
+    SPARED = 'a request under which upstreams end is left alone'
 
 
 class Promises:
--- a/lab/proxy.py
+++ b/lab/proxy.py
@@ -61,6 +61,7 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
+        self._starting: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Accept connections."""
@@ -78,6 +79,16 @@
         if self._tasks:
             await asyncio.wait(self._tasks, timeout=_STOP_S)
 
+    def refuse(self) -> None:
+        """Listen no more, and reset what is open, as an ended process does."""
+        if self._server is not None:
+            self._server.close()
+        self.reset()
+
+    def accept_again(self) -> None:
+        """Listen again."""
+        self._starting = asyncio.create_task(self.start())
+
     def use(self, link: Link) -> None:
         """Change what happens from now on, also on open connections."""
         self._link = link
--- a/lab/upstreams.py
+++ b/lab/upstreams.py
@@ -73,14 +73,20 @@
         self.targets: set[str] = set()
         #: How often it ended, and how long it is away each time.
         self.count = 0
-        self.down_s = _DOWN_S
-        #: Called once it has started again, to register it.
+        self.down_s: float = _DOWN_S
+        #: Called when it ends, and once it has started again.
+        self.ended: Callable[[], None] | None = None
         self.started_again: Callable[[], None] | None = None
         self._ending: asyncio.Task[None] | None = None
 
     def begin(self, upstream: Upstream) -> None:
         """Have the upstream end: nobody is told, and nobody listens."""
+        if self._ending is not None and not self._ending.done():
+            # Under another request at the same moment.
+            return
         self.count += 1
+        if self.ended is not None:
+            self.ended()
         self._ending = asyncio.create_task(self._run(upstream))
 
     async def _run(self, upstream: Upstream) -> None:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -26,6 +26,7 @@
 _INCARNATIONS: Final = 'fleet_incarnations'
 _MODEL: Final = 'lab_model'
 _NEWS: Final = 'peers_news'
+_CRASHES: Final = 'gateway_crashes'
 
 
 class Mutation(msgspec.Struct, frozen=True):
@@ -383,6 +384,62 @@
         'if found.record.term:',
         'gateway_again',
     ),
+    Mutation(
+        'a request under which upstreams ended rests',
+        'fleet/quarantine.py',
+        '        beyond = self.strikes(fingerprint) - least\n',
+        '        beyond = -1\n',
+        _CRASHES,
+    ),
+    Mutation(
+        'upstreams that end at once are one link of a chain',
+        'fleet/quarantine.py',
+        '                before + 1\n                for',
+        '                len(counting)\n                for',
+        _CRASHES,
+    ),
+    Mutation(
+        'what ran beside has the shorter chain',
+        'fleet/quarantine.py',
+        'return before >= max(self._ended[upstream].values())',
+        'return True',
+        'fleet_quarantine',
+    ),
+    Mutation(
+        'other entries are told under which requests upstreams ended',
+        'peers/strike_sharing.py',
+        '            self._to_tell.set()\n',
+        '',
+        _CRASHES,
+    ),
+    Mutation(
+        'a new process reads under which requests upstreams ended',
+        'peers/strike_sharing.py',
+        '        directory.on_status = self.take_kept\n',
+        '',
+        _CRASHES,
+    ),
+    Mutation(
+        'a request that was sent twice may have run the first time',
+        'http/sending.py',
+        'return again if again.sent else first',
+        'return again',
+        _CRASHES,
+    ),
+    Mutation(
+        'the next incarnation does not know what the one before ran',
+        'http/sending.py',
+        '        again.sent_before = first.sent\n',
+        '',
+        _CRASHES,
+    ),
+    Mutation(
+        'an item under which engines ended rests',
+        'steps/item_suspects.py',
+        '        if rest:\n',
+        '        if False:\n',
+        'steps_crashes',
+    ),
 )
 
 
