--- a/features/gateway_crashes.feature
+++ b/features/gateway_crashes.feature
@@ -102,3 +102,16 @@
     Given a site with 3 entries and a request that ends the upstreams it reaches
     When it comes while one entry is cut off for 6 s, and 2 s later there
     Then the entry that was cut off refuses it at once
+
+  Scenario Outline: a stream under which engines end goes on at one more only
+    A stream ends the engine that runs it, and goes on at the next one, up to
+    as many as its route allows. Each arrival could end three engines.
+
+    Given a site with 4 engines and streams that <may> be resumed
+    When one that ends engines comes 4 times, 6 s apart
+    Then at most 4 engines end
+
+    Examples:
+      | may     |
+      | may     |
+      | may not |
--- a/features/steps/gateway_crashes_steps.py
+++ b/features/steps/gateway_crashes_steps.py
@@ -24,7 +24,7 @@
 from bergamotdoor.settings.document import Address
 from bergamotdoor.verdict import Verdict
 from features.support import logged
-from lab.site import Site, play
+from lab.site import Site, plain_route, play
 from lab.upstreams import Upstream, UpstreamMode, register
 
 if TYPE_CHECKING:
@@ -527,3 +527,41 @@
 def cut_off_refuses(context: Any) -> None:
     assert context.second.status == 503, context.second
     assert not round(context.second.took_s, 1), context.second
+
+
+@given('a site with {engines:d} engines and streams that {may} be resumed')
+def crashing_streams(context: Any, engines: int, may: str) -> None:
+    context.plan = CrashPlan(2, services=0)
+    context.plan.engines = engines
+    context.resumable = may == 'may'
+
+
+@when('one that ends engines comes {times:d} times, {pause_s:d} s apart')
+def streams_come(context: Any, times: int, pause_s: int) -> None:
+    async def act(site: Site) -> None:
+        site.routes.append(
+            {
+                **plain_route('/stream/', 'stream', 3),
+                'service': 'lm',
+                'can_resume': context.resumable,
+            }
+        )
+        site.put_manifest()
+        for engine in site.engines.values():
+            engine.crashes.targets.add('/stream/1')
+        await asyncio.sleep(2.5)
+        for number in range(times):
+            entry = f'entry-{number % 2}'
+            await site.ask(
+                entry, 'POST', '/stream/1', b'9', Request_Id=f'call-{number}'
+            )
+            await asyncio.sleep(pause_s)
+        context.ends = sum(one.crashes.count for one in site.engines.values())
+
+    context.plan.act = act
+    play(context.plan)
+
+
+@then('at most {most:d} engines end')
+def few_end(context: Any, most: int) -> None:
+    assert 1 <= context.ends <= most, context.ends
--- a/features/steps/steps_crashes_steps.py
+++ b/features/steps/steps_crashes_steps.py
@@ -92,3 +92,51 @@
     listed = {one['id']: one['state'] for one in context.listed}
     assert set(listed) == context.expected, sorted(listed)
     assert set(listed.values()) == {'completed'}, listed
+
+
+@given('a site whose service ends under the score call of one item')
+def crashing_score(context: Any) -> None:
+    context.plan = None
+
+
+@when('its job runs for {run_s:d} s, and callers come all the time')
+def scored_job(context: Any, run_s: int) -> None:
+    async def scene(site: Site) -> None:
+        await site.start(engines=3, services=3)
+        for service in site.services.values():
+            service.crashes.bodies.add(f'score {ITEM}'.encode())
+            service.crashes.started_again = functools.partial(
+                register, site.store, service
+            )
+        callers = asyncio.create_task(call_often(site))
+        await handed_in(site, lengths(3, 4), score_path='/score/')
+        context.listed = await site.all_results('entry-0', JOB, run_s)
+        callers.cancel()
+        context.ends = sum(one.crashes.count for one in site.services.values())
+
+    play(scene)
+
+
+async def call_often(site: Site) -> None:
+    number = 0
+    while True:
+        number += 1
+        await site.ask(
+            'entry-1', 'POST', f'/book/{number}', b'x', Request_Id=str(number)
+        )
+        await asyncio.sleep(0.1)
+
+
+@then('at most {most:d} services end under it')
+def services_end(context: Any, most: int) -> None:
+    assert 1 <= context.ends <= most, context.ends
+
+
+@then('the texts of all other groups are listed with their scores')
+def others_scored(context: Any) -> None:
+    listed = {one['id']: one['score'] for one in context.listed}
+    expected = {
+        f'{JOB}.{group}.{item}' for group in (1, 2) for item in range(4)
+    }
+    assert set(listed) == expected, sorted(listed)
+    assert all(listed.values()), listed
--- a/features/steps_crashes.feature
+++ b/features/steps_crashes.feature
@@ -19,3 +19,12 @@
     Given a site with 5 engines and a job in which one item ends engines
     When the job of 2 groups of 4 items runs, and its owner is killed after 2 s
     Then at most 6 engines end under the item
+
+  Scenario: a score call that ends services is left alone
+    The call that scores one text ends each service that runs it. It is sent
+    again for as long as its job is open, and callers use the same services.
+
+    Given a site whose service ends under the score call of one item
+    When its job runs for 12 s, and callers come all the time
+    Then at most 6 services end under it
+    And the texts of all other groups are listed with their scores
--- a/lab/upstreams.py
+++ b/lab/upstreams.py
@@ -71,6 +71,7 @@
 
     def __init__(self) -> None:
         self.targets: set[str] = set()
+        self.bodies: set[bytes] = set()
         #: How often it ended, and how long it is away each time.
         self.count = 0
         self.down_s: float = _DOWN_S
@@ -79,6 +80,10 @@
         self.started_again: Callable[[], None] | None = None
         self._ending: asyncio.Task[None] | None = None
 
+    def matches(self, target: str, body: bytes) -> bool:
+        """Return whether the upstream ends under a request."""
+        return target in self.targets or body in self.bodies
+
     def begin(self, upstream: Upstream) -> None:
         """Have the upstream end: nobody is told, and nobody listens."""
         if self._ending is not None and not self._ending.done():
@@ -196,7 +201,7 @@
         )
         if self.mode is UpstreamMode.DARK:
             await asyncio.Event().wait()
-        if request.target in self.crashes.targets:
+        if self.crashes.matches(request.target, body):
             await asyncio.sleep(self.work_s)
             self.crashes.begin(self)
             await asyncio.Event().wait()
