Deliver an upstream's own failure although its call rests by then

A caller would have been told 504 by the entry while the answer of an upstream, a 500, was there: found by reading the mend of calls once more. Where two others had ended under the same call, its rest was told in place of the answer. An answer that is there goes first now; and what a stream is made of is closed with it, at once rather than when it is collected, so that an engine stops when its caller leaves.

Test: one scenario of gateway_crashes, which failed before (504 for 500).

--- a/bergamotdoor/forwarding/forwarder.py
+++ b/bergamotdoor/forwarding/forwarder.py
@@ -148,7 +148,7 @@
 
     def _result(self) -> Attempt:
         rest = self._rest()
-        if rest:
+        if rest and self._last.answer is None:
             self._context.metrics.count(Counted.CALL_QUARANTINED, self._service)
             ended = self._tries.strikes
             return Attempt(
--- a/bergamotdoor/forwarding/relayed_stream.py
+++ b/bergamotdoor/forwarding/relayed_stream.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 from http import HTTPStatus
 from typing import TYPE_CHECKING
@@ -18,7 +19,7 @@
 from bergamotdoor.platform.events import EventReader
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncGenerator, AsyncIterator
 
     from bergamotdoor.entry.context import Context
     from bergamotdoor.fleet.upstreams import Upstream
@@ -43,14 +44,16 @@
         pieces = _ResumedStream(context, call, upstream, response).events()
     else:
         pieces = _pieces(context, call, upstream, response)
-    async for piece in pieces:
-        yield piece
+    # Closed with this one, so that an upstream stops when its caller leaves.
+    async with contextlib.aclosing(pieces) as relayed:
+        async for piece in relayed:
+            yield piece
     context.quarantine.completed(call.fingerprint)
 
 
 async def _pieces(
     context: Context, call: Call, upstream: Upstream, response: ClientResponse
-) -> AsyncIterator[bytes]:
+) -> AsyncGenerator[bytes, None]:
     """Yield an answer that can't go on elsewhere."""
     before = strikes_of(context, call)
     try:
@@ -82,7 +85,7 @@
         self._before = strikes_of(context, call)
         self._last = call.headers.first(names.LAST_EVENT_ID)
 
-    async def events(self) -> AsyncIterator[bytes]:
+    async def events(self) -> AsyncGenerator[bytes, None]:
         """Yield whole events to the end of the stream."""
         whole = False
         while not whole:
--- a/features/gateway_crashes.feature
+++ b/features/gateway_crashes.feature
@@ -115,3 +115,19 @@
       | may     |
       | may     |
       | may not |
+
+  Scenario: an upstream's own failure is delivered, whatever rests
+    One upstream answers a call with 500, two others end under it. The answer
+    that is there is the caller's, not a refusal of the entry.
+
+    Given a site with 1 entries and a request that ends the upstreams it reaches
+    When it comes to one upstream that fails and to two that end under it
+    Then the caller gets the 500 of the upstream
+
+  Scenario: what broke together is told to each entry once
+    Six calls are in progress at an upstream that ends. Each is a strike; the
+    other entry is told of all of them in one message.
+
+    Given a site with 2 entries and a request that ends the upstreams it reaches
+    When an upstream ends under it with 6 other calls in progress
+    Then the other entry knows of 7 strikes from 1 message
--- a/features/steps/gateway_crashes_steps.py
+++ b/features/steps/gateway_crashes_steps.py
@@ -565,3 +565,63 @@
 @then('at most {most:d} engines end')
 def few_end(context: Any, most: int) -> None:
     assert 1 <= context.ends <= most, context.ends
+
+
+@when('it comes to one upstream that fails and to two that end under it')
+def fails_and_ends(context: Any) -> None:
+    async def act(site: Site) -> None:
+        site.routes.append(plain_route('/book/', 'safe', 3))
+        site.routes.pop(1)
+        site.put_manifest()
+        failing = site.services['desk-0']
+        failing.crashes.targets.clear()
+        failing.mode = UpstreamMode.FAILING
+        # So that it is asked first.
+        spec = failing.registration(slots=100)
+        site.store.put('servers', failing.name, spec)
+        await asyncio.sleep(2.5)
+        context.reply = await arrive(site, 'entry-0', 'call-0')
+        context.ends = ended(site)
+
+    context.plan.act = act
+    play(context.plan)
+
+
+@then('the caller gets the 500 of the upstream')
+def gets_failure(context: Any) -> None:
+    assert context.ends == 2, context.ends
+    assert context.reply.status == 500, context.reply.status
+
+
+@when('an upstream ends under it with {count:d} other calls in progress')
+def ends_with_others(context: Any, count: int) -> None:
+    async def act(site: Site) -> None:
+        messages: list[Any] = []
+        other = site.entries['entry-1']
+        take = other._context.strikes.take
+
+        def counted(message: Any) -> None:
+            messages.append(message)
+            take(message)
+
+        setattr(other._context.strikes, 'take', counted)  # noqa: B010
+        first, *others = site.services.values()
+        for service in others:
+            site.store.remove('servers', service.name)
+        first.work_s = 0.05
+        await asyncio.sleep(2.5)
+        ending = asyncio.create_task(arrive(site, 'entry-0', 'call-0'))
+        await asyncio.sleep(0.02)
+        beside = [ask_beside(site, 0, one) for one in range(count)]
+        await asyncio.gather(ending, *beside)
+        await asyncio.sleep(0.5)
+        context.messages = messages
+
+    context.plan.act = act
+    play(context.plan)
+
+
+@then('the other entry knows of {strikes:d} strikes from {count:d} message')
+def told_once(context: Any, strikes: int, count: int) -> None:
+    assert len(context.messages) == count, context.messages
+    assert len(context.messages[0].strikes) == strikes, context.messages
