Tell the other entries once of all that broke at an upstream

With sixteen items at an engine that ends, an entry would have sent sixteen messages to each of 57 others within a few milliseconds, on a third of a core: its own items would have stood still for as long. Strikes are gathered for 50 ms, far below the seconds in which all entries have to know. Ruled out: telling of calls only; an item may come again at a next owner.

The scenario holds the bound of one message for seven strikes; it does not fail without the change, since in virtual time all break in one instant.

--- a/bergamotdoor/peers/strike_sharing.py
+++ b/bergamotdoor/peers/strike_sharing.py
@@ -28,6 +28,10 @@
 #: longer finds them in the store.
 _TELL_ATTEMPTS: Final = 10
 _PAUSE: Final = dt.timedelta(seconds=1)
+#: Strikes are gathered for so long before the other entries are told: one
+#: message to each, not one for each request that ran at an upstream.
+_GATHER_MS: Final = 50
+_GATHER: Final = dt.timedelta(milliseconds=_GATHER_MS)
 #: Strikes that are kept in the store, some 100 bytes each.
 _MOST_KEPT: Final = 128
 
@@ -126,6 +130,8 @@
     async def _tell_all(self, tasks: Tasks) -> None:
         while True:
             await self._to_tell.wait()
+            # All that ran at an upstream breaks within milliseconds.
+            await self._clock.sleep(_GATHER)
             self._to_tell.clear()
             message = StrikesLearned(tuple(self._untold))
             self._untold.clear()
