Split the steps of crashing requests by subject, and their model out

Each has a file, and what they share one; the model of an upstream that ends under requests stands by itself.

--- /dev/null
+++ b/features/crash_scenes.py
@@ -0,0 +1,69 @@
+"""What scenarios of requests under which upstreams end share."""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from lab.upstreams import register
+
+if TYPE_CHECKING:
+    from lab.site import Site
+
+CRASHING = '/book/crashing'
+
+
+class CrashPlan:
+    """A site where one request ends each upstream that runs it."""
+
+    def __init__(self, entries: int, services: int = 3) -> None:
+        self.entries = entries
+        self.services = services
+        self.engines = 0
+        self.act: Any = None
+
+    async def __call__(self, site: Site) -> Any:
+        await site.start(self.engines, self.services, self.entries)
+        for upstream in (*site.services.values(), *site.engines.values()):
+            upstream.crashes.targets.add(CRASHING)
+            upstream.crashes.started_again = functools.partial(
+                register, site.store, upstream
+            )
+        return await self.act(site)
+
+
+async def arrive(site: Site, entry: str, request: str) -> Any:
+    return await site.ask(
+        entry, 'POST', CRASHING, b'x', Request_Id=request, Deadline_Ms='1500'
+    )
+
+
+def ended(site: Site) -> int:
+    return sum(one.crashes.count for one in site.services.values())
+
+
+class Answer(NamedTuple):
+    """What came back, and how long it took."""
+
+    status: int
+    retry_after_s: float
+    took_s: float
+
+
+async def answered(site: Site, entry: str, request: str) -> Answer:
+    began = site.clock.elapsed()
+    reply = await arrive(site, entry, request)
+    took_s = (site.clock.elapsed() - began).total_seconds()
+    told = reply.headers.first('retry-after', '0')
+    return Answer(reply.status, float(told), took_s)
+
+
+async def ask_beside(site: Site, number: int, one: int) -> int:
+    reply = await site.ask(
+        'entry-0',
+        'POST',
+        f'/book/slow-{number}-{one}',
+        b'x',
+        Request_Id=f'slow-{number}-{one}',
+    )
+    return 0 if reply is None else reply.status
--- /dev/null
+++ b/features/steps/gateway_innocent_steps.py
@@ -0,0 +1,139 @@
+"""Steps for what does not count against a request."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from behave import given, then, when
+
+from features.crash_scenes import CrashPlan, arrive, ask_beside
+from lab.site import Site, play
+from lab.upstreams import Upstream, UpstreamMode, register
+
+
+def rested(site: Site) -> int:
+    """Return how many calls and items all entries have held back."""
+    return sum(
+        row.count
+        for entry in site.entries.values()
+        for row in entry._context.metrics.snapshot().counters
+        if row.name in {'calls_quarantined', 'items_quarantined'}
+    )
+
+
+@when(
+    'a slow call starts at the same upstreams as each of its {times:d} arrivals'
+)
+def slow_beside(context: Any, times: int) -> None:
+    async def act(site: Site) -> None:
+        context.slow = []
+        for number in range(times):
+            for service in site.services.values():
+                service.work_s = 0.04
+            beside = [
+                asyncio.create_task(ask_beside(site, number, one))
+                for one in range(6)
+            ]
+            await asyncio.sleep(0.01)
+            await arrive(site, 'entry-0', f'call-{number}')
+            context.slow.extend(await asyncio.gather(*beside))
+            await asyncio.sleep(7)
+        context.again = await ask_all_again(site, times)
+
+    context.plan.act = act
+    play(context.plan)
+
+
+async def ask_all_again(site: Site, times: int) -> list[int]:
+    return [
+        await ask_beside(site, number, one)
+        for number in range(times)
+        for one in range(6)
+    ]
+
+
+@then('only the request that ends upstreams rests')
+def only_that(context: Any) -> None:
+    assert set(context.again) == {200}, context.again
+
+
+@given(
+    'a site with {entries:d} entries and callers that ask for the same all '
+    'the time'
+)
+def same_callers(context: Any, entries: int) -> None:
+    context.plan = CrashPlan(entries)
+
+
+@when('all upstreams {end}, {times:d} times, {pause_s:d} s apart')
+def all_end(context: Any, end: str, times: int, pause_s: int) -> None:
+    async def act(site: Site) -> None:
+        for service in site.services.values():
+            service.work_s = 0.3
+        callers = [
+            asyncio.create_task(keep_asking(site, entry, number))
+            for entry in site.entries
+            for number in range(5)
+        ]
+        try:
+            await end_often(site, ENDS[end], times, pause_s)
+        finally:
+            for caller in callers:
+                caller.cancel()
+        context.rested = rested(site)
+        context.struck = [
+            len(entry._context.quarantine._ended)
+            for entry in site.entries.values()
+        ]
+
+    context.plan.act = act
+    play(context.plan)
+
+
+async def end_often(site: Site, end: Any, times: int, pause_s: int) -> None:
+    for _ in range(times):
+        await asyncio.sleep(pause_s)
+        while not any(one.running for one in site.services.values()):
+            await asyncio.sleep(0.01)
+        await asyncio.gather(
+            *(end(site, one) for one in site.services.values())
+        )
+
+
+async def keep_asking(site: Site, entry: str, number: int) -> None:
+    while True:
+        await site.ask(entry, 'POST', f'/book/same-{number}', b'x', timeout_s=1)
+        await asyncio.sleep(0.05 + 0.03 * number)
+
+
+async def crash(site: Site, upstream: Upstream) -> None:
+    await upstream.restart(1)
+    register(site.store, upstream)
+
+
+async def lose_power(site: Site, upstream: Upstream) -> None:
+    """Fall silent, and start again with nothing of before."""
+    upstream.mode = UpstreamMode.DARK
+    await asyncio.sleep(1)
+    upstream.mode = UpstreamMode.GOOD
+    await crash(site, upstream)
+
+
+async def leave(site: Site, upstream: Upstream) -> None:
+    register(site.store, upstream, state='draining')
+    await asyncio.sleep(0.5)
+    await crash(site, upstream)
+
+
+ENDS = {
+    'crash at the same moment': crash,
+    'lose power': lose_power,
+    'leave, with calls in progress': leave,
+}
+
+
+@then('no call was quarantined')
+def none_rested(context: Any) -> None:
+    assert all(context.struck), context.struck
+    assert not context.rested, (context.rested, context.struck)
--- /dev/null
+++ b/features/steps/gateway_sent_twice_steps.py
@@ -0,0 +1,110 @@
+"""Steps for calls that were sent twice, on a connection that broke."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime as dt
+from types import SimpleNamespace
+from typing import TYPE_CHECKING, Any
+
+from behave import given, then, when
+
+from bergamotdoor.forwarding.answers import judge
+from bergamotdoor.http.messages import (
+    ClientFailure,
+    ClientRequest,
+    ClientResponse,
+    Headers,
+)
+from bergamotdoor.http.sending import send
+from bergamotdoor.settings.document import Address
+from bergamotdoor.verdict import Verdict
+from features.crash_scenes import CRASHING, CrashPlan, arrive, ended
+from lab.site import Site, play
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+
+@given('a site with 1 upstream, and a connection to it is kept')
+def kept_connection(context: Any) -> None:
+    context.plan = CrashPlan(1, services=1)
+
+
+async def arrive_on_kept(site: Site) -> Any:
+    first = await site.ask(
+        'entry-0', 'POST', '/book/sound', b'x', Request_Id='call-0'
+    )
+    assert first and first.status == 200, first
+    assert site.entries['entry-0']._client.idle_connections
+    return await arrive(site, 'entry-0', 'call-1')
+
+
+@when('a request comes under which the upstream ends')
+def ends_on_kept(context: Any) -> None:
+    async def act(site: Site) -> Any:
+        reply = await arrive_on_kept(site)
+        return reply, ended(site)
+
+    context.plan.act = act
+    outcome = play(context.plan)
+    context.reply = outcome[0]
+    context.ends = outcome[1]
+
+
+@then('the caller gets 504, which promises nothing')
+def promises_nothing(context: Any) -> None:
+    assert context.ends == 1, context.ends
+    assert context.reply.status == 504, context.reply.status
+
+
+class Replaced:
+    """Breaks a kept connection; the next start refuses what comes again."""
+
+    def __init__(self) -> None:
+        self.sends = 0
+
+    async def send(self, _: ClientRequest) -> ClientResponse | ClientFailure:
+        self.sends += 1
+        if self.sends == 1:
+            return ClientFailure(sent=True, detail='reset', reused=True)
+        return ClientResponse(status=421, headers=Headers(), body=nothing())
+
+    async def refuses(self, _: Address) -> bool:
+        return False
+
+    async def close(self) -> None:
+        """Nothing is open."""
+
+
+async def nothing() -> AsyncIterator[bytes]:
+    yield b''
+
+
+@given('an upstream that breaks a kept connection and is replaced')
+def replaced(context: Any) -> None:
+    context.client = Replaced()
+
+
+@when('a call is sent there')
+def sent_there(context: Any) -> None:
+    request = ClientRequest(
+        address=Address(ip='127.0.0.1', port=1),
+        method='POST',
+        target=CRASHING,
+        timeout=dt.timedelta(seconds=1),
+    )
+    upstream = SimpleNamespace(upstream='desk-0')
+
+    async def exchange() -> Any:
+        response = await send(context.client, request)
+        return await judge(None, None, upstream, response)  # type: ignore
+
+    context.attempt = asyncio.run(exchange())
+
+
+@then('the call may have run, and the upstream is known as replaced')
+def may_have_run(context: Any) -> None:
+    assert context.client.sends == 2
+    assert context.attempt.verdict is Verdict.MAY_HAVE_RUN, context.attempt
+    assert context.attempt.replaced
--- a/lab/upstreams.py
+++ b/lab/upstreams.py
@@ -13,10 +13,11 @@
 
 from bergamotdoor.http.messages import Headers, HttpRequest, HttpResponse
 from bergamotdoor.http.server import HttpServer
+from lab.crashes import Crashes
 from lab.store import LIMITS, LostError, Store, cut_off
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Callable
+    from collections.abc import AsyncIterator
 
     from bergamotdoor.clock import Clock
     from bergamotdoor.settings.document import Address
@@ -24,7 +25,6 @@
 EVENT_S: Final = 0.04
 _WORK_S: Final = 0.03
 _LOAD_S: Final = 0.9
-_DOWN_S: Final = 2
 #: When an order that was delayed is taken.
 _LATE_S: Final = 3
 #: How often a stream looks whether the weights are loaded.
@@ -66,40 +66,6 @@
     at_s: float = 0
 
 
-class Crashes:
-    """Requests under which an upstream ends, with all that it runs."""
-
-    def __init__(self) -> None:
-        self.targets: set[str] = set()
-        self.bodies: set[bytes] = set()
-        #: How often it ended, and how long it is away each time.
-        self.count = 0
-        self.down_s: float = _DOWN_S
-        #: Called when it ends, and once it has started again.
-        self.ended: Callable[[], None] | None = None
-        self.started_again: Callable[[], None] | None = None
-        self._ending: asyncio.Task[None] | None = None
-
-    def matches(self, target: str, body: bytes) -> bool:
-        """Return whether the upstream ends under a request."""
-        return target in self.targets or body in self.bodies
-
-    def begin(self, upstream: Upstream) -> None:
-        """Have the upstream end: nobody is told, and nobody listens."""
-        if self._ending is not None and not self._ending.done():
-            # Under another request at the same moment.
-            return
-        self.count += 1
-        if self.ended is not None:
-            self.ended()
-        self._ending = asyncio.create_task(self._run(upstream))
-
-    async def _run(self, upstream: Upstream) -> None:
-        await upstream.restart(self.down_s)
-        if self.started_again is not None:
-            self.started_again()
-
-
 class Upstream:
     """Runs requests, and remembers what it was sent."""
 
