Rest for two minutes from the second time on, for requests that come twice

Two entries may try a request in the same moment once its rest is over, since neither can tell the other before. With rests of 5, 30 and 120 s four attempts would reach servers within two minutes of the third end, where three are allowed: found by reading the schedule against the bound. 5, 120 and 600 s let two through. The first rest stays short, as a chain of two may be chance.

Ruled out: one entry that tries for all, which would need the store for each try.

--- a/bergamotdoor/fleet/quarantine.py
+++ b/bergamotdoor/fleet/quarantine.py
@@ -29,9 +29,11 @@
 ITEM_STRIKES: Final = 3
 #: How long it rests after the first such end, and after each that follows.
 #: The first lets upstreams come back, so that the request never takes the
-#: last ones. Then one is tried, as new software may have mended the fault,
-#: and less and less often, as each try costs an upstream.
-_RESTS_S: Final = (5, 30, 120, 480, 1800)
+#: last ones, and is short as the suspicion may be wrong. From the second on
+#: it is all but certain. One more is tried now and then, as new software may
+#: have mended the fault, and seldom: each try costs an upstream, or several
+#: where the request comes to several entries at once.
+_RESTS_S: Final = (5, 120, 600, 1800)
 _RESTS: Final = tuple(dt.timedelta(seconds=rest_s) for rest_s in _RESTS_S)
 _NO_REST: Final = dt.timedelta()
 #: Ended upstreams that are remembered; the oldest goes first.
--- a/features/fleet_quarantine.feature
+++ b/features/fleet_quarantine.feature
@@ -8,9 +8,13 @@
     Then strikes in any order give each request the same count
 
   Scenario: a request rests longer with each upstream that ends under it
+    Two entries may try a request in the same moment once its rest is over.
+    Rests of 5, 30 and 120 s let four attempts through within two minutes of
+    the third end, where three are allowed; these let two through.
+
     Given a chain of upstreams that end under a request
-    Then a call rests for 0, 5, 30 and 120 s behind the 1st to the 4th of them
-    And an item rests for 0, 0, 5 and 30 s behind them
+    Then a call rests for 0, 5, 120 and 600 s behind the 1st to the 4th of them
+    And an item rests for 0, 0, 5 and 120 s behind them
 
   Scenario: upstreams that end at once are one link of a chain
     The same request is in progress at three upstreams when these end. It was
--- a/features/gateway_crashes.feature
+++ b/features/gateway_crashes.feature
@@ -44,6 +44,16 @@
     When a call is sent there
     Then the call may have run, and the upstream is known as replaced
 
+  Scenario: a request that comes to several entries at once is left alone
+    The same, and it always comes to two entries in the same moment, for two
+    minutes. Whenever its rest is over both of them try it, before either can
+    tell the other: each rest costs two attempts, so the second rest has to
+    be long.
+
+    Given a site with 4 entries and a request that ends the upstreams it reaches
+    When it comes 22 times, each time at two entries at once, 5 s apart
+    Then at most 3 of its retries reach an upstream once three have ended
+
   Scenario: a quarantined call is refused at once, with the time to come back
     Two upstreams have ended under a call. What comes again is not kept
     waiting, at whichever entry: it did not run, and will not for some
@@ -60,7 +70,7 @@
     ever. Once one has answered it, nothing is held against it.
 
     Given a site with 1 entries and a request that ends the upstreams it reaches
-    When it comes twice, and again 40 s later when they have been mended
+    When it comes twice, and again 130 s later when they have been mended
     Then it is answered, and hedged and repeated like any other
 
   Scenario: a request is not suspected for what ran beside it
--- a/features/steps/gateway_crashes_steps.py
+++ b/features/steps/gateway_crashes_steps.py
@@ -81,6 +81,30 @@
     context.arrivals = play(context.plan)
 
 
+@when(
+    'it comes {times:d} times, each time at two entries at once, '
+    '{pause_s:d} s apart'
+)
+def comes_twice_at_once(context: Any, times: int, pause_s: int) -> None:
+    async def act(site: Site) -> list[Arrival]:
+        found: list[Arrival] = []
+        for number in range(times):
+            before = ended(site)
+            replies = await asyncio.gather(
+                arrive(site, 'entry-0', f'first-{number}'),
+                arrive(site, 'entry-1', f'second-{number}'),
+            )
+            reached = ended(site) - before
+            found.extend(
+                Arrival(before, reached, reply.status) for reply in replies
+            )
+            await asyncio.sleep(pause_s)
+        return found
+
+    context.plan.act = act
+    context.arrivals = play(context.plan)
+
+
 @then('at most {most:d} of its retries reach an upstream once three have ended')
 def left_alone(context: Any, most: int) -> None:
     late = [one for one in context.arrivals if one.ended_before >= 3]
