Admit requests by client account, and trust the manifest for a bounded time

Cause: the package knew no client accounts.

Change: the adapter decodes accounts, keys and public routes. calls/accounts decides without input or output whose request it is; keys are kept as digests only. gateway/admission answers 401, or 503 with Retry-After while the manifest may be outdated. Upstreams get the account's header and never the key; jobs and their records carry the account, so items, takeovers and score calls do. Another key of the account reads, another account's finds nothing.

Revoked keys: an entry knows when its manifest was last proved current, by a clock that counts suspensions. A request that is admitted at a moment was sent before it, so a proof younger than the bound (less 250 ms) covers it, however long it waits or is retried. Ways weighed: each entry's own short watch (one call a second and entry), the zone's source that tells of each watch that heard nothing (one call a second and zone), polls without a wait (same calls, but a deaf watch answers them). Kept: the second, with the first where a zone has under four entries. Proofs are told from the receipt of the question on, so no clock is compared.

Ruled out: asking again at each attempt; the moment of admission bounds the moment of sending, so it can refuse nothing that is wrong.

The check of the wire's names knows the new ones. The bounds of a source take the watch instead of its pause, and one mutation names the code that moved.

--- a/bergamotdoor/calls/manifest.py
+++ b/bergamotdoor/calls/manifest.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from bergamotdoor.calls.accounts import Accounts
 from bergamotdoor.types import Generation, ServiceId
 
 if TYPE_CHECKING:
@@ -61,6 +62,8 @@
     give_up: dt.timedelta | None = None
     #: Batch jobs: one version generates the whole text of an item.
     single_version: bool = False
+    #: Callers need no key.
+    public: bool = False
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
@@ -92,6 +95,8 @@
         Rules by service.
     limits
         Bounds on callers.
+    accounts
+        Who may ask.
     """
 
     def __init__(
@@ -100,10 +105,12 @@
         routes: Iterable[Route],
         services: dict[ServiceId, ServiceRules],
         limits: CallerLimits,
+        accounts: Accounts | None = None,
     ) -> None:
         self.generation = generation
         self.services = services
         self.limits = limits
+        self.accounts = accounts or Accounts()
         self._by_host: dict[str, list[Route]] = {}
         for route in routes:
             self._by_host.setdefault(route.host, []).append(route)
@@ -123,6 +130,12 @@
             None,
         )
 
+    def serves_jobs_publicly(self, host: str) -> bool:
+        """Return whether a host's batch jobs are all open to everyone."""
+        routes = self._by_host.get(host.partition(':')[0].lower(), ())
+        batch = [one for one in routes if one.kind is RouteKind.BATCH]
+        return bool(batch) and all(route.public for route in batch)
+
 
 def pick_service(route: Route, draw: float) -> ServiceId:
     """Return the service that a draw from [0, 1) falls to."""
--- a/bergamotdoor/clock.py
+++ b/bergamotdoor/clock.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import datetime as dt
+import time
 from typing import Protocol
 
 
@@ -13,6 +14,9 @@
     def elapsed(self) -> dt.timedelta:
         """Return the monotonic time since an arbitrary start."""
 
+    def uptime(self) -> dt.timedelta:
+        """Return the time since the machine's start, suspensions included."""
+
     def now(self) -> dt.datetime:
         """Return the wall time in UTC; for logs and records only."""
 
@@ -37,6 +41,12 @@
         """Return the loop's own time."""
         return dt.timedelta(seconds=asyncio.get_running_loop().time())
 
+    def uptime(self) -> dt.timedelta:
+        """Return the loop's own time, or the machine's if it is real."""
+        if self._epoch is None:
+            return dt.timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
+        return self.elapsed()
+
     def now(self) -> dt.datetime:
         """Return the wall time in UTC."""
         if self._epoch is None:
--- a/bergamotdoor/entry/context.py
+++ b/bergamotdoor/entry/context.py
@@ -13,7 +13,6 @@
 from bergamotdoor.fleet.loads import Loads
 from bergamotdoor.fleet.quarantine import Quarantine
 from bergamotdoor.http.messages import Client
-from bergamotdoor.jobs.messages import JobRecord
 from bergamotdoor.jobs.progress import Speeds
 from bergamotdoor.objects.client import ObjectClient
 from bergamotdoor.observe.metrics import Metrics
@@ -23,6 +22,7 @@
 from bergamotdoor.settings.node import NodeSettings
 
 if TYPE_CHECKING:
+    from bergamotdoor.jobs.messages import JobRecord
     from bergamotdoor.peers.access import StoreAccess
 
 
@@ -90,6 +90,8 @@
             self.own_address, self.settings.zone, self.settings.link_mbps
         )
 
-    def own_record(self, term: int, parts: int) -> JobRecord:
-        """Return the record of a job owned by this process."""
-        return JobRecord(self.settings.node, self.own_address, term, parts)
+    def own_record(self, record: JobRecord) -> JobRecord:
+        """Return a job's record with this process as its owner."""
+        return msgspec.structs.replace(
+            record, owner=self.settings.node, address=self.own_address
+        )
--- a/bergamotdoor/entry/views.py
+++ b/bergamotdoor/entry/views.py
@@ -48,6 +48,10 @@
     ) -> None:
         self._startup = startup or Startup()
         self.manifest: Manifest | None = None
+        #: When it was known to be current, in time since the machine's start.
+        self.proven_at: dt.timedelta | None = None
+        #: Whether a written manifest could not be read.
+        self._behind = False
         self._reader = ObjectReader(_log, 'gateway')
         self._on_change = on_change
 
@@ -74,10 +78,18 @@
     def interrupted(self) -> None:
         """Keep the manifest: it stays in force without the store."""
 
+    def prove(self, proven_at: dt.timedelta) -> None:
+        """Take that all that was written until a moment is known."""
+        if self._behind:
+            return
+        known = self.proven_at
+        self.proven_at = proven_at if known is None else max(known, proven_at)
+
     def _take(self, stored: StoredObject) -> None:
         if stored.name != MANIFEST_NAME:
             return
         found = self._reader.read(stored, parse_manifest)
+        self._behind = found is None
         if found is None:
             return
         known = self.manifest
--- a/bergamotdoor/forwarding/relayed_stream.py
+++ b/bergamotdoor/forwarding/relayed_stream.py
@@ -15,8 +15,8 @@
 from bergamotdoor.forwarding.upstream_end import note_end, strikes_of
 from bergamotdoor.http import close_body
 from bergamotdoor.http.messages import BodyBrokenError, ClientResponse
+from bergamotdoor.jobs.event_stream import EventReader
 from bergamotdoor.platform import headers as names
-from bergamotdoor.platform.events import EventReader
 
 if TYPE_CHECKING:
     from collections.abc import AsyncGenerator, AsyncIterator
@@ -176,7 +176,7 @@
 async def _events_of(
     response: ClientResponse,
 ) -> AsyncIterator[GeneratedEvent]:
-    reader = EventReader()
+    reader = EventReader(names.WEIGHT_VERSION)
     async for piece in response.body:
         for event in reader.feed(piece):
             yield event
--- a/bergamotdoor/gateway/batch_front.py
+++ b/bergamotdoor/gateway/batch_front.py
@@ -8,6 +8,7 @@
 from urllib.parse import parse_qs, unquote
 
 from bergamotdoor import utils
+from bergamotdoor.gateway.credentials import job_of_account
 from bergamotdoor.gateway.refusals import plain, refusal
 from bergamotdoor.http.messages import Headers, HttpResponse
 from bergamotdoor.platform import headers as names
@@ -17,15 +18,19 @@
 from bergamotdoor.verdict import Verdict
 
 if TYPE_CHECKING:
+    from bergamotdoor.calls.manifest import Manifest
+    from bergamotdoor.gateway.admission import Admission
     from bergamotdoor.http.messages import HttpRequest
     from bergamotdoor.steps.jobs_desk import JobsDesk
     from bergamotdoor.steps.jobs_intake import JobsIntake
+    from bergamotdoor.types import AccountId
 
 #: The most that a reader is kept waiting for a result.
 _MOST_WAIT_MS: Final = 1000
 #: When to come back while the store can't be reached: outages last for
 #: seconds, and a step has a few to spare.
 _STORE_RETRY_S: Final = 0.5
+_JOB_PATHS: Final = (names.RESULTS_PATH, names.BODY_PATH)
 _JSON: Final = ('content-type', 'application/json')
 
 _log = logging.getLogger('bergamotdoor.gateway')
@@ -34,34 +39,45 @@
 class BatchFront:
     """Answers trainers."""
 
-    def __init__(self, intake: JobsIntake, desk: JobsDesk) -> None:
+    def __init__(
+        self, intake: JobsIntake, desk: JobsDesk, admission: Admission
+    ) -> None:
         self._intake = intake
         self._desk = desk
+        self._admission = admission
 
-    async def handle(self, request: HttpRequest) -> HttpResponse | None:
+    async def handle(
+        self, request: HttpRequest, manifest: Manifest
+    ) -> HttpResponse | None:
         """Answer a request about a job; None if it is about something else."""
-        path, _, query = request.target.partition('?')
-        if path.startswith(names.RESULTS_PATH):
-            job = JobId(unquote(path.removeprefix(names.RESULTS_PATH)))
-            if request.method == 'DELETE':
-                return await self._end(job)
-            return await self._listed(job, query, request.headers)
-        if path.startswith(names.BODY_PATH):
-            job = JobId(unquote(path.removeprefix(names.BODY_PATH)))
-            return await self._body(job, query)
-        return None
+        path = request.target.partition('?')[0]
+        asked = next((one for one in _JOB_PATHS if path.startswith(one)), None)
+        if asked is None:
+            return None
+        account = self._admission.reader(request, manifest)
+        if isinstance(account, HttpResponse):
+            return account
+        job = JobId(unquote(path.removeprefix(asked)))
+        owner = await self._desk.account_of(job)
+        if isinstance(owner, Outcome):
+            return _missing(job, owner)
+        if not manifest.accounts.may_see(account, owner):
+            _log.info('gateway: job %s: asked for by another account', job)
+            return _missing(job, Outcome.ABSENT)
+        return await self._asked(request, asked, job)
 
     async def submit(
-        self, request: HttpRequest, host: str, body: bytes
+        self, request: HttpRequest, body: bytes, account: AccountId
     ) -> HttpResponse:
-        """Take a job in."""
+        """Take a job of a client account in."""
         job = JobId(request.headers.first(names.REQUEST_ID))
         path = request.target.partition('?')[0]
+        host = request.headers.first('host')
         try:
             spec = parse_job(job, host, path, body)
         except ValueError as error:
             return plain(HTTPStatus.BAD_REQUEST, str(error), job)
-        outcome = await self._intake.submit(spec)
+        outcome = await self._intake.submit(job_of_account(spec, account))
         _log.info(
             'gateway: job %s submitted, %d items, version %d and newer: %s',
             job,
@@ -71,10 +87,22 @@
         )
         if outcome is None:
             return plain(HTTPStatus.ACCEPTED, 'kept', job)
+        if outcome is Outcome.FOREIGN:
+            return plain(HTTPStatus.CONFLICT, 'a job of another account', job)
         if outcome is Outcome.UNCLEAR:
             return refusal(Verdict.MAY_HAVE_RUN, 'perhaps kept', job)
         return _store_away(job)
 
+    async def _asked(
+        self, request: HttpRequest, asked: str, job: JobId
+    ) -> HttpResponse:
+        query = request.target.partition('?')[-1]
+        if asked == names.BODY_PATH:
+            return await self._body(job, query)
+        if request.method == 'DELETE':
+            return await self._end(job)
+        return await self._listed(job, query, request.headers)
+
     async def _listed(
         self, job: JobId, query: str, headers: Headers
     ) -> HttpResponse:
--- a/bergamotdoor/gateway/following.py
+++ b/bergamotdoor/gateway/following.py
@@ -27,6 +27,10 @@
 #: first entry that has it.
 _GATHER_MANIFEST_MS: Final = 20
 _GATHER_MANIFEST: Final = dt.timedelta(milliseconds=_GATHER_MANIFEST_MS)
+#: How often a manifest is proved current, as a share of the time within
+#: which revoked keys must stop working. A proof is twice as old before the
+#: next one comes, and what is left is for a store that is away.
+_PROOF_SHARE: Final = 0.2
 
 
 def follow_platform(
@@ -40,10 +44,22 @@
     gather = context.settings.drain * _DRAIN_SHARE
     wait = context.settings.contact - _LISTING_TIME
     fleet = FleetView(context.fleet, context.clock, owner.poke, context.startup)
-    followed = (
-        (Watch(names.MANIFEST_KIND, _GATHER_MANIFEST, wait), manifests),
-        (Watch(names.UPSTREAM_KIND, gather, wait), fleet),
+    revocation = context.settings.revocation
+    proof = None if revocation is None else revocation * _PROOF_SHARE
+    manifest_watcher = Watcher(
+        context.store,
+        news,
+        Watch(names.MANIFEST_KIND, _GATHER_MANIFEST, wait, proof),
+        manifests,
+        context.clock,
+        manifests.prove,
     )
-    for watch, view in followed:
-        watcher = Watcher(context.store, news, watch, view, context.clock)
-        tasks.start(watcher.run())
+    fleet_watcher = Watcher(
+        context.store,
+        news,
+        Watch(names.UPSTREAM_KIND, gather, wait),
+        fleet,
+        context.clock,
+    )
+    tasks.start(manifest_watcher.run())
+    tasks.start(fleet_watcher.run())
--- a/bergamotdoor/gateway/front.py
+++ b/bergamotdoor/gateway/front.py
@@ -6,25 +6,23 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING
 
-from bergamotdoor import utils
 from bergamotdoor.calls.manifest import RouteKind
-from bergamotdoor.calls.tries import CallRules
-from bergamotdoor.forwarding import Call
-from bergamotdoor.gateway.batch_front import number_of
+from bergamotdoor.gateway.call_front import call_of
+from bergamotdoor.gateway.credentials import named_account
 from bergamotdoor.gateway.refusals import plain, refusal
+from bergamotdoor.http.messages import HttpResponse
 from bergamotdoor.observe.events import Counted
 from bergamotdoor.platform import headers as names
 from bergamotdoor.verdict import Verdict
 
 if TYPE_CHECKING:
-    import datetime as dt
-
     from bergamotdoor.calls.manifest import Manifest, Route
     from bergamotdoor.entry.context import Context
     from bergamotdoor.entry.views import ManifestView
-    from bergamotdoor.forwarding import Forwarder
+    from bergamotdoor.gateway.admission import Admission
     from bergamotdoor.gateway.batch_front import BatchFront
-    from bergamotdoor.http.messages import HttpRequest, HttpResponse
+    from bergamotdoor.gateway.call_front import CallFront
+    from bergamotdoor.http.messages import HttpRequest
 
 _log = logging.getLogger('bergamotdoor.gateway')
 
@@ -36,12 +34,14 @@
         self,
         context: Context,
         manifests: ManifestView,
-        forwarder: Forwarder,
+        admission: Admission,
+        calls: CallFront,
         batches: BatchFront,
     ) -> None:
         self._context = context
         self._manifests = manifests
-        self._forwarder = forwarder
+        self._admission = admission
+        self._calls = calls
         self._batches = batches
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -50,55 +50,49 @@
         manifest = self._manifests.manifest
         if manifest is None:
             return refusal(Verdict.NOT_RUN, 'no manifest is known yet')
-        answer = await self._batches.handle(request)
+        answer = await self._batches.handle(request, manifest)
         return answer or await self._routed(request, manifest)
 
     async def _routed(
         self, request: HttpRequest, manifest: Manifest
     ) -> HttpResponse:
-        request_id = request.headers.first(names.REQUEST_ID)
         host = request.headers.first('host')
         route = manifest.match(host, request.target)
         if route is None:
-            self._context.metrics.count(Counted.CALL_WITHOUT_ROUTE)
-            _log.info(
-                'gateway: call %s: no route for %s%s, manifest %d',
-                request_id,
-                host,
-                request.target,
-                manifest.generation,
-            )
-            return plain(HTTPStatus.NOT_FOUND, 'no route', request_id)
+            return self._without_route(request, manifest)
+        account = self._admission.runner(request, manifest, route.public)
+        if isinstance(account, HttpResponse):
+            return account
+        return await self._admitted(request, manifest, route)
+
+    async def _admitted(
+        self, request: HttpRequest, manifest: Manifest, route: Route
+    ) -> HttpResponse:
         began = self._context.clock.elapsed()
         body = await request.read_body(manifest.limits.max_body_bytes)
+        # The key may have been taken away while the body came.
+        newest = self._manifests.manifest or manifest
+        account = self._admission.runner(request, newest, route.public)
+        if isinstance(account, HttpResponse):
+            return account
         if route.kind is RouteKind.BATCH and request.method == 'POST':
-            return await self._batches.submit(request, host, body)
-        call = _call(request, body, route, began)
-        outcome = await self._forwarder.forward(call)
-        if outcome.answer is not None:
-            return outcome.answer
-        wait = outcome.retry_after
-        if wait is None:
-            return refusal(outcome.verdict, outcome.detail, request_id)
-        return refusal(
-            outcome.verdict, outcome.detail, request_id, wait.total_seconds()
+            return await self._batches.submit(request, body, account)
+        headers = named_account(
+            request.headers, account, keyed=bool(newest.accounts)
         )
+        call = call_of(request, headers, body, route, began)
+        return await self._calls.answer(call)
 
-
-def _call(
-    request: HttpRequest, body: bytes, route: Route, began: dt.timedelta
-) -> Call:
-    wait_ms = number_of(request.headers.first(names.DEADLINE_MS))
-    wait = (
-        min(utils.from_ms(wait_ms), route.timeout) if wait_ms else route.timeout
-    )
-    return Call(
-        request_id=request.headers.first(names.REQUEST_ID),
-        method=request.method,
-        target=request.target,
-        headers=request.headers,
-        body=body,
-        route=route,
-        rules=CallRules.of_caller(route, began + wait),
-        began=began,
-    )
+    def _without_route(
+        self, request: HttpRequest, manifest: Manifest
+    ) -> HttpResponse:
+        request_id = request.headers.first(names.REQUEST_ID)
+        self._context.metrics.count(Counted.CALL_WITHOUT_ROUTE)
+        _log.info(
+            'gateway: call %s: no route for %s%s, manifest %d',
+            request_id,
+            request.headers.first('host'),
+            request.target,
+            manifest.generation,
+        )
+        return plain(HTTPStatus.NOT_FOUND, 'no route', request_id)
--- a/bergamotdoor/gateway/wiring.py
+++ b/bergamotdoor/gateway/wiring.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING
 
 from bergamotdoor.forwarding import Forwarder
+from bergamotdoor.gateway.admission import Admission
 from bergamotdoor.gateway.batch_front import BatchFront
+from bergamotdoor.gateway.call_front import CallFront
 from bergamotdoor.gateway.front import Front
 from bergamotdoor.objects.job_store import JobStore
 from bergamotdoor.peers.news_source import NewsSource
@@ -60,21 +62,17 @@
             access.direct,
             self.news_source,
         )
+        admission = Admission(context, manifests)
+        intake = JobsIntake(
+            context, self.store, self.owner, self.finder, self.others
+        )
+        desk = JobsDesk(self.owner, self.finder, access.peers, context.clock)
         self.front = Front(
             context,
             manifests,
-            Forwarder(context),
-            BatchFront(
-                JobsIntake(
-                    context, self.store, self.owner, self.finder, self.others
-                ),
-                JobsDesk(
-                    self.owner,
-                    self.finder,
-                    access.peers,
-                    context.clock,
-                ),
-            ),
+            admission,
+            CallFront(Forwarder(context)),
+            BatchFront(intake, desk, admission),
         )
 
     async def resume(self) -> bool:
--- a/bergamotdoor/platform/events.py
+++ b/bergamotdoor/jobs/event_stream.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.jobs.transcript import GeneratedEvent
-from bergamotdoor.platform.headers import WEIGHT_VERSION
 from bergamotdoor.types import WeightVersion
 
 _END: Final = b'\n\n'
@@ -19,9 +18,15 @@
 
     An event ends with an empty line. Whatever follows the last one was
     broken off and is no event.
+
+    Parameters
+    ----------
+    version_field
+        The line that names the version which generates from there on.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, version_field: str) -> None:
+        self._version_field = version_field
         self._rest = b''
 
     def feed(self, piece: bytes) -> Iterator[GeneratedEvent]:
@@ -34,7 +39,7 @@
         """
         blocks = (self._rest + piece).split(_END)
         self._rest = blocks.pop()
-        return (_event(block) for block in blocks if block)
+        return (_event(block, self._version_field) for block in blocks if block)
 
     def check_end(self) -> None:
         """Check that the stream did not end within an event.
@@ -48,7 +53,7 @@
             raise ValueError(f'{len(self._rest)} bytes of an event at the end')
 
 
-def _event(block: bytes) -> GeneratedEvent:
+def _event(block: bytes, version_field: str) -> GeneratedEvent:
     number = -1
     version: WeightVersion | None = None
     lines: list[str] = []
@@ -59,6 +64,6 @@
             lines.append(text)
         elif name == 'id':
             number = int(text)
-        elif name == WEIGHT_VERSION:
+        elif name == version_field:
             version = WeightVersion(int(text))
     return GeneratedEvent(number, '\n'.join(lines), version, block + _END)
--- a/bergamotdoor/jobs/messages.py
+++ b/bergamotdoor/jobs/messages.py
@@ -8,6 +8,7 @@
 
 from bergamotdoor.settings.document import Address
 from bergamotdoor.types import (
+    AccountId,
     GroupId,
     ItemId,
     JobId,
@@ -59,6 +60,8 @@
     items: tuple[ItemSpec, ...]
     #: How many whole groups the trainer waits for.
     target_groups: int = 0
+    #: Whose job it is; empty is nobody's.
+    account: AccountId = AccountId('')
 
 
 class ItemState(enum.Enum):
@@ -100,6 +103,8 @@
     #: Raised by each takeover.
     term: int
     parts: int
+    #: Whose job it is; empty is nobody's.
+    account: AccountId = AccountId('')
 
 
 class JobStatus(msgspec.Struct, frozen=True):
--- a/bergamotdoor/objects/news.py
+++ b/bergamotdoor/objects/news.py
@@ -34,6 +34,14 @@
     #: dropped stays open and silent; the next one is told that it has to
     #: list.
     wait: dt.timedelta = LONG_WAIT
+    #: How often whoever follows is told that nothing has changed; None is
+    #: never.
+    proof: dt.timedelta | None = None
+
+    @property
+    def patience(self) -> dt.timedelta:
+        """How long one watch of the store lasts."""
+        return self.wait if self.proof is None else min(self.wait, self.proof)
 
 
 class News(Protocol):
@@ -61,11 +69,16 @@
         """Watch the store once."""
         await self._clock.sleep(watch.gather)
         began = self._clock.elapsed()
-        found = await self._store.changes(watch.kind, since, watch.wait)
-        if isinstance(found, Outcome) or found.changes:
+        proven_at = self._clock.uptime()
+        found = await self._store.changes(watch.kind, since, watch.patience)
+        if isinstance(found, Outcome):
+            return found
+        # The store answers at once if something had changed before.
+        found = msgspec.structs.replace(found, proven_at=proven_at)
+        if found.changes:
             return found
         # Without an event it may have ended while it was told of none: the
         # next one begins where this one did, and is told, or has to list.
         # One that ended before its time was cut off.
         took = self._clock.elapsed() - began
-        return found if took > watch.wait * _WHOLE else Outcome.UNCLEAR
+        return found if took > watch.patience * _WHOLE else Outcome.UNCLEAR
--- a/bergamotdoor/objects/watcher.py
+++ b/bergamotdoor/objects/watcher.py
@@ -11,6 +11,8 @@
 from bergamotdoor.types import Revision
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from bergamotdoor.clock import Clock
     from bergamotdoor.objects.client import ObjectClient
     from bergamotdoor.objects.news import News, Watch
@@ -58,6 +60,9 @@
         Takes what is found.
     clock
         For the pauses.
+    on_proof
+        Told when the view was known to be current, in time since the
+        machine's start.
     """
 
     def __init__(
@@ -67,6 +72,7 @@
         watch: Watch,
         view: View,
         clock: Clock,
+        on_proof: Callable[[dt.timedelta], None] | None = None,
     ) -> None:
         self._store = store
         self._news = news
@@ -74,6 +80,7 @@
         self._kind = watch.kind
         self._view = view
         self._clock = clock
+        self._on_proof = on_proof
         self._backoff = _FIRST_BACKOFF
         #: The highest revision seen.
         self.revision = Revision(0)
@@ -81,15 +88,19 @@
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         while True:
+            began = self._clock.uptime()
             found = await list_patiently(self._store, self._kind)
-            await self._follow_listing(found)
+            await self._follow_listing(found, began)
 
-    async def _follow_listing(self, found: Listing | Outcome) -> None:
+    async def _follow_listing(
+        self, found: Listing | Outcome, began: dt.timedelta
+    ) -> None:
         if isinstance(found, Outcome):
             await self._rest(found)
             return
         self._view.reset(found)
         self._reached(found.revision)
+        self._prove(began)
         outcome: Outcome | None = None
         while outcome is None:
             outcome = await self._follow_changes()
@@ -101,8 +112,13 @@
         if found.changes:
             self._view.apply(found.changes)
             self._reached(found.revision)
+        self._prove(found.proven_at)
         return None
 
+    def _prove(self, proven_at: dt.timedelta | None) -> None:
+        if self._on_proof is not None and proven_at is not None:
+            self._on_proof(proven_at)
+
     async def _interrupted(self, found: Outcome) -> Outcome:
         if found is Outcome.HISTORY_GONE:
             _log.info('objects: history of %s is gone, list it', self._kind)
--- a/bergamotdoor/observe/events.py
+++ b/bergamotdoor/observe/events.py
@@ -12,6 +12,10 @@
     CALL_REFUSED = 'calls_refused'
     CALL_UNCLEAR = 'calls_unclear'
     CALL_WITHOUT_ROUTE = 'calls_without_route'
+    #: Requests whose key is none, or was taken away.
+    REQUEST_DENIED = 'requests_denied'
+    #: Requests that came while revoked keys could not be known.
+    REQUEST_UNPROVEN = 'requests_unproven'
     #: Attempts that gave no whole answer.
     ATTEMPT_FAILED = 'call_attempts_failed'
     #: Upstreams that ended while they ran a request, a request each.
--- a/bergamotdoor/peers/news_messages.py
+++ b/bergamotdoor/peers/news_messages.py
@@ -14,6 +14,9 @@
     kind: str
     since: Revision
     gather_ms: int
+    #: How often the asker wants to be told that nothing has changed; 0 is
+    #: never.
+    proof_ms: int = 0
 
 
 class KindChanges(msgspec.Struct, frozen=True, tag=True):
@@ -21,6 +24,10 @@
 
     changes: tuple[Change, ...]
     revision: Revision
+    #: When nothing else had changed, from the receipt of the question on;
+    #: None is not known. Counted so, it means the same to the asker, whose
+    #: question was sent no later than it was received.
+    proven_ms: int | None = None
 
 
 class HistoryGone(msgspec.Struct, frozen=True, tag=True):
--- a/bergamotdoor/peers/news_source.py
+++ b/bergamotdoor/peers/news_source.py
@@ -13,15 +13,19 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
+import msgspec
+
 from bergamotdoor.objects.change_log import ChangeLog
 from bergamotdoor.objects.news import StoreNews, Watch
-from bergamotdoor.stored import Outcome
+from bergamotdoor.peers.messages import NotKnown
+from bergamotdoor.peers.news_messages import HistoryGone, KindChanges
+from bergamotdoor.stored import Changes, Outcome
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
     from bergamotdoor.objects.client import ObjectClient
+    from bergamotdoor.peers.news_messages import WatchKind
     from bergamotdoor.peers.sharing import SharingBounds
-    from bergamotdoor.stored import Changes
     from bergamotdoor.tasks import Tasks
     from bergamotdoor.types import Revision
 
@@ -31,6 +35,7 @@
 #: Before a watch that failed is tried again.
 _RETRY_MS: Final = 200
 _RETRY: Final = dt.timedelta(milliseconds=_RETRY_MS)
+_MS: Final = dt.timedelta(milliseconds=1)
 _NO_TIME: Final = dt.timedelta()
 
 _log = logging.getLogger('bergamotdoor.peers')
@@ -64,6 +69,9 @@
         self._clock = clock
         self._trusted = trusted
         self._known: ChangeLog | None = None
+        #: When the last watch that was answered began, in time since the
+        #: machine's start.
+        self._proven_at: dt.timedelta | None = None
         self._asked_at = clock.elapsed()
         self._wanted = asyncio.Event()
         self._grown = asyncio.Event()
@@ -92,7 +100,8 @@
             self._wanted.set()
         known = self._known
         until = self._asked_at + wait
-        while known is self._known and since >= known.until:
+        proven_at = self._proven_at
+        while not self._has_news(known, since, proven_at):
             left = until - self._clock.elapsed()
             if left <= _NO_TIME:
                 break
@@ -100,18 +109,34 @@
         if known is not self._known:
             return Outcome.NOT_DONE
         found = known.behind(since)
-        return Outcome.HISTORY_GONE if found is None else found
+        if found is None:
+            return Outcome.HISTORY_GONE
+        return msgspec.structs.replace(found, proven_at=self._proven_at)
+
+    def _has_news(
+        self,
+        known: ChangeLog,
+        since: Revision,
+        proven_at: dt.timedelta | None,
+    ) -> bool:
+        if known is not self._known or since < known.until:
+            return True
+        proves = self._watch.proof is not None
+        return proves and proven_at != self._proven_at
 
     async def _follow(self, known: ChangeLog) -> None:
         found = await self._watched(known)
         if isinstance(found, Outcome):
             _log.info('peers: news of %s: %s', self._watch.kind, found.value)
             self._known = None
+            self._proven_at = None
             self._announce()
             await self._clock.sleep(_RETRY)
             return
+        self._proven_at = found.proven_at
         if found.changes:
             known.append(found)
+        if found.changes or self._watch.proof is not None:
             self._announce()
 
     async def _watched(self, known: ChangeLog) -> Changes | Outcome:
@@ -174,25 +199,35 @@
         """Return whether a kind is followed here for others."""
         return kind in self._feeds and not self.closed
 
-    async def changes(
-        self, kind: str, since: Revision, gather: dt.timedelta
-    ) -> Changes | Outcome:
+    async def changes(self, watch: Watch, since: Revision) -> Changes | Outcome:
         """Return what is new of a kind, waiting until there is."""
         if self.closed:
             return Outcome.NOT_DONE
-        feed = self._feeds.get(kind)
+        feed = self._feeds.get(watch.kind)
         if feed is None:
-            feed = self._begin(kind, gather)
+            feed = self._begin(watch)
         return await feed.changes(since, self._bounds.answer_wait)
 
-    def _begin(self, kind: str, gather: dt.timedelta) -> Feed:
-        gather = min(gather, self._bounds.most_gather)
-        watch = Watch(kind, gather, self._bounds.watch_wait)
-        trusted = self._bounds.trusted(gather)
+    async def answer(
+        self, message: WatchKind
+    ) -> KindChanges | HistoryGone | NotKnown:
+        """Answer another process that waits for news."""
+        received_at = self._clock.uptime()
+        proof = message.proof_ms * _MS if message.proof_ms else None
+        watch = Watch(message.kind, message.gather_ms * _MS, proof=proof)
+        found = await self.changes(watch, message.since)
+        if isinstance(found, Changes):
+            return _told(found, received_at)
+        return HistoryGone() if found is Outcome.HISTORY_GONE else NotKnown()
+
+    def _begin(self, asked: Watch) -> Feed:
+        gather = min(asked.gather, self._bounds.most_gather)
+        watch = Watch(asked.kind, gather, self._bounds.watch_wait, asked.proof)
+        trusted = self._bounds.trusted(watch)
         feed = Feed(self._news, watch, self._clock, trusted)
-        self._feeds[kind] = feed
-        self._tasks.start(self._run(kind, feed))
-        _log.info('peers: follows %s for others', kind)
+        self._feeds[watch.kind] = feed
+        self._tasks.start(self._run(watch.kind, feed))
+        _log.info('peers: follows %s for others', watch.kind)
         return feed
 
     async def _run(self, kind: str, feed: Feed) -> None:
@@ -200,3 +235,12 @@
             await feed.run()
         finally:
             self._feeds.pop(kind, None)
+
+
+def _told(found: Changes, received_at: dt.timedelta) -> KindChanges:
+    proven_ms = (
+        None
+        if found.proven_at is None
+        else (found.proven_at - received_at) // _MS
+    )
+    return KindChanges(found.changes, found.revision, proven_ms)
--- a/bergamotdoor/peers/shared_news.py
+++ b/bergamotdoor/peers/shared_news.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import datetime as dt
 import logging
 from typing import TYPE_CHECKING
 
@@ -88,7 +89,7 @@
     async def _ask_own(
         self, own: NewsSource, watch: Watch, since: Revision
     ) -> Changes | Outcome:
-        found = await own.changes(watch.kind, since, watch.gather)
+        found = await own.changes(watch, since)
         if not isinstance(found, Outcome):
             return found
         if found is not Outcome.HISTORY_GONE:
@@ -98,12 +99,12 @@
     async def _ask(
         self, source: NodeId, watch: Watch, since: Revision
     ) -> Changes | Outcome:
+        asked_at = self._clock.uptime()
         reply = await self._reply(
-            self._directory.entries[source].address,
-            WatchKind(watch.kind, since, utils.to_ms(watch.gather)),
+            self._directory.entries[source].address, _question(watch, since)
         )
         if isinstance(reply, KindChanges):
-            return Changes(reply.changes, reply.revision)
+            return _told(reply, asked_at)
         if not isinstance(reply, HistoryGone):
             self._leave_alone(source, silent=reply is None)
         return Outcome.HISTORY_GONE
@@ -136,3 +137,19 @@
             self._choice.unreachable(source, now)
         else:
             self._choice.ignorant(source, now)
+
+
+def _question(watch: Watch, since: Revision) -> WatchKind:
+    proof = watch.proof or dt.timedelta()
+    return WatchKind(
+        watch.kind, since, utils.to_ms(watch.gather), utils.to_ms(proof)
+    )
+
+
+def _told(reply: KindChanges, asked_at: dt.timedelta) -> Changes:
+    proven_at = (
+        None
+        if reply.proven_ms is None
+        else asked_at + utils.from_ms(reply.proven_ms)
+    )
+    return Changes(reply.changes, reply.revision, proven_at)
--- a/bergamotdoor/peers/sharing.py
+++ b/bergamotdoor/peers/sharing.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from bergamotdoor.objects.news import Watch
     from bergamotdoor.peers.directory import EntryRecord
     from bergamotdoor.types import ZoneId
 
@@ -62,13 +63,13 @@
         """How long the source gathers changes at the most."""
         return self.bound / 8
 
-    def trusted(self, gather: dt.timedelta) -> dt.timedelta:
+    def trusted(self, watch: Watch) -> dt.timedelta:
         """Return within which time the store must have answered the source.
 
         The pause before a watch, the watch, and an eighth of the bound for
         a slow answer.
         """
-        return gather + self.watch_wait + self.bound / 8
+        return watch.gather + watch.patience + self.bound / 8
 
 
 class SourceChoice:
--- a/bergamotdoor/platform/headers.py
+++ b/bergamotdoor/platform/headers.py
@@ -28,6 +28,8 @@
 TOKEN_COUNT: Final = f'{_PREFIX}token-count'
 #: The client's guess at the number of tokens to be generated.
 LENGTH_HINT: Final = f'{_PREFIX}length-hint'
+#: The client account, as upstreams are told.
+ACCOUNT: Final = f'{_PREFIX}tenant'
 LAST_EVENT_ID: Final = 'last-event-id'
 RETRY_AFTER: Final = 'retry-after'
 
--- a/bergamotdoor/platform/manifest.py
+++ b/bergamotdoor/platform/manifest.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from bergamotdoor import utils
+from bergamotdoor.calls.accounts import AccountKeys, Accounts, digest_of
 from bergamotdoor.calls.manifest import (
     CallerLimits,
     Manifest,
@@ -18,7 +19,7 @@
     Share,
 )
 from bergamotdoor.stored import reading
-from bergamotdoor.types import Generation, ServiceId
+from bergamotdoor.types import AccountId, Generation, ServiceId
 
 if TYPE_CHECKING:
     from bergamotdoor.stored import StoredObject
@@ -55,6 +56,7 @@
     due_ms: float = 0
     max_wait_s: float | None = None
     single_version: bool = False
+    public: bool = False
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -63,6 +65,11 @@
     health_path: str = ''
 
 
+class _Tenant(msgspec.Struct, frozen=True):
+    name: AccountId
+    api_keys: tuple[str, ...] = ()
+
+
 class _Limits(msgspec.Struct, frozen=True):
     max_header_bytes: int | None = None
     max_body_bytes: int | None = None
@@ -74,6 +81,7 @@
     version: Generation
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
+    tenants: tuple[_Tenant, ...] = ()
     limits: _Limits = _Limits()
 
 
@@ -97,6 +105,7 @@
                 for service in written.services
             },
             _limits(written.limits),
+            Accounts(_account_keys(tenant) for tenant in written.tenants),
         )
 
 
@@ -117,6 +126,13 @@
         due=utils.from_ms(written.due_ms),
         give_up=_seconds(written.max_wait_s),
         single_version=written.single_version,
+        public=written.public,
+    )
+
+
+def _account_keys(written: _Tenant) -> AccountKeys:
+    return AccountKeys(
+        written.name, tuple(digest_of(key) for key in written.api_keys)
     )
 
 
--- a/bergamotdoor/platform/settings.py
+++ b/bergamotdoor/platform/settings.py
@@ -29,6 +29,8 @@
     drain_ms: float = 2000
     contact_ms: float = 3000
     status_s: float = 120
+    strict_revoke: bool = False
+    revoke_ms: float = 5000
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -86,8 +88,13 @@
         grace=dt.timedelta(seconds=written.bounds.grace_s),
         retention=dt.timedelta(seconds=written.bounds.status_s),
         link_mbps=written.limits.link_mbps,
+        revocation=_revocation(written.bounds),
     )
 
 
+def _revocation(bounds: _Bounds) -> dt.timedelta | None:
+    return utils.from_ms(bounds.revoke_ms) if bounds.strict_revoke else None
+
+
 def _optional(text: str) -> Address | None:
     return Address.parse(text) if text else None
--- a/bergamotdoor/settings/node.py
+++ b/bergamotdoor/settings/node.py
@@ -39,3 +39,6 @@
     retention: dt.timedelta
     #: The bandwidth of this VM's link, in Mbit/s; 0 is not told.
     link_mbps: float = 0
+    #: How soon a revoked key must stop working on every VM, whether the store
+    #: is reached or not; None is as soon as the manifest is known.
+    revocation: dt.timedelta | None = None
--- a/bergamotdoor/steps/item_request.py
+++ b/bergamotdoor/steps/item_request.py
@@ -53,6 +53,8 @@
         (names.REQUEST_ID, run.spec.item),
         (names.EXPECT_REGISTRATION, run.upstream.registration),
     ]
+    if run.job.account:
+        fields.append((names.ACCOUNT, run.job.account))
     if run.transcript.last_number is not None:
         fields.append((names.LAST_EVENT_ID, str(run.transcript.last_number)))
     return ClientRequest(
--- a/bergamotdoor/steps/item_run.py
+++ b/bergamotdoor/steps/item_run.py
@@ -11,9 +11,9 @@
 from bergamotdoor.http.messages import BodyBrokenError, ClientResponse
 from bergamotdoor.http.sending import send
 from bergamotdoor.jobs.board import RunEnd
+from bergamotdoor.jobs.event_stream import EventReader
 from bergamotdoor.jobs.messages import ItemResult, ItemState
 from bergamotdoor.platform import headers as names
-from bergamotdoor.platform.events import EventReader
 from bergamotdoor.steps.item_outcome import note_outcome
 from bergamotdoor.steps.item_request import item_fingerprint, item_request
 from bergamotdoor.types import WeightVersion
@@ -114,7 +114,7 @@
 async def _read(
     context: Context, run: ItemRun, response: ClientResponse
 ) -> ItemResult | RunEnd:
-    reader = EventReader()
+    reader = EventReader(names.WEIGHT_VERSION)
     try:
         async for piece in response.body:
             _take(context, run, reader.feed(piece))
--- a/bergamotdoor/steps/job_finder.py
+++ b/bergamotdoor/steps/job_finder.py
@@ -161,9 +161,10 @@
         """Become a job's owner in the store; NOT_DONE if another one is."""
         if self._owner.stopping:
             return Outcome.NOT_DONE
-        own = self._context.own_record(
-            found.record.term + 1, found.record.parts
+        later = msgspec.structs.replace(
+            found.record, term=found.record.term + 1
         )
+        own = self._context.own_record(later)
         claimed = await self._store.claim(found, own)
         if isinstance(claimed, Outcome):
             return claimed
--- a/bergamotdoor/steps/jobs_desk.py
+++ b/bergamotdoor/steps/jobs_desk.py
@@ -27,7 +27,7 @@
     from bergamotdoor.peers.client import PeerClient
     from bergamotdoor.steps.job_finder import JobFinder
     from bergamotdoor.steps.owner import JobOwner
-    from bergamotdoor.types import ItemId, JobId
+    from bergamotdoor.types import AccountId, ItemId, JobId
 
 #: A failure that comes sooner is a reset or a refused connection.
 _AT_ONCE_MS: Final = 200
@@ -72,6 +72,14 @@
         self._peers = peers
         self._clock = clock
 
+    async def account_of(self, job: JobId) -> AccountId | Outcome:
+        """Return whose job it is; ABSENT if there is no such job."""
+        run = self._owner.get(job)
+        if run is not None:
+            return run.spec.account
+        record = await self._finder.record(job)
+        return record if isinstance(record, Outcome) else record.account
+
     async def read(
         self, job: JobId, after: int, wait: dt.timedelta
     ) -> ResultPage | Outcome:
--- a/bergamotdoor/steps/jobs_intake.py
+++ b/bergamotdoor/steps/jobs_intake.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from bergamotdoor.calls.accounts import NO_ACCOUNT
 from bergamotdoor.jobs.ledger import Ledger
 from bergamotdoor.jobs.messages import JobRecord
 from bergamotdoor.objects.job_codec import LoadedJob
@@ -57,6 +58,8 @@
         if isinstance(submitted, Outcome):
             return submitted
         found = submitted.found
+        if found.record.account not in (NO_ACCOUNT, spec.account):
+            return Outcome.FOREIGN
         self._finder.remember(found.job, found.record, spec.model)
         self._others.tell_owner(found, spec.model)
         if not submitted.created:
@@ -82,11 +85,12 @@
 
     def _home_record(self, spec: JobSpec) -> JobRecord:
         """Name the entry that runs the jobs of a trainer."""
-        own = self._context.own_record(1, 0)
+        node = self._context.settings.node
+        own = self._context.own_entry
         entries = dict(self._others.directory.entries)
         if not self._owner.stopping:
-            entries[own.owner] = self._context.own_entry
+            entries[node] = own
         order = home_order(spec.model, entries, self._context.settings.zone)
-        if not order:
-            return own
-        return JobRecord(order[0], entries[order[0]].address, 1, 0)
+        home = order[0] if order else node
+        address = entries.get(home, own).address
+        return JobRecord(home, address, 1, 0, spec.account)
--- a/bergamotdoor/steps/peer_service.py
+++ b/bergamotdoor/steps/peer_service.py
@@ -23,16 +23,12 @@
     StrikesLearned,
     TakeOver,
 )
-from bergamotdoor.peers.news_messages import (
-    HistoryGone,
-    KindChanges,
-    WatchKind,
-)
+from bergamotdoor.peers.news_messages import WatchKind
 from bergamotdoor.peers.relay import relayed
 from bergamotdoor.steps.hand_over import found_in, loaded_in
 from bergamotdoor.steps.item_bodies import body_of
 from bergamotdoor.steps.jobs_desk import page_of
-from bergamotdoor.stored import Changes, Outcome
+from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
     from bergamotdoor.entry.context import Context
@@ -90,7 +86,7 @@
         if isinstance(message, AdoptJob) and not self._owner.takes_jobs:
             return NotOwner()
         if isinstance(message, WatchKind):
-            return await self._tell(message)
+            return await self._news.answer(message)
         if isinstance(message, TakeOver):
             return await self._take_over(message)
         if isinstance(message, (ReadBody, ReadResults)):
@@ -132,16 +128,6 @@
         page = await page_of(run, message.after, wait, self._page_bytes)
         return NotKnown() if isinstance(page, Outcome) else page
 
-    async def _tell(self, message: WatchKind) -> PeerReply:
-        found = await self._news.changes(
-            message.kind, message.since, message.gather_ms * _MS
-        )
-        if isinstance(found, Changes):
-            return KindChanges(found.changes, found.revision)
-        if found is Outcome.HISTORY_GONE:
-            return HistoryGone()
-        return NotKnown()
-
     async def _take_over(self, message: TakeOver) -> PeerReply:
         found = await self._finder.take_handed(
             found_in(message), loaded_in(message)
--- a/bergamotdoor/steps/scorer.py
+++ b/bergamotdoor/steps/scorer.py
@@ -23,7 +23,7 @@
     from bergamotdoor.entry.views import ManifestView
     from bergamotdoor.jobs.scoring import Unscored
     from bergamotdoor.steps.job_run import JobRun
-    from bergamotdoor.types import ServiceId
+    from bergamotdoor.types import AccountId, ServiceId
 
 #: How long a score call may take with all its attempts, if its route allows
 #: as much: thirty times a usual answer. Another try is worth more than
@@ -101,7 +101,8 @@
         return score_room(upstreams, self._context.loads, own, now) > 0
 
     async def _score(self, run: JobRun, text: Unscored, route: Route) -> None:
-        outcome = await self._forwarder.forward(self._call(text, route))
+        call = self._call(text, route, run.spec.account)
+        outcome = await self._forwarder.forward(call)
         score = _score_of(outcome)
         if score:
             run.items.take_score(text, score)
@@ -121,12 +122,14 @@
             route.max_attempts,
         )
 
-    def _call(self, text: Unscored, route: Route) -> Call:
+    def _call(self, text: Unscored, route: Route, account: AccountId) -> Call:
         now = self._context.clock.elapsed()
         fields = [
             ('host', text.call.host),
             (names.REQUEST_ID, text.call.request_id),
         ]
+        if account:
+            fields.append((names.ACCOUNT, account))
         return Call(
             request_id=text.call.request_id,
             method='POST',
--- a/bergamotdoor/stored.py
+++ b/bergamotdoor/stored.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import datetime as dt
 import enum
 from typing import TYPE_CHECKING
 
@@ -66,6 +67,9 @@
 
     changes: tuple[Change, ...]
     revision: Revision
+    #: When nothing else had changed, in time since the machine's start; None
+    #: is not known.
+    proven_at: dt.timedelta | None = None
 
 
 class Outcome(enum.Enum):
@@ -77,6 +81,8 @@
     HISTORY_GONE = 'history-gone'
     #: Nothing was done: refused, or not sent.
     NOT_DONE = 'not-done'
+    #: The object is another client account's.
+    FOREIGN = 'foreign'
     #: It may have been done, or may be done seconds later.
     UNCLEAR = 'unclear'
 
--- a/bergamotdoor/types.py
+++ b/bergamotdoor/types.py
@@ -33,3 +33,5 @@
 Revision = NewType('Revision', int)
 #: What a request asks for, whoever sends it and under which id.
 Fingerprint = NewType('Fingerprint', str)
+#: A client account, as it is named to upstreams. Its requests bear keys.
+AccountId = NewType('AccountId', str)
--- a/features/steps/peers_news_steps.py
+++ b/features/steps/peers_news_steps.py
@@ -12,6 +12,7 @@
 from hypothesis import settings, strategies
 
 from bergamotdoor.objects.change_log import ChangeLog
+from bergamotdoor.objects.news import Watch
 from bergamotdoor.peers.client import PEER_MARGIN
 from bergamotdoor.peers.directory import EntryRecord
 from bergamotdoor.peers.sharing import SharingBounds, SourceChoice
@@ -284,7 +285,8 @@
         bound = dt.timedelta(seconds=seconds)
         bounds = SharingBounds(bound)
         assert bounds.answer_wait + PEER_MARGIN < bound * 3 / 4, bounds
-        assert bounds.trusted(bounds.most_gather) < bound * 3 / 4, bounds
+        watch = Watch('config', bounds.most_gather, bounds.watch_wait)
+        assert bounds.trusted(watch) < bound * 3 / 4, bounds
 
 
 @given('the entries of a zone by name')
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -16,6 +16,7 @@
 from bergamotdoor.calls.manifest import RouteKind, pick_service
 from bergamotdoor.cli.reloading import ReloadingDaemon
 from bergamotdoor.entry.views import ManifestView
+from bergamotdoor.jobs.event_stream import EventReader
 from bergamotdoor.objects.job_codec import found_job, record_of
 from bergamotdoor.platform.batch_wire import parse_job
 from bergamotdoor.platform.engines import (
@@ -24,7 +25,7 @@
     parse_version,
 )
 from bergamotdoor.platform.evacuation import is_completed
-from bergamotdoor.platform.events import EventReader
+from bergamotdoor.platform.headers import WEIGHT_VERSION
 from bergamotdoor.platform.manifest import parse_manifest
 from bergamotdoor.platform.settings import parse_node_settings
 from bergamotdoor.platform.store_wire import (
@@ -44,7 +45,9 @@
 WIRE = re.compile(
     r'x-bergamotdoor-|retirements|/-/(lots|items|order|report|objects)'
     r'|cold_left_ms|more_pages|as_of|next_token|max_wait_s|max_conns'
-    r'|goal_ms|can_resume|min_version["\']|beat_interval_ms',
+    r'|goal_ms|can_resume|min_version["\']|beat_interval_ms'
+    r'|tenant|api_keys|fence-token|duty-holder|duty_per_s|strict_revoke'
+    r'|usage_window_s|usage_late_s',
     re.IGNORECASE,
 )
 MOST_LINES = 900
@@ -295,5 +298,7 @@
     Parser(lambda body: record_of(stored(body)), UnreadableError),
     Parser(lambda body: parse_job(JobId('j'), 'h', '/p', body), ValueError),
     Parser(lambda body: parse_node_settings(body, 'a file'), SettingsError),
-    Parser(lambda body: list(EventReader().feed(body)), ValueError),
+    Parser(
+        lambda body: list(EventReader(WEIGHT_VERSION).feed(body)), ValueError
+    ),
 )
--- a/lab/site.py
+++ b/lab/site.py
@@ -71,6 +71,10 @@
 
     #: The bandwidth of each entry's link, in Mbit/s; 0 is not told.
     link_mbps: float = 0
+    #: How soon a revoked key must stop working everywhere, if at all.
+    revocation: dt.timedelta | None = None
+    #: How soon new work must stop going to an upstream that leaves.
+    drain: dt.timedelta = dt.timedelta(seconds=2)
 
     def __init__(self) -> None:
         self.clock = virtual_clock()
@@ -167,10 +171,11 @@
             inspection=at(port + 3),
             engine=engine,
             contact=dt.timedelta(seconds=3),
-            drain=dt.timedelta(seconds=2),
+            drain=self.drain,
             grace=dt.timedelta(seconds=8),
             retention=dt.timedelta(seconds=_RETENTION_S),
             link_mbps=self.link_mbps,
+            revocation=self.revocation,
         )
 
     async def kill(self, name: str) -> None:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -25,6 +25,8 @@
 _SCORING: Final = 'gateway_scoring'
 _INCARNATIONS: Final = 'fleet_incarnations'
 _MODEL: Final = 'lab_model'
+_ACCOUNTS: Final = 'gateway_accounts'
+_REVOCATION: Final = 'gateway_revocation'
 _NEWS: Final = 'peers_news'
 _CRASHES: Final = 'gateway_crashes'
 
@@ -42,6 +44,34 @@
 
 
 MUTATIONS: Final = (
+    Mutation(
+        'requests with a key wait for a proof that the key still counts',
+        'calls/accounts.py',
+        'return now - proven_at < self.revocation - _PROOF_MARGIN',
+        'return now >= proven_at',
+        _REVOCATION,
+    ),
+    Mutation(
+        'what the client says of its account is dropped',
+        'gateway/credentials.py',
+        'return (ACCOUNT, _AUTHORIZATION) if keyed else (ACCOUNT,)',
+        'return ()',
+        _ACCOUNTS,
+    ),
+    Mutation(
+        'an account that lost its keys is in force',
+        'calls/accounts.py',
+        'self._in_force = bool(known)',
+        'self._in_force = any(one.keys for one in known)',
+        _ACCOUNTS,
+    ),
+    Mutation(
+        "another account's job is not shown",
+        'calls/accounts.py',
+        'return not self._in_force or owner in {account, NO_ACCOUNT}',
+        'return True',
+        _ACCOUNTS,
+    ),
     Mutation(
         'a kind is listed again after an interrupted watch',
         'objects/watcher.py',
@@ -52,7 +82,7 @@
     Mutation(
         'a watch is trusted for a bounded time',
         'objects/news.py',
-        'self._store.changes(watch.kind, since, watch.wait)',
+        'self._store.changes(watch.kind, since, watch.patience)',
         'self._store.changes(watch.kind, since, LONG_WAIT)',
         'objects_watcher',
     ),
