Report usage once a window, decided by the write that proves the duty

Change: entries count calls of each client account by the window in which they began, in true time, which leaves out jumps of the wall clock. They tell the holder and its first successor as counts grow. The duty has one record in the store: the holder replaces it before it sends, which decides the counts and proves the duty in one write a window, and it sends only within 0.7 of the lease bound of that write's begin. A successor takes the record after 1.4 of the bound without a change, raises the token and repeats what is decided. Design: duties/ decides without input or output, reporting/ carries out.

Weighed: a lease with heartbeats (a write a second; the record of what is decided is needed besides); a claim written before each act (kept, joined with the decision). Counts pulled at a window's end (lost with an entry that ends in the window) against counts told as they grow (kept: half a second is lost).

Proof: lab/receiver judges tokens, turns and contradictions; 150 histories of three processes with pauses, kills, lost and late writes between all steps (lab/model/duties); killed, restarted, stopping, suspended and cut holders; receiver and store busy, silent, losing. Five mutations.

--- a/bergamotdoor/cli/ctl.py
+++ b/bergamotdoor/cli/ctl.py
@@ -115,11 +115,38 @@
         if one.body is None:
             yield f'  {_written(one.address)}: no answer'
     yield f'manifest: {lowest} and newer in force everywhere'
+    yield from _proof_lines(entries)
+    yield from _duty_lines(entries)
     yield from _upstream_lines(entries)
     yield from _job_lines(entries)
     yield from _quarantine_lines(entries)
 
 
+def _proof_lines(entries: list[GatewayState]) -> Iterator[str]:
+    ages = [entry.manifest_proof_s for entry in entries]
+    known = [age for age in ages if age is not None]
+    if known:
+        oldest = max(known)
+        yield f'manifest: known to be current {oldest:.1f} s ago everywhere'
+    if len(known) < len(ages):
+        missing = len(ages) - len(known)
+        yield f'manifest: {missing} entries never knew a current one'
+
+
+def _duty_lines(entries: list[GatewayState]) -> Iterator[str]:
+    """Tell who reports usage; the entries may not agree for a moment."""
+    held = {
+        (duty.token, duty.holder): duty
+        for entry in entries
+        if (duty := entry.duty) is not None
+    }
+    for _, duty in sorted(held.items(), reverse=True):
+        yield (
+            f'usage: reported by {duty.holder}, token {duty.token}, decided '
+            f'below window {duty.decided_below}, {duty.open_reports} open'
+        )
+
+
 def _upstream_lines(entries: list[GatewayState]) -> Iterator[str]:
     views: defaultdict[str, list[UpstreamState]] = defaultdict(list)
     for entry in entries:
--- /dev/null
+++ b/bergamotdoor/duties/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions about work that one process at a time does for all."""
+
+from __future__ import annotations
--- a/bergamotdoor/forwarding/call.py
+++ b/bergamotdoor/forwarding/call.py
@@ -29,6 +29,9 @@
     rules: CallRules
     #: In the clock's time.
     began: dt.timedelta
+    #: When the first upstream that may have run it got it, or for a stream
+    #: answered it; None if none has.
+    ran_at: dt.timedelta | None = None
 
     @property
     def fingerprint(self) -> Fingerprint:
--- a/bergamotdoor/forwarding/forwarder.py
+++ b/bergamotdoor/forwarding/forwarder.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from bergamotdoor import utils
-from bergamotdoor.calls.manifest import pick_service
+from bergamotdoor.calls.manifest import RouteKind, pick_service
 from bergamotdoor.calls.tries import Tries
 from bergamotdoor.fleet.quarantine import CALL_STRIKES
 from bergamotdoor.forwarding.attempt import send_call
@@ -77,7 +77,8 @@
         self._call = call
         self._service = service
         self._tries = Tries(call.rules, context.settings.zone)
-        self._running: set[asyncio.Task[Attempt]] = set()
+        #: Attempts under way, and when they were sent.
+        self._running: dict[asyncio.Task[Attempt], dt.timedelta] = {}
         #: How many upstreams answered that they failed.
         self._failures = 0
         self._last = Attempt(Verdict.NOT_RUN, 'no upstream')
@@ -87,8 +88,9 @@
         try:
             outcome = await self._run()
         finally:
-            for task in self._running:
+            for task, sent_at in self._running.items():
                 task.cancel()
+                self._ran(sent_at)
         return msgspec.structs.replace(outcome, failures=self._failures)
 
     async def _run(self) -> Attempt:
@@ -115,9 +117,17 @@
         # Counted before the task begins: calls that start together would
         # all choose the same upstream.
         load = self._context.loads.of(upstream.upstream)
-        self._running.add(start_counted(load, work))
+        self._running[start_counted(load, work)] = now
         return True
 
+    def _ran(self, sent_at: dt.timedelta) -> None:
+        """Take that an upstream may have run the call."""
+        known = self._call.ran_at
+        if self._call.route.kind is RouteKind.STREAM:
+            # A stream begins to run with its first token.
+            sent_at = self._now()
+        self._call.ran_at = sent_at if known is None else min(known, sent_at)
+
     def _rest(self) -> dt.timedelta:
         """Return how long the call must not be sent."""
         quarantine = self._context.quarantine
@@ -134,8 +144,13 @@
             timeout=patience.total_seconds(),
             return_when=asyncio.FIRST_COMPLETED,
         )
-        self._running -= done
-        return [task.result() for task in done]
+        attempts = []
+        for ended in done:
+            sent_at = self._running.pop(ended)
+            attempts.append(ended.result())
+            if attempts[-1].verdict is not Verdict.NOT_RUN:
+                self._ran(sent_at)
+        return attempts
 
     def _note(self, attempt: Attempt) -> None:
         self._tries.end(attempt.verdict)
--- a/bergamotdoor/gateway/call_front.py
+++ b/bergamotdoor/gateway/call_front.py
@@ -6,7 +6,7 @@
 
 from bergamotdoor import utils
 from bergamotdoor.calls.tries import CallRules
-from bergamotdoor.forwarding import Call
+from bergamotdoor.forwarding import Call, Forwarder
 from bergamotdoor.gateway.batch_front import number_of
 from bergamotdoor.gateway.refusals import refusal
 from bergamotdoor.platform import headers as names
@@ -15,19 +15,23 @@
     import datetime as dt
 
     from bergamotdoor.calls.manifest import Route
-    from bergamotdoor.forwarding import Forwarder
+    from bergamotdoor.entry.context import Context
+    from bergamotdoor.forwarding import Attempt
     from bergamotdoor.http.messages import Headers, HttpRequest, HttpResponse
+    from bergamotdoor.reporting.counting import UsageCounter
+    from bergamotdoor.types import AccountId
 
 
 class CallFront:
     """Answers callers."""
 
-    def __init__(self, forwarder: Forwarder) -> None:
-        self._forwarder = forwarder
+    def __init__(self, context: Context, counter: UsageCounter | None) -> None:
+        self._forwarder = Forwarder(context)
+        self._counter = counter
 
-    async def answer(self, call: Call) -> HttpResponse:
+    async def answer(self, call: Call, account: AccountId) -> HttpResponse:
         """Return an upstream's answer, or why there is none."""
-        outcome = await self._forwarder.forward(call)
+        outcome = await self._forward(call, account)
         if outcome.answer is not None:
             return outcome.answer
         wait = outcome.retry_after
@@ -40,6 +44,15 @@
             wait.total_seconds(),
         )
 
+    async def _forward(self, call: Call, account: AccountId) -> Attempt:
+        if self._counter is None:
+            return await self._forwarder.forward(call)
+        number = self._counter.enter()
+        try:
+            return await self._forwarder.forward(call)
+        finally:
+            self._counter.leave(number, account, call.ran_at)
+
 
 def call_of(
     request: HttpRequest,
--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -80,6 +80,7 @@
             self._manifests,
             self._parts.owner,
             self._access.store.counts,
+            self._parts.usage,
         )
         self._servers = Servers(self, self._clock, listening)
 
@@ -97,8 +98,7 @@
         )
         self._tasks.start(self._resume_jobs())
         self._tasks.start(self._expire_upstreams())
-        self._start_directory()
-        self._context.strikes.start(self._tasks)
+        self._start_sharing()
 
     async def stop(self) -> None:
         """Leave the balancer's rotation, finish what is open, end."""
@@ -108,10 +108,9 @@
         # Handing jobs on may have taken longer than the lame duck.
         left = until - self._clock.elapsed()
         await self._servers.callers.stop(max(left, dt.timedelta()))
-        await self._parts.owner.stop()
-        await self._tasks.stop()
-        await self._servers.stop_inner()
-        await self._client.close()
+        if self._parts.usage is not None:
+            await self._parts.usage.close()
+        await self._end()
 
     def use_settings(self, settings: NodeSettings) -> None:
         """Take the store's address and the bounds of changed settings."""
@@ -123,8 +122,7 @@
         await self._parts.owner.stop()
         await self._tasks.stop()
         await self._servers.callers.stop(dt.timedelta())
-        await self._servers.stop_inner()
-        await self._client.close()
+        await self._end()
 
     async def callers(self, request: HttpRequest) -> HttpResponse:
         """Answer a caller."""
@@ -171,15 +169,27 @@
         spent = self._clock.elapsed() - began
         await self._clock.sleep(_LAME_DUCK - spent)
 
-    def _start_directory(self) -> None:
+    async def _end(self) -> None:
+        await self._parts.owner.stop()
+        await self._tasks.stop()
+        await self._servers.stop_inner()
+        await self._client.close()
+
+    def _start_sharing(self) -> None:
+        """Know the other entries, and share with them what all must know."""
         directory = self._access.directory
         self._tasks.start(directory.register(self._context.own_entry))
         self._tasks.start(directory.run())
+        self._context.strikes.start(self._tasks)
+        if self._parts.usage is not None:
+            self._tasks.start(self._parts.usage.run())
 
     def _manifest_changed(self) -> None:
         manifest = self._manifests.manifest
         if manifest is not None:
             self._servers.callers.use_limits(caller_limits(manifest.limits))
+            if self._parts.usage is not None:
+                self._parts.usage.wanted = bool(manifest.accounts)
         self._parts.owner.poke()
 
     async def _resume_jobs(self) -> None:
--- a/bergamotdoor/gateway/front.py
+++ b/bergamotdoor/gateway/front.py
@@ -81,7 +81,7 @@
             request.headers, account, keyed=bool(newest.accounts)
         )
         call = call_of(request, headers, body, route, began)
-        return await self._calls.answer(call)
+        return await self._calls.answer(call, account)
 
     def _without_route(
         self, request: HttpRequest, manifest: Manifest
--- a/bergamotdoor/gateway/inspection.py
+++ b/bergamotdoor/gateway/inspection.py
@@ -13,6 +13,7 @@
 from bergamotdoor.observe.call_counts import StoreCalls
 from bergamotdoor.observe.dump import DumpRegistry
 from bergamotdoor.observe.exposition import exposition
+from bergamotdoor.reporting.usage_duty import DutyState
 from bergamotdoor.types import Fingerprint, Generation, JobId, UpstreamId
 
 if TYPE_CHECKING:
@@ -20,6 +21,7 @@
     from bergamotdoor.entry.views import ManifestView
     from bergamotdoor.http.messages import HttpRequest
     from bergamotdoor.observe.call_counts import CallCounts
+    from bergamotdoor.reporting.usage_duty import UsageDuty
     from bergamotdoor.steps.owner import JobOwner
 
 METRICS_PATH: Final = '/metrics'
@@ -70,6 +72,10 @@
     store_calls: tuple[StoreCalls, ...] = ()
     #: Those that rest longest first.
     quarantine: tuple[QuarantinedState, ...] = ()
+    #: How long ago the manifest was known to be current; None is never.
+    manifest_proof_s: float | None = None
+    #: Who reports usage; None where nobody does, or is not known to.
+    duty: DutyState | None = None
 
 
 class GatewayInspector:
@@ -81,11 +87,13 @@
         manifests: ManifestView,
         owner: JobOwner,
         store_calls: CallCounts,
+        usage: UsageDuty | None,
     ) -> None:
         self._store_calls = store_calls
         self._context = context
         self._manifests = manifests
         self._owner = owner
+        self._usage = usage
         self._dumps = DumpRegistry()
         self._dumps.register('gateway', self)
 
@@ -113,8 +121,16 @@
             tuple(self._jobs()),
             tuple(self._store_calls),
             tuple(self._quarantined()),
+            self._proof_s(),
+            None if self._usage is None else self._usage.state,
         )
 
+    def _proof_s(self) -> float | None:
+        proven_at = self._manifests.proven_at
+        if proven_at is None:
+            return None
+        return (self._context.clock.uptime() - proven_at).total_seconds()
+
     def _quarantined(self) -> list[QuarantinedState]:
         now = self._context.clock.elapsed()
         quarantine = self._context.quarantine
--- a/bergamotdoor/gateway/wiring.py
+++ b/bergamotdoor/gateway/wiring.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from bergamotdoor.forwarding import Forwarder
 from bergamotdoor.gateway.admission import Admission
 from bergamotdoor.gateway.batch_front import BatchFront
 from bergamotdoor.gateway.call_front import CallFront
 from bergamotdoor.gateway.front import Front
 from bergamotdoor.objects.job_store import JobStore
 from bergamotdoor.peers.news_source import NewsSource
+from bergamotdoor.reporting.usage_duty import UsageDuty
 from bergamotdoor.steps.hand_over import HandOver
 from bergamotdoor.steps.job_finder import JobFinder
 from bergamotdoor.steps.jobs_desk import JobsDesk
@@ -62,18 +62,15 @@
             access.direct,
             self.news_source,
         )
-        admission = Admission(context, manifests)
-        intake = JobsIntake(
-            context, self.store, self.owner, self.finder, self.others
-        )
-        desk = JobsDesk(self.owner, self.finder, access.peers, context.clock)
-        self.front = Front(
-            context,
-            manifests,
-            admission,
-            CallFront(Forwarder(context)),
-            BatchFront(intake, desk, admission),
-        )
+        #: None where usage is not reported.
+        self.usage: UsageDuty | None = None
+        if context.settings.duties is not None:
+            self.usage = UsageDuty(
+                context.settings, access, context.client, context.clock, tasks
+            )
+            for kind in self.usage.messages:
+                self.peer_service.register(kind, self.usage.take)
+        self.front = self._front(context, access, manifests)
 
     async def resume(self) -> bool:
         """Go on with the jobs of this node's last process.
@@ -90,3 +87,20 @@
             if self.finder.is_own(found.record) and not found.status.ended:
                 await self.finder.adopt(found)
         return True
+
+    def _front(
+        self, context: Context, access: StoreAccess, manifests: ManifestView
+    ) -> Front:
+        admission = Admission(context, manifests)
+        intake = JobsIntake(
+            context, self.store, self.owner, self.finder, self.others
+        )
+        desk = JobsDesk(self.owner, self.finder, access.peers, context.clock)
+        counter = None if self.usage is None else self.usage.counter
+        return Front(
+            context,
+            manifests,
+            admission,
+            CallFront(context, counter),
+            BatchFront(intake, desk, admission),
+        )
--- a/bergamotdoor/peers/messages.py
+++ b/bergamotdoor/peers/messages.py
@@ -9,6 +9,7 @@
 from bergamotdoor.fleet.quarantine import Strike
 from bergamotdoor.jobs.messages import ItemResult, JobRecord, JobSpec
 from bergamotdoor.jobs.transcript import SavedTranscript
+from bergamotdoor.peers.duty_messages import DutyHeld, UsageTold
 from bergamotdoor.peers.news_messages import (
     HistoryGone,
     KindChanges,
@@ -110,6 +111,8 @@
     | EngineLoaded
     | StrikesLearned
     | StoreCall
+    | UsageTold
+    | DutyHeld
     | WatchKind
 )
 
--- a/bergamotdoor/platform/headers.py
+++ b/bergamotdoor/platform/headers.py
@@ -30,6 +30,9 @@
 LENGTH_HINT: Final = f'{_PREFIX}length-hint'
 #: The client account, as upstreams are told.
 ACCOUNT: Final = f'{_PREFIX}tenant'
+#: Who does a duty, and a number that grows with each takeover.
+DUTY_HOLDER: Final = f'{_PREFIX}duty-holder'
+FENCING_TOKEN: Final = f'{_PREFIX}fence-token'
 LAST_EVENT_ID: Final = 'last-event-id'
 RETRY_AFTER: Final = 'retry-after'
 
@@ -37,6 +40,7 @@
 BODY_PATH: Final = '/-/items/'
 REPORT_PATH: Final = '/-/report'
 ORDER_PATH: Final = '/-/order'
+USAGE_PATH: Final = '/usage'
 OBJECTS_PATH: Final = '/-/objects/'
 
 #: Kinds that the operator, the upstreams and the trainers write.
--- a/bergamotdoor/platform/settings.py
+++ b/bergamotdoor/platform/settings.py
@@ -9,7 +9,7 @@
 
 from bergamotdoor import utils
 from bergamotdoor.settings.document import Address
-from bergamotdoor.settings.node import NodeSettings
+from bergamotdoor.settings.node import DutySettings, NodeSettings
 from bergamotdoor.settings.problems import Problem, SettingsError
 from bergamotdoor.types import NodeId, ZoneId
 
@@ -17,6 +17,7 @@
 INSPECTION_PORT: Final = 9464
 #: Names the settings file in the environment.
 SETTINGS_VARIABLE: Final = 'BERGAMOTDOOR_CONFIG'
+_USAGE: Final = 'usage'
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -31,6 +32,9 @@
     status_s: float = 120
     strict_revoke: bool = False
     revoke_ms: float = 5000
+    lease_ms: float = 3000
+    usage_window_s: float = 5
+    usage_late_s: float = 10
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -42,6 +46,13 @@
     value_bytes: int = 1_048_576
 
 
+class _Receiver(msgspec.Struct, frozen=True):
+    """Takes the calls of duties."""
+
+    address: str = ''
+    duties: tuple[str, ...] = ()
+
+
 class _File(msgspec.Struct, frozen=True):
     """The file as written; fields of no use here are ignored."""
 
@@ -54,6 +65,7 @@
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
     app: str = ''
+    cloud: _Receiver | None = None
 
 
 def parse_node_settings(body: bytes, source: str) -> NodeSettings:
@@ -72,6 +84,8 @@
 
 
 def _settings(written: _File) -> NodeSettings:
+    bounds = written.bounds
+    revocation = utils.from_ms(bounds.revoke_ms)
     return NodeSettings(
         node=written.node,
         zone=written.zone,
@@ -83,17 +97,25 @@
         first_port=written.internal_ports[0],
         inspection=Address(ip=written.ip, port=INSPECTION_PORT),
         engine=_optional(written.app),
-        contact=utils.from_ms(written.bounds.contact_ms),
-        drain=utils.from_ms(written.bounds.drain_ms),
-        grace=dt.timedelta(seconds=written.bounds.grace_s),
-        retention=dt.timedelta(seconds=written.bounds.status_s),
+        contact=utils.from_ms(bounds.contact_ms),
+        drain=utils.from_ms(bounds.drain_ms),
+        grace=dt.timedelta(seconds=bounds.grace_s),
+        retention=dt.timedelta(seconds=bounds.status_s),
         link_mbps=written.limits.link_mbps,
-        revocation=_revocation(written.bounds),
+        revocation=revocation if bounds.strict_revoke else None,
+        duties=_duties(written.cloud, bounds),
     )
 
 
-def _revocation(bounds: _Bounds) -> dt.timedelta | None:
-    return utils.from_ms(bounds.revoke_ms) if bounds.strict_revoke else None
+def _duties(written: _Receiver | None, bounds: _Bounds) -> DutySettings | None:
+    if written is None or _USAGE not in written.duties:
+        return None
+    return DutySettings(
+        receiver=Address.parse(written.address),
+        lease=utils.from_ms(bounds.lease_ms),
+        usage_window=dt.timedelta(seconds=bounds.usage_window_s),
+        usage_due=dt.timedelta(seconds=bounds.usage_late_s),
+    )
 
 
 def _optional(text: str) -> Address | None:
--- a/bergamotdoor/settings/node.py
+++ b/bergamotdoor/settings/node.py
@@ -10,6 +10,19 @@
 from bergamotdoor.types import NodeId, ZoneId
 
 
+class DutySettings(msgspec.Struct, frozen=True):
+    """What one process at a time does for the platform."""
+
+    #: Takes the reports.
+    receiver: Address
+    #: Two processes must not take turns within this.
+    lease: dt.timedelta
+    #: How long a window is for which usage is reported.
+    usage_window: dt.timedelta
+    #: How long after a window's end its report is due.
+    usage_due: dt.timedelta
+
+
 class NodeSettings(msgspec.Struct, frozen=True):
     """What a process is told about itself and its surroundings."""
 
@@ -42,3 +55,5 @@
     #: How soon a revoked key must stop working on every VM, whether the store
     #: is reached or not; None is as soon as the manifest is known.
     revocation: dt.timedelta | None = None
+    #: None where usage is not reported.
+    duties: DutySettings | None = None
--- a/bergamotdoor/steps/hand_over.py
+++ b/bergamotdoor/steps/hand_over.py
@@ -24,6 +24,7 @@
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
     from bergamotdoor.objects.job_store import JobStore
+    from bergamotdoor.peers.messages import AdoptJob
     from bergamotdoor.steps.job_run import JobRun
     from bergamotdoor.steps.other_entries import OtherEntries
     from bergamotdoor.steps.owner import JobOwner
@@ -106,7 +107,7 @@
     )
 
 
-def found_in(message: TakeOver) -> FoundJob:
+def found_in(message: TakeOver | AdoptJob) -> FoundJob:
     """Return the record of a step that is handed on."""
     return FoundJob(
         message.spec.job, message.record, JobStatus(), message.revision
--- a/bergamotdoor/steps/peer_service.py
+++ b/bergamotdoor/steps/peer_service.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import datetime as dt
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Any, Final
 
 from bergamotdoor.jobs.ledger import Ledger, page_limit_bytes
-from bergamotdoor.jobs.messages import JobStatus
-from bergamotdoor.objects.job_codec import FoundJob, LoadedJob
+from bergamotdoor.objects.job_codec import LoadedJob
 from bergamotdoor.peers.messages import (
     AdoptJob,
     Done,
@@ -31,6 +30,8 @@
 from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from bergamotdoor.entry.context import Context
     from bergamotdoor.objects.client import Caller
     from bergamotdoor.peers.messages import PeerReply, PeerRequest
@@ -78,6 +79,12 @@
         self._fleet = context.fleet
         self._strikes = context.strikes
         self._direct = direct
+        self._takers: dict[type[Any], Callable[[Any], None]] = {}
+        self.register(AdoptJob, self._adopt)
+        self.register(JobEnded, self._end)
+        self.register(JobOwned, self._remember)
+        self.register(EngineLoaded, self._loaded)
+        self.register(StrikesLearned, self._learn_strikes)
 
     async def handle(self, message: PeerRequest) -> PeerReply:
         """Answer one message."""
@@ -91,25 +98,28 @@
             return await self._take_over(message)
         if isinstance(message, (ReadBody, ReadResults)):
             return await self._read(message)
-        self._take(message)
+        take = self._takers.get(type(message))
+        if take is not None:
+            take(message)
         return Done()
 
-    def _take(
-        self,
-        message: AdoptJob | JobEnded | JobOwned | StrikesLearned | EngineLoaded,
-    ) -> None:
-        if isinstance(message, AdoptJob):
-            self._adopt(message)
-        elif isinstance(message, StrikesLearned):
-            self._strikes.take(message)
-        elif isinstance(message, JobEnded):
-            self._owner.end(message.job)
-        elif isinstance(message, JobOwned):
-            self._finder.remember(message.job, message.record, message.model)
-        else:
-            self._fleet.loaded(message.engine, message.model, message.version)
-            self._owner.poke()
-            self._others.pass_on(message)
+    def register(self, kind: type[Any], take: Callable[[Any], None]) -> None:
+        """Have a kind of messages that want no answer taken."""
+        self._takers[kind] = take
+
+    def _learn_strikes(self, message: StrikesLearned) -> None:
+        self._strikes.take(message)
+
+    def _end(self, message: JobEnded) -> None:
+        self._owner.end(message.job)
+
+    def _remember(self, message: JobOwned) -> None:
+        self._finder.remember(message.job, message.record, message.model)
+
+    def _loaded(self, message: EngineLoaded) -> None:
+        self._fleet.loaded(message.engine, message.model, message.version)
+        self._owner.poke()
+        self._others.pass_on(message)
 
     async def _read(self, message: ReadResults | ReadBody) -> PeerReply:
         run = self._owner.get(message.job)
@@ -141,5 +151,5 @@
             return
         self._finder.remember(job, message.record)
         if self._owner.get(job) is None:
-            found = FoundJob(job, message.record, JobStatus(), message.revision)
-            self._owner.adopt(found, LoadedJob(message.spec, Ledger()))
+            loaded = LoadedJob(message.spec, Ledger())
+            self._owner.adopt(found_in(message), loaded)
--- a/bergamotdoor/types.py
+++ b/bergamotdoor/types.py
@@ -35,3 +35,5 @@
 Fingerprint = NewType('Fingerprint', str)
 #: A client account, as it is named to upstreams. Its requests bear keys.
 AccountId = NewType('AccountId', str)
+#: A window of time for which usage is reported; counted from 1970 on.
+UsageWindow = NewType('UsageWindow', int)
--- a/features/cli_main.feature
+++ b/features/cli_main.feature
@@ -29,13 +29,15 @@
 
   Scenario: the state of all entries is one page
     Two entries have manifests 7 and 9, one does not answer, and one rests
-    an engine that refused it.
+    an engine that refused it. Both know who reports usage.
 
     Then the status of the entries is
       """
       entries: 2 of 3 answer
         127.0.0.1:3: no answer
       manifest: 7 and newer in force everywhere
+      manifest: known to be current 7.5 s ago everywhere
+      usage: reported by entry-1, token 4, decided below window 90, 1 open
       upstreams: 1
         i-1 (lm): 5 in flight, resting at 1 of 2 entries, leaving, m 4
       jobs in progress: 1
--- a/features/steps/cli_main_steps.py
+++ b/features/steps/cli_main_steps.py
@@ -81,7 +81,20 @@
         'event_interval_s': 0.04,
         'versions': {'m': 4},
     }
-    entry = {'generation': generation, 'upstreams': [upstream], 'jobs': jobs}
+    duty = {
+        'holder': 'entry-1',
+        'token': 4,
+        'decided_below': 90,
+        'own': resting,
+        'open_reports': 1,
+    }
+    entry = {
+        'generation': generation,
+        'upstreams': [upstream],
+        'jobs': jobs,
+        'manifest_proof_s': generation + 0.5 if resting else 1,
+        'duty': duty,
+    }
     return json.dumps({'gateway': entry}).encode()
 
 
--- a/features/steps/utils_steps.py
+++ b/features/steps/utils_steps.py
@@ -38,7 +38,12 @@
 
 
 #: Where the time of day is read, and the calls that read it.
-READERS = {'clock.py', 'http/_outgoing.py', 'observe/logs.py'}
+READERS = {
+    'clock.py',
+    'http/_outgoing.py',
+    'observe/logs.py',
+    'reporting/counting.py',
+}
 WALL_CLOCK = {'now', 'utcnow', 'today', 'time', 'time_ns', 'localtime'}
 
 
@@ -61,7 +66,10 @@
     return 'loop' in ast.unparse(call.value)
 
 
-@then("only the clock, the answers' Date and the logs read the time of day")
+@then(
+    "only the clock, the answers' Date, the logs and the windows of usage"
+    ' read the time of day'
+)
 def time_of_day(_: Any) -> None:
     package = Path(bergamotdoor.__file__).parent
     found = {
--- a/lab/site.py
+++ b/lab/site.py
@@ -12,9 +12,10 @@
 from bergamotdoor.agent.daemon import AgentDaemon
 from bergamotdoor.gateway.daemon import GatewayDaemon
 from bergamotdoor.settings.document import Address
-from bergamotdoor.settings.node import NodeSettings
+from bergamotdoor.settings.node import DutySettings, NodeSettings
 from bergamotdoor.types import NodeId, ZoneId
 from lab.client import Call, Client, Reply
+from lab.receiver import Receiver
 from lab.store import Store
 from lab.upstreams import Engine, Upstream
 from lab.virtual import run_virtual, virtual_clock
@@ -36,6 +37,7 @@
 
 IP: Final = '127.0.0.1'
 _STORE_PORT: Final = 8000
+_RECEIVER_PORT: Final = 8050
 _ENGINE_PORT: Final = 8100
 _SERVICE_PORT: Final = 8200
 #: Each entry has ten ports from here on.
@@ -73,6 +75,8 @@
     link_mbps: float = 0
     #: How soon a revoked key must stop working everywhere, if at all.
     revocation: dt.timedelta | None = None
+    #: Takes usage reports, if the deployment wants any.
+    receiver: Receiver | None = None
     #: How soon new work must stop going to an upstream that leaves.
     drain: dt.timedelta = dt.timedelta(seconds=2)
 
@@ -176,6 +180,7 @@
             retention=dt.timedelta(seconds=_RETENTION_S),
             link_mbps=self.link_mbps,
             revocation=self.revocation,
+            duties=_duties(self.receiver),
         )
 
     async def kill(self, name: str) -> None:
@@ -191,6 +196,8 @@
             await agent.stop()
         await self.client.close()
         await self.store.stop()
+        if self.receiver is not None:
+            await self.receiver.stop()
         for upstream in (*self.engines.values(), *self.services.values()):
             await upstream.stop()
 
@@ -265,6 +272,25 @@
         return found
 
 
+async def add_receiver(site: Site) -> Receiver:
+    """Have a site report usage; before its entries are started."""
+    receiver = Receiver(at(_RECEIVER_PORT), site.clock)
+    await receiver.start()
+    site.receiver = receiver
+    return receiver
+
+
+def _duties(receiver: Receiver | None) -> DutySettings | None:
+    if receiver is None:
+        return None
+    return DutySettings(
+        receiver=receiver.address,
+        lease=dt.timedelta(seconds=3),
+        usage_window=dt.timedelta(seconds=5),
+        usage_due=dt.timedelta(seconds=10),
+    )
+
+
 def plain_route(prefix: str, kind: str, attempts: int) -> dict[str, Any]:
     """Return a route to the plain service."""
     return route(
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -27,6 +27,7 @@
 _MODEL: Final = 'lab_model'
 _ACCOUNTS: Final = 'gateway_accounts'
 _REVOCATION: Final = 'gateway_revocation'
+_USAGE: Final = 'reporting_usage'
 _NEWS: Final = 'peers_news'
 _CRASHES: Final = 'gateway_crashes'
 
@@ -44,6 +45,41 @@
 
 
 MUTATIONS: Final = (
+    Mutation(
+        'a holder acts soon after its write, or not at all',
+        'duties/tenure.py',
+        'return now - written_at < self.acting',
+        'return now >= written_at',
+        _USAGE,
+    ),
+    Mutation(
+        'a successor waits until the holder before is silent',
+        'duties/tenure.py',
+        'return now - known.seen_at >= self.quiet',
+        'return now >= known.seen_at',
+        _USAGE,
+    ),
+    Mutation(
+        'what is sent is decided by the write before',
+        'reporting/reporter.py',
+        'decided_below=UsageWindow(below + len(decided)),',
+        'decided_below=below,',
+        _USAGE,
+    ),
+    Mutation(
+        'a takeover raises the token',
+        'duties/tenure.py',
+        'token=FencingToken(known.token + 1)',
+        'token=known.token',
+        _USAGE,
+    ),
+    Mutation(
+        'every write of a holder changes the record',
+        'reporting/reporter.py',
+        'writes=known.record.writes + 1,',
+        'writes=known.record.writes,',
+        _USAGE,
+    ),
     Mutation(
         'requests with a key wait for a proof that the key still counts',
         'calls/accounts.py',
