Hold a request back that always runs beside a longer chain

Each time another suspect with a longer chain ran at the engine, so its own end was never counted.

Ruled out: the first rest of 5 s; it lets two attempts through within two minutes where three are allowed.

Change: the first end beside a longer chain is chance, as before; each further one counts. Test first: 0 of 5 strikes were held against such a request, now 0, 1, 2, 3, 4.

--- a/bergamotdoor/fleet/quarantine.py
+++ b/bergamotdoor/fleet/quarantine.py
@@ -95,16 +95,20 @@
         Upstreams that end at the same moment are one link: a common cause
         ended them, since the request was sent to none of them because of
         another's end.
+
+        Failure: several requests end upstreams, and one of them always runs
+        beside another with a longer chain. Symptom: it is sent on however
+        often an upstream ends under it. The first such end is chance, and
+        each further one counts.
         """
         counting = self._counting.get(fingerprint, {})
-        return max(
-            (
-                before + 1
-                for upstream, before in counting.items()
-                if self._is_suspect(upstream, before)
-            ),
-            default=0,
-        )
+        links = [
+            before + 1
+            for upstream, before in counting.items()
+            if self._is_suspect(upstream, before)
+        ]
+        beside_others = len(counting) - len(links)
+        return max(0, beside_others - 1, *links)
 
     def rest(
         self, fingerprint: Fingerprint, least: int, now: dt.timedelta
--- a/features/fleet_quarantine.feature
+++ b/features/fleet_quarantine.feature
@@ -30,6 +30,13 @@
     Given an upstream that ends under a request that is suspected and a new one
     Then nothing is held against the new one
 
+  Scenario: one that always runs beside a longer chain is held back as well
+    Guards against a request that ends each upstream and is never suspected,
+    since another one with a longer chain runs at each of them.
+
+    Given 5 upstreams that end under a request beside one that is suspected
+    Then 0, 1, 2, 3 and 4 strikes are held against it behind each of them
+
   Scenario: memory is bounded
     Given 1000 upstreams that end, each under a request of its own
     Then at most 256 of them are remembered, the latest
--- a/features/steps/fleet_quarantine_steps.py
+++ b/features/steps/fleet_quarantine_steps.py
@@ -107,6 +107,23 @@
     assert context.quarantine.strikes(REQUEST) == 2
 
 
+@given(
+    '{count:d} upstreams that end under a request beside one that is suspected'
+)
+def beside_suspects(context: Any, count: int) -> None:
+    context.held = []
+    quarantine = Quarantine()
+    for number in range(count):
+        quarantine.add(strike(number, 5, NEW), NOW)
+        quarantine.add(strike(number, 0), NOW)
+        context.held.append(quarantine.strikes(REQUEST))
+
+
+@then('0, 1, 2, 3 and 4 strikes are held against it behind each of them')
+def held_against(context: Any) -> None:
+    assert context.held == [0, 1, 2, 3, 4], context.held
+
+
 @given('{count:d} upstreams that end, each under a request of its own')
 def many_end(context: Any, count: int) -> None:
     context.count = count
