Judge items that ask for the same as one request, and run one at a time

Change: an item's fingerprint is its path and prompt (the body where it names no prompt). Ends of one request that come one after the other count although all were sent before; those within 150 ms are one, as a common cause's are. From the first end on, one item of a request runs at a time.

Strikes of a request at four upstreams that end in turn: 1 each before, now 1, 2, 3, 4.

--- a/bergamotdoor/fleet/quarantine.py
+++ b/bergamotdoor/fleet/quarantine.py
@@ -35,6 +35,9 @@
 #: where the request comes to several entries at once.
 _RESTS_S: Final = (5, 120, 600, 1800)
 _RESTS: Final = tuple(dt.timedelta(seconds=rest_s) for rest_s in _RESTS_S)
+#: Upstreams that a common cause ends are seen to end within this.
+_AT_ONCE_MS: Final = 150
+_AT_ONCE: Final = dt.timedelta(milliseconds=_AT_ONCE_MS)
 _NO_REST: Final = dt.timedelta()
 #: Ended upstreams that are remembered; the oldest goes first.
 _MOST_ENDED: Final = 256
@@ -47,6 +50,9 @@
     upstream: UpstreamId
     #: How many were known to have ended under it when it was sent there.
     before: int = 0
+    #: Which of the ends under it this is by time, as far as its reporter
+    #: knew; those of one moment have one number.
+    number: int = 0
 
 
 class Quarantine:
@@ -54,9 +60,9 @@
 
     def __init__(self) -> None:
         #: What ran at each upstream that ended; the oldest first.
-        self._ended: dict[UpstreamId, dict[Fingerprint, int]] = {}
+        self._ended: dict[UpstreamId, dict[Fingerprint, Strike]] = {}
         #: Strikes that still count, by request.
-        self._counting: dict[Fingerprint, dict[UpstreamId, int]] = {}
+        self._counting: dict[Fingerprint, dict[UpstreamId, Strike]] = {}
         #: When the last strike of a request was learned.
         self._learned: dict[Fingerprint, dt.timedelta] = {}
 
@@ -67,23 +73,43 @@
     def __iter__(self) -> Iterator[Strike]:
         """Return the strikes that count, those learned last first."""
         for upstream, ran in reversed(self._ended.items()):
-            for fingerprint, before in ran.items():
+            for fingerprint, strike in ran.items():
                 if upstream in self._counting.get(fingerprint, ()):
-                    yield Strike(fingerprint, upstream, before)
+                    yield strike
 
     def add(self, strike: Strike, now: dt.timedelta) -> bool:
         """Take a strike from here or elsewhere; return whether it is new."""
         ran = self._ended.setdefault(strike.upstream, {})
         if strike.fingerprint in ran:
             return False
-        ran[strike.fingerprint] = strike.before
+        ran[strike.fingerprint] = strike
         counting = self._counting.setdefault(strike.fingerprint, {})
-        counting[strike.upstream] = strike.before
+        counting[strike.upstream] = strike
         self._learned[strike.fingerprint] = now
         if len(self._ended) > _MOST_ENDED:
             self._forget(next(iter(self._ended)))
         return True
 
+    def next_strike(
+        self,
+        fingerprint: Fingerprint,
+        upstream: UpstreamId,
+        before: int,
+        now: dt.timedelta,
+    ) -> Strike:
+        """Return the strike of an upstream that has just ended.
+
+        Failure: a request comes many times at once, under other ids, and is
+        at all upstreams before the first of them ends. Symptom: none was sent
+        there knowing of another's end, and all of them end without a chain.
+        Ends that come one after the other are counted as well.
+        """
+        learned_at = self._learned.get(fingerprint)
+        strikes = self.strikes(fingerprint)
+        at_once = learned_at is not None and now - learned_at < _AT_ONCE
+        number = max(strikes, 1) if at_once else strikes + 1
+        return Strike(fingerprint, upstream, before, number)
+
     def completed(self, fingerprint: Fingerprint) -> None:
         """Take that an upstream has answered a request."""
         self._counting.pop(fingerprint, None)
@@ -103,9 +129,9 @@
         """
         counting = self._counting.get(fingerprint, {})
         links = [
-            before + 1
-            for upstream, before in counting.items()
-            if self._is_suspect(upstream, before)
+            max(strike.before + 1, strike.number)
+            for strike in counting.values()
+            if self._is_suspect(strike)
         ]
         beside_others = len(counting) - len(links)
         return max(0, beside_others - 1, *links)
@@ -138,14 +164,15 @@
             if self.strikes(fingerprint) > 1
         )
 
-    def _is_suspect(self, upstream: UpstreamId, before: int) -> bool:
+    def _is_suspect(self, strike: Strike) -> bool:
         """Return whether nothing that ran there was suspected more.
 
         Failure: what ran beside a request that ends upstreams goes on at
         another one together with it, and that ends as well. Symptom: a
         request that did nothing rests. It has the shorter chain.
         """
-        return before >= max(self._ended[upstream].values())
+        ran = self._ended[strike.upstream].values()
+        return all(strike.before >= other.before for other in ran)
 
     def _forget(self, upstream: UpstreamId) -> None:
         for fingerprint in self._ended.pop(upstream):
--- a/bergamotdoor/forwarding/upstream_end.py
+++ b/bergamotdoor/forwarding/upstream_end.py
@@ -5,7 +5,6 @@
 import logging
 from typing import TYPE_CHECKING
 
-from bergamotdoor.fleet.quarantine import Strike
 from bergamotdoor.observe.events import Counted
 
 if TYPE_CHECKING:
@@ -50,7 +49,11 @@
         return
     if not await context.client.refuses(upstream.address):
         return
-    context.strikes.add(Strike(fingerprint, upstream.upstream, before))
+    context.strikes.add(
+        context.quarantine.next_strike(
+            fingerprint, upstream.upstream, before, context.clock.elapsed()
+        )
+    )
     context.metrics.count(Counted.UPSTREAM_ENDED, upstream.service)
     _log.warning(
         'gateway: upstream %s ended under %s: %d before, %d in a chain now',
--- a/bergamotdoor/platform/headers.py
+++ b/bergamotdoor/platform/headers.py
@@ -26,11 +26,12 @@
 WEIGHT_VERSION: Final = f'{_PREFIX}weight-versions'
 #: Tokens of the prompt and the most that may be generated, with a comma.
 TOKEN_COUNT: Final = f'{_PREFIX}token-count'
+#: The prompt, by its parts; engines read it by their ids.
+PROMPT: Final = f'{_PREFIX}prompt-prefix'
 #: The client's guess at the number of tokens to be generated.
 LENGTH_HINT: Final = f'{_PREFIX}length-hint'
 #: The client account, as upstreams are told.
 ACCOUNT: Final = f'{_PREFIX}tenant'
-#: Who does a duty, and a number that grows with each takeover.
 DUTY_HOLDER: Final = f'{_PREFIX}duty-holder'
 FENCING_TOKEN: Final = f'{_PREFIX}fence-token'
 LAST_EVENT_ID: Final = 'last-event-id'
--- a/bergamotdoor/platform/store_paths.py
+++ b/bergamotdoor/platform/store_paths.py
@@ -29,9 +29,7 @@
 
 def list_path(kind: str, after: str, stale: bool) -> str:
     """Return the path of a page; a stale one costs a tenth."""
-    query = {}
-    if after:
-        query['after'] = after
+    query = {'after': after} if after else {}
     if stale:
         query['allow_stale'] = '1'
     path = kind_path(kind)
--- a/bergamotdoor/steps/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -111,7 +111,7 @@
         upstreams: tuple[Upstream, ...],
         now: dt.timedelta,
     ) -> Upstream | None:
-        if self._suspects.is_one(run.spec, slot.spec):
+        if self._suspects.runs_apart(run.spec, slot.spec):
             upstreams = self._suspects.without_others(upstreams)
         group = slot.spec.group
         kept = self._reservations.take(slot.spec.item)
@@ -147,8 +147,7 @@
             run.spec, slot.spec, route, upstream, transcript, progress
         )
         # Counted before the task begins, so that the next choice sees it.
-        if self._suspects.is_one(run.spec, slot.spec):
-            self._suspects.enter(slot.spec.item, upstream.upstream)
+        self._suspects.enter(run.spec, slot.spec, upstream.upstream)
         load = self._context.loads.of(upstream.upstream)
         load.placed(now)
         task = start_counted(load, self._run_item(run, slot, item))
--- a/bergamotdoor/steps/item_request.py
+++ b/bergamotdoor/steps/item_request.py
@@ -37,12 +37,18 @@
 
 
 def item_fingerprint(job: JobSpec, spec: ItemSpec) -> Fingerprint:
-    """Return what stays the same when an item runs again.
+    """Return what stays the same when an item, or another like it, runs.
 
-    Its id is part of it: the items of a group ask for the same, and each
-    is judged by what ended under itself.
+    Engines read the prompt by the parts that its header names, so items of
+    one path and prompt are one request, under whatever ids and bodies they
+    come. Without that header the body is what is asked.
     """
-    return fingerprint(spec.item, job.host, spec.path, spec.body)
+    prompt = next(
+        (text for name, text in spec.headers if name.lower() == names.PROMPT),
+        '',
+    )
+    asked = prompt.encode() if prompt else spec.body
+    return fingerprint('POST', job.host, spec.path, asked)
 
 
 def item_request(run: ItemRun) -> ClientRequest:
--- a/bergamotdoor/steps/item_suspects.py
+++ b/bergamotdoor/steps/item_suspects.py
@@ -5,7 +5,7 @@
 import datetime as dt
 import logging
 from collections import Counter
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, NamedTuple
 
 from bergamotdoor.fleet.quarantine import ITEM_STRIKES
 from bergamotdoor.observe.events import Counted
@@ -15,7 +15,7 @@
     from bergamotdoor.entry.context import Context
     from bergamotdoor.fleet.upstreams import Upstream
     from bergamotdoor.jobs.messages import ItemSpec, JobSpec
-    from bergamotdoor.types import ItemId, UpstreamId
+    from bergamotdoor.types import Fingerprint, ItemId, UpstreamId
 
 #: Items from so many strikes on run apart from each other.
 _APART_STRIKES: Final = ITEM_STRIKES - 1
@@ -36,13 +36,18 @@
     suspected as it is, and all of them rest while their step waits. Items
     under which two engines have ended run at different engines, so the next
     end tells which of them it was.
+
+    Failure: items that ask for the same come under many ids, and each goes on
+    at another engine. Symptom: all engines end at once, again and again. From
+    the first end on, one of them runs at a time.
     """
 
     def __init__(self, context: Context) -> None:
         self._context = context
-        #: Suspects that run now, and how many at each engine.
-        self._running: dict[ItemId, UpstreamId] = {}
-        self._counts: Counter[UpstreamId] = Counter()
+        #: Suspects that run now, what they ask for, and how many are at each
+        #: engine that run apart.
+        self._running: dict[ItemId, _Suspect] = {}
+        self._apart: Counter[UpstreamId] = Counter()
 
     def held(
         self,
@@ -71,11 +76,14 @@
             self._context.metrics.count(Counted.ITEM_QUARANTINED)
             _log.info('gateway: item %s in quarantine for %s', spec.item, rest)
             return rest
-        if quarantine.strikes(found) < _APART_STRIKES:
+        strikes = quarantine.strikes(found)
+        if strikes and self._runs(found):
+            return _AGAIN
+        if strikes < _APART_STRIKES:
             return _NO_TIME
         return _NO_TIME if self.without_others(upstreams) else _AGAIN
 
-    def is_one(self, job: JobSpec, spec: ItemSpec) -> bool:
+    def runs_apart(self, job: JobSpec, spec: ItemSpec) -> bool:
         """Return whether an item has to run apart from other suspects."""
         quarantine = self._context.quarantine
         if not quarantine:
@@ -86,16 +94,37 @@
     def without_others(
         self, upstreams: tuple[Upstream, ...]
     ) -> tuple[Upstream, ...]:
-        """Return the engines where no suspect runs."""
-        return tuple(one for one in upstreams if not self._counts[one.upstream])
+        """Return the engines where no suspect runs apart."""
+        return tuple(one for one in upstreams if not self._apart[one.upstream])
 
-    def enter(self, item: ItemId, upstream: UpstreamId) -> None:
-        """Take that a suspect begins at an engine."""
-        self._running[item] = upstream
-        self._counts[upstream] += 1
+    def enter(self, job: JobSpec, spec: ItemSpec, upstream: UpstreamId) -> None:
+        """Take that an item begins at an engine; others than suspects too."""
+        quarantine = self._context.quarantine
+        if not quarantine:
+            return
+        found = item_fingerprint(job, spec)
+        strikes = quarantine.strikes(found)
+        if strikes:
+            apart = strikes >= _APART_STRIKES
+            self._running[spec.item] = _Suspect(found, upstream, apart)
+            self._apart[upstream] += apart
 
     def leave(self, item: ItemId) -> None:
         """Take that an item's run has ended, a suspect's or another's."""
-        upstream = self._running.pop(item, None)
-        if upstream is not None:
-            self._counts[upstream] -= 1
+        suspect = self._running.pop(item, None)
+        if suspect is not None:
+            self._apart[suspect.upstream] -= suspect.apart
+
+    def _runs(self, fingerprint: Fingerprint) -> bool:
+        return any(
+            suspect.fingerprint == fingerprint
+            for suspect in self._running.values()
+        )
+
+
+class _Suspect(NamedTuple):
+    """A suspected item that runs."""
+
+    fingerprint: Fingerprint
+    upstream: UpstreamId
+    apart: bool
--- a/features/fleet_quarantine.feature
+++ b/features/fleet_quarantine.feature
@@ -30,6 +30,13 @@
     Given an upstream that ends under a request that is suspected and a new one
     Then nothing is held against the new one
 
+  Scenario: the same request at several upstreams, which end in turn
+    Guards against a request that comes under many ids at once: it is sent to
+    all upstreams before the first end is known, and no chain forms.
+
+    Given 4 upstreams that end 200 ms apart, all sent the request before
+    Then 1, 2, 3 and 4 strikes are held against it behind each of them
+
   Scenario: one that always runs beside a longer chain is held back as well
     Guards against a request that ends each upstream and is never suspected,
     since another one with a longer chain runs at each of them.
--- a/features/steps/fleet_quarantine_steps.py
+++ b/features/steps/fleet_quarantine_steps.py
@@ -107,6 +107,25 @@
     assert context.quarantine.strikes(REQUEST) == 2
 
 
+@given(
+    '{count:d} upstreams that end {pause_ms:d} ms apart, all sent the request'
+    ' before'
+)
+def one_after_another(context: Any, count: int, pause_ms: int) -> None:
+    context.held = []
+    quarantine = Quarantine()
+    for number in range(count):
+        now = NOW + dt.timedelta(milliseconds=pause_ms * number)
+        upstream = UpstreamId(f'u{number}')
+        quarantine.add(quarantine.next_strike(REQUEST, upstream, 0, now), now)
+        context.held.append(quarantine.strikes(REQUEST))
+
+
+@then('1, 2, 3 and 4 strikes are held against it behind each of them')
+def held_in_turn(context: Any) -> None:
+    assert context.held == [1, 2, 3, 4], context.held
+
+
 @given(
     '{count:d} upstreams that end under a request beside one that is suspected'
 )
--- a/features/steps/steps_crashes_steps.py
+++ b/features/steps/steps_crashes_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+import json
 from typing import Any
 
 from behave import given, then, when
@@ -11,10 +12,12 @@
 from features.job_scenes import JOB, handed_in, other, owner_of
 from lab.site import Site, play
 from lab.upstreams import register
+from lab.wire import JobItem, job_body
 
 #: In events: two and a half seconds.
 LENGTH = 60
 ITEM = f'{JOB}.0.1'
+DEADLY = '/roll/deadly'
 
 
 class ItemPlan:
@@ -23,11 +26,14 @@
     def __init__(self, engines: int) -> None:
         self.engines = engines
         self.act: Any = None
+        #: Which item ends engines, if one does by its path.
+        self.item = ITEM
 
     async def __call__(self, site: Site) -> Any:
         await site.start(self.engines, services=0)
         for engine in site.engines.values():
-            engine.crashes.targets.add(f'/roll/{ITEM}')
+            if self.item:
+                engine.crashes.targets.add(f'/roll/{self.item}')
             engine.crashes.started_again = functools.partial(
                 register, site.store, engine
             )
@@ -94,6 +100,55 @@
     assert set(listed.values()) == {'completed'}, listed
 
 
+def deadly_job(name: str) -> bytes:
+    """Return a job of one prompt, whose items differ in ids and bodies."""
+    items = (JobItem(f'{name}.{one}', LENGTH + one, 'g') for one in range(4))
+    written = json.loads(job_body('/roll/', items, 1, 1))
+    for item in written['items']:
+        item['path'] = DEADLY
+        item['headers']['X-Bergamotdoor-Prompt-Prefix'] = 'a1:500,b2:16'
+    return json.dumps(written).encode()
+
+
+@given(
+    'a site with {engines:d} engines and two jobs of one prompt that ends'
+    ' engines'
+)
+def deadly_prompt(context: Any, engines: int) -> None:
+    context.plan = ItemPlan(engines)
+
+
+@when('they run for {run_s:d} s beside a job of {groups:d} groups of 5 items')
+def runs_beside(context: Any, run_s: int, groups: int) -> None:
+    async def act(site: Site) -> None:
+        for engine in site.engines.values():
+            engine.crashes.targets.add(DEADLY)
+        began_s = asyncio.get_running_loop().time()
+        for name in ('d1', 'd2'):
+            reply = await site.ask(
+                'entry-0',
+                'POST',
+                f'/roll/{name}',
+                deadly_job(name),
+                Request_Id=name,
+            )
+            assert reply is not None
+            assert reply.status == 202, reply
+            if name == 'd1':
+                await handed_in(site, lengths(groups, 5))
+        context.listed = await site.all_results('entry-0', JOB, run_s)
+        spent_s = asyncio.get_running_loop().time() - began_s
+        await asyncio.sleep(max(run_s - spent_s, 0))
+        context.ends = engines_ended(site)
+
+    context.plan.act = act
+    context.plan.item = ''
+    context.expected = {
+        f'{JOB}.{group}.{item}' for group in range(groups) for item in range(5)
+    }
+    play(context.plan)
+
+
 @given('a site whose service ends under the score call of one item')
 def crashing_score(context: Any) -> None:
     context.plan = None
--- a/features/steps_crashes.feature
+++ b/features/steps_crashes.feature
@@ -28,3 +28,14 @@
     When its job runs for 12 s, and callers come all the time
     Then at most 6 services end under it
     And the texts of all other groups are listed with their scores
+
+  Scenario: items that ask for the same are one request, under whatever ids
+    Guards against a request that ends each engine and comes as many items:
+    each was judged by itself, and 8 of them ended 27 engines in 20 s.
+
+    Five are in progress when the first engine ends, and three more may follow.
+
+    Given a site with 5 engines and two jobs of one prompt that ends engines
+    When they run for 12 s beside a job of 4 groups of 5 items
+    Then at most 8 engines end under the item
+    And every other item is listed as completed, the item not at all
