Tell jobs that come while keys can't be known when to come again

Change: both refusals use the same time of 2 to 3 s, spread by job; calls keep 0.5 s, since another entry may know. The reason that a manifest is not proved is no longer listed with the reasons that a key is wrong.

Test first: Retry-After was 0.5 s, now within 2 to 3 s.

--- a/bergamotdoor/calls/accounts.py
+++ b/bergamotdoor/calls/accounts.py
@@ -40,8 +40,6 @@
     NO_KEY = 'no key'
     UNKNOWN_KEY = 'a key that no account holds'
     SEVERAL_KEYS = 'more than one key'
-    #: The keys in force are not known well enough to run anything.
-    UNPROVEN = 'the manifest may be outdated'
 
 
 class Credentials(msgspec.Struct, frozen=True):
--- a/bergamotdoor/gateway/admission.py
+++ b/bergamotdoor/gateway/admission.py
@@ -7,14 +7,15 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.calls.accounts import NO_ACCOUNT, Denial, ProofBound
+from bergamotdoor.calls.manifest import RouteKind
 from bergamotdoor.gateway.credentials import credentials_of
-from bergamotdoor.gateway.refusals import plain, refusal
+from bergamotdoor.gateway.refusals import job_retry_s, plain, refusal
 from bergamotdoor.observe.events import Counted
 from bergamotdoor.platform import headers as names
 from bergamotdoor.verdict import Verdict
 
 if TYPE_CHECKING:
-    from bergamotdoor.calls.manifest import Manifest
+    from bergamotdoor.calls.manifest import Manifest, Route
     from bergamotdoor.entry.context import Context
     from bergamotdoor.entry.views import ManifestView
     from bergamotdoor.http.messages import HttpRequest, HttpResponse
@@ -23,6 +24,7 @@
 #: When to come back while the manifest can't be proved: another entry may
 #: know it, and the store is asked again within this.
 _UNPROVEN_RETRY_S: Final = 0.5
+_UNPROVEN: Final = 'the manifest may be outdated'
 
 _log = logging.getLogger('bergamotdoor.gateway')
 
@@ -57,7 +59,7 @@
         return found
 
     def runner(
-        self, request: HttpRequest, manifest: Manifest, public: bool
+        self, request: HttpRequest, manifest: Manifest, route: Route
     ) -> AccountId | HttpResponse:
         """Return the account that wants something to be run.
 
@@ -67,25 +69,28 @@
             What came.
         manifest
             The one in force.
-        public
-            Whether the request's route needs no key.
+        route
+            The request's route.
         """
-        found = self._identify(request, manifest, public)
+        found = self._identify(request, manifest, route.public)
         if found != NO_ACCOUNT and not self._proven():
             # Whoever may not know the newest keys can't call one wrong.
-            found = Denial.UNPROVEN
+            return self._unproven(request, route)
         if isinstance(found, Denial):
             return self._denied(request, found)
         return found
 
+    def _unproven(self, request: HttpRequest, route: Route) -> HttpResponse:
+        request_id = request.headers.first(names.REQUEST_ID)
+        self._context.metrics.count(Counted.REQUEST_UNPROVEN)
+        _log.info('gateway: request %s: %s', request_id, _UNPROVEN)
+        is_job = route.kind is RouteKind.BATCH
+        wait_s = job_retry_s(request_id) if is_job else _UNPROVEN_RETRY_S
+        return refusal(Verdict.NOT_RUN, _UNPROVEN, request_id, wait_s)
+
     def _denied(self, request: HttpRequest, denial: Denial) -> HttpResponse:
         request_id = request.headers.first(names.REQUEST_ID)
         _log.info('gateway: request %s denied: %s', request_id, denial.value)
-        if denial is Denial.UNPROVEN:
-            self._context.metrics.count(Counted.REQUEST_UNPROVEN)
-            return refusal(
-                Verdict.NOT_RUN, denial.value, request_id, _UNPROVEN_RETRY_S
-            )
         self._context.metrics.count(Counted.REQUEST_DENIED)
         return plain(HTTPStatus.UNAUTHORIZED, denial.value, request_id)
 
--- a/bergamotdoor/gateway/batch_front.py
+++ b/bergamotdoor/gateway/batch_front.py
@@ -9,7 +9,7 @@
 
 from bergamotdoor import utils
 from bergamotdoor.gateway.credentials import job_of_account
-from bergamotdoor.gateway.refusals import plain, refusal
+from bergamotdoor.gateway.refusals import job_retry_s, plain, refusal
 from bergamotdoor.http.messages import Headers, HttpResponse
 from bergamotdoor.platform import headers as names
 from bergamotdoor.platform.batch_wire import parse_job, results_body
@@ -30,12 +30,6 @@
 #: When to come back while the store can't be reached: outages last for
 #: seconds, and a step has a few to spare.
 _STORE_RETRY_S: Final = 0.5
-#: When to hand a job in again: trainers come again once or twice, outages
-#: last for seconds, and a step is due some seconds after it can be run. They
-#: are spread, so that a store that is back gets not all of them at once.
-_SUBMIT_RETRY_S: Final = 2
-_SPREAD_MS: Final = 1000
-_MS_PER_S: Final = 1000
 _JOB_PATHS: Final = (names.RESULTS_PATH, names.BODY_PATH)
 _JSON: Final = ('content-type', 'application/json')
 
@@ -97,7 +91,7 @@
             return plain(HTTPStatus.CONFLICT, 'a job of another account', job)
         if outcome is Outcome.UNCLEAR:
             return refusal(Verdict.MAY_HAVE_RUN, 'perhaps kept', job)
-        return _store_away(job, _submit_retry_s(job))
+        return _store_away(job, job_retry_s(job))
 
     async def _asked(
         self, request: HttpRequest, asked: str, job: JobId
@@ -154,11 +148,6 @@
     return refusal(Verdict.NOT_RUN, 'the store is away', job, wait_s)
 
 
-def _submit_retry_s(job: JobId) -> float:
-    spread_ms = utils.hrw_weight(job, 'retry') % _SPREAD_MS
-    return _SUBMIT_RETRY_S + spread_ms / _MS_PER_S
-
-
 def number_of(text: str) -> int:
     """Return a number that a client sent; 0 if it is none."""
     return int(text) if text.isdecimal() else 0
--- a/bergamotdoor/gateway/front.py
+++ b/bergamotdoor/gateway/front.py
@@ -60,7 +60,7 @@
         route = manifest.match(host, request.target)
         if route is None:
             return self._without_route(request, manifest)
-        account = self._admission.runner(request, manifest, route.public)
+        account = self._admission.runner(request, manifest, route)
         if isinstance(account, HttpResponse):
             return account
         return await self._admitted(request, manifest, route)
@@ -72,7 +72,7 @@
         body = await request.read_body(manifest.limits.max_body_bytes)
         # The key may have been taken away while the body came.
         newest = self._manifests.manifest or manifest
-        account = self._admission.runner(request, newest, route.public)
+        account = self._admission.runner(request, newest, route)
         if isinstance(account, HttpResponse):
             return account
         if route.kind is RouteKind.BATCH and request.method == 'POST':
--- a/bergamotdoor/gateway/refusals.py
+++ b/bergamotdoor/gateway/refusals.py
@@ -5,12 +5,25 @@
 from http import HTTPStatus
 from typing import Final
 
+from bergamotdoor import utils
 from bergamotdoor.http.messages import Headers, HttpResponse
 from bergamotdoor.platform.headers import REQUEST_ID, RETRY_AFTER
 from bergamotdoor.verdict import Verdict
 
 #: After a refusal for lack of an upstream: a rest of a refusing upstream.
 RETRY_AFTER_S: Final = 0.3
+#: When to hand a job in again: trainers come again once or twice, outages
+#: last for seconds, and a step is due some seconds after it can be run. They
+#: are spread, so that a store that is back gets not all of them at once.
+_JOB_RETRY_S: Final = 2
+_SPREAD_MS: Final = 1000
+_MS_PER_S: Final = 1000
+
+
+def job_retry_s(job: str) -> float:
+    """Return when a job may come again that needs the store."""
+    spread_ms = utils.hrw_weight(job, 'retry') % _SPREAD_MS
+    return _JOB_RETRY_S + spread_ms / _MS_PER_S
 
 
 def refusal(
--- a/features/gateway_revocation.feature
+++ b/features/gateway_revocation.feature
@@ -20,6 +20,13 @@
       | 5       | busy               |
       | 5       | cut from one entry |
 
+  Scenario: a job comes while revoked keys can't be known
+    Guards against a trainer that uses up its tries while nothing is known.
+
+    Given a site of 2 entries where revoked keys stop within 5 s
+    When a job comes 6 s after the store has become silent
+    Then it is refused as not run, to come again in 2 to 3 s
+
   Scenario: watches are deaf while a key is taken away
     Given a site of 5 entries where revoked keys stop within 5 s
     When watches hear nothing for 1 s while a key is taken away
--- a/features/steps/gateway_revocation_steps.py
+++ b/features/steps/gateway_revocation_steps.py
@@ -226,3 +226,29 @@
 @then('the manifest was watched {most:d} times at the most')
 def watched(context: Any, most: int) -> None:
     assert context.watched <= most, context.watched
+
+
+@when('a job comes 6 s after the store has become silent')
+def job_comes(context: Any) -> None:
+    async def act(site: Site) -> Any:
+        site.store.mode = StoreMode.SILENT
+        await asyncio.sleep(6)
+        sent = Call(
+            'POST',
+            '/roll/job-1',
+            b'{"items": []}',
+            (
+                ('X-Bergamotdoor-Request-Id', 'job-1'),
+                ('Authorization', f'Bearer {HELD}'),
+            ),
+        )
+        return await site.client.send(at(site.ports['entry-0']), sent)
+
+    context.reply = context.plan.run(act)
+
+
+@then('it is refused as not run, to come again in 2 to 3 s')
+def comes_later(context: Any) -> None:
+    assert context.reply.status == 503, context.reply
+    wait_s = float(context.reply.headers.first('retry-after'))
+    assert 2 <= wait_s <= 3, wait_s
--- a/lab/receiver.py
+++ b/lab/receiver.py
@@ -11,6 +11,7 @@
 
 from bergamotdoor.http.messages import Headers, HttpRequest, HttpResponse
 from bergamotdoor.http.server import HttpServer
+from bergamotdoor.settings.node import DutySettings
 from lab.store import LIMITS, cut_off
 
 if TYPE_CHECKING:
@@ -92,6 +93,18 @@
         return broken_promises(self.came, self.taken, lease_s)
 
 
+def duties_for(receiver: Receiver | None) -> DutySettings | None:
+    """Return what a process is told of duties; none without a receiver."""
+    if receiver is None:
+        return None
+    return DutySettings(
+        receiver=receiver.address,
+        lease=dt.timedelta(seconds=3),
+        usage_window=dt.timedelta(seconds=5),
+        usage_due=dt.timedelta(seconds=10),
+    )
+
+
 def broken_promises(
     came: list[Received], taken: list[Received], lease_s: float
 ) -> list[str]:
--- a/lab/site.py
+++ b/lab/site.py
@@ -12,10 +12,10 @@
 from bergamotdoor.agent.daemon import AgentDaemon
 from bergamotdoor.gateway.daemon import GatewayDaemon
 from bergamotdoor.settings.document import Address
-from bergamotdoor.settings.node import DutySettings, NodeSettings
+from bergamotdoor.settings.node import NodeSettings
 from bergamotdoor.types import NodeId, ZoneId
 from lab.client import Call, Client, Reply
-from lab.receiver import Receiver
+from lab.receiver import Receiver, duties_for
 from lab.store import Store
 from lab.upstreams import Engine, Upstream
 from lab.virtual import run_virtual, virtual_clock
@@ -180,7 +180,7 @@
             retention=dt.timedelta(seconds=_RETENTION_S),
             link_mbps=self.link_mbps,
             revocation=self.revocation,
-            duties=_duties(self.receiver),
+            duties=duties_for(self.receiver),
         )
 
     async def kill(self, name: str) -> None:
@@ -280,17 +280,6 @@
     return receiver
 
 
-def _duties(receiver: Receiver | None) -> DutySettings | None:
-    if receiver is None:
-        return None
-    return DutySettings(
-        receiver=receiver.address,
-        lease=dt.timedelta(seconds=3),
-        usage_window=dt.timedelta(seconds=5),
-        usage_due=dt.timedelta(seconds=10),
-    )
-
-
 def plain_route(prefix: str, kind: str, attempts: int) -> dict[str, Any]:
     """Return a route to the plain service."""
     return route(
