Keep what a holder decided when the takeover's own answer is lost

Cause, found by reading: a successor whose write was done without an answer (its second try by another entry finds its own record in the way) went on with no open reports, and its next write dropped those of the holder before.

Ruled out: a second report with other counts; what is decided stays decided, so the windows were missing, not wrong.

Change: whenever the record that is found is this process's own, its open reports are gone on with. The takeover is cut into finding, deciding and claiming.

--- a/bergamotdoor/reporting/reporter.py
+++ b/bergamotdoor/reporting/reporter.py
@@ -131,30 +131,38 @@
         return self._counter.true_time() > over
 
     async def _take_over(self) -> None:
-        known = self._store.known
-        if known is not None and not self._may_take(known):
+        if not self._may_take(self._store.known):
             return
         known = await self._store.read()
+        if self.holds:
+            self._go_on()
+        elif self._may_take(known):
+            await self._claim(self._next_record(known))
+
+    def _may_take(self, known: KnownRecord | None) -> bool:
+        """Return whether the duty is free, or its holder surely silent."""
+        now = self._clock.uptime()
+        return known is None or self._bounds.may_take(known, now)
+
+    def _next_record(self, known: KnownRecord | None) -> DutyRecord:
+        node, boot = self._counter.node, self._counter.boot
         if known is None:
-            record = DutyRecord(
-                self._counter.node,
-                FencingToken(1),
-                self._counter.boot,
-                self._first,
-            )
-        elif self.holds or not self._may_take(known):
-            return
-        else:
-            record = taken_over(
-                known.record, self._counter.node, self._counter.boot
-            )
-        if await self._write(record):
+            return DutyRecord(node, FencingToken(1), boot, self._first)
+        return taken_over(known.record, node, boot)
+
+    async def _claim(self, record: DutyRecord) -> None:
+        if await self._write(record) or self.holds:
             _log.warning('reporting: taken over, token %d', record.token)
-            self._pending = record.reports
+            self._go_on()
             self._collect_until = self._clock.uptime() + _TOLD
 
-    def _may_take(self, known: KnownRecord) -> bool:
-        return self._bounds.may_take(known, self._clock.uptime())
+    def _go_on(self) -> None:
+        """Go on with what is decided, by this process or a holder before.
+
+        A write of this process that was done without an answer is found in
+        the store, and what it holds is not lost with the answer.
+        """
+        self._pending = self._store.reports
 
     async def _report(self) -> None:
         known = self._store.known
@@ -174,8 +182,7 @@
         if await self._write(record):
             await self._send(record, now)
         elif self.holds:
-            # An earlier write of this process was done without an answer.
-            self._pending = self._store.reports
+            self._go_on()
 
     def _decide(self, known: KnownRecord) -> Iterator[UsageReport]:
         first = known.record.decided_below
--- a/features/reporting_outages.feature
+++ b/features/reporting_outages.feature
@@ -28,3 +28,12 @@
       | is silent     | 0      |
       | loses answers | 0      |
       | writes late   | 0      |
+
+  Scenario: a takeover whose answer is lost repeats what was decided
+    Guards against reports that a holder decided and could not send, which its
+    successor drops since its own write was done without an answer.
+
+    Given a site of 4 entries that reports usage
+    When a holder that could send nothing is killed, and the next write gets no answer
+    Then no promise of one holder was broken
+    And every window that was decided is reported
--- a/features/steps/reporting_usage_steps.py
+++ b/features/steps/reporting_usage_steps.py
@@ -120,8 +120,13 @@
     return {window: dict(counts) for window, counts in found.items()}
 
 
+def duty(site: Site) -> dict[str, Any]:
+    found: dict[str, Any] = site.store.table.specs('duties')['usage']
+    return found
+
+
 def holder(site: Site) -> str:
-    return str(site.store.table.specs('duties')['usage']['holder'])
+    return str(duty(site)['holder'])
 
 
 def other(site: Site) -> str:
@@ -195,10 +200,10 @@
 
 async def suspend(site: Site, name: str) -> None:
     """Have one process stand still, as far as others see."""
-    duty = site.entries[name]._parts.usage
-    assert duty is not None
+    usage = site.entries[name]._parts.usage
+    assert usage is not None
     clock = SuspendableClock(site.clock)
-    for part in (duty._reporter, duty._teller):
+    for part in (usage._reporter, usage._teller):
         part._clock = clock
     await clock.suspend(dt.timedelta(seconds=9))
 
@@ -243,6 +248,31 @@
     context.seen = context.plan.run(30, act)
 
 
+@when(
+    'a holder that could send nothing is killed, and the next write gets no'
+    ' answer'
+)
+def killed_with_reports(context: Any) -> None:
+    async def act(site: Site) -> None:
+        assert site.receiver is not None
+        site.receiver.mode = ReceiverMode.BUSY
+        while not duty(site)['reports']:
+            await asyncio.sleep(0.1)
+        context.decided = [one['window'] for one in duty(site)['reports']]
+        await site.kill(holder(site))
+        site.receiver.mode = ReceiverMode.UP
+        site.store.lose_answers = 1
+
+    context.seen = context.plan.run(30, act)
+
+
+@then('every window that was decided is reported')
+def all_reported(context: Any) -> None:
+    missing = set(context.decided) - set(context.seen.receiver.reports())
+    assert context.decided
+    assert not missing, missing
+
+
 async def store_busy(site: Site) -> None:
     site.store.mode = StoreMode.BUSY
 
