--- a/features/steps/gateway_accounts_steps.py
+++ b/features/steps/gateway_accounts_steps.py
@@ -11,7 +11,8 @@
 
 from features.support import logged
 from lab.client import Call
-from lab.site import Site, at, plain_route, play
+from lab.site import Site, at, play
+from lab.site_routes import plain_route
 from lab.wire import JobItem, job_body
 
 if TYPE_CHECKING:
--- a/features/steps/gateway_calls_steps.py
+++ b/features/steps/gateway_calls_steps.py
@@ -10,7 +10,8 @@
 
 from bergamotdoor.types import RegistrationId
 from lab.client import Call
-from lab.site import Site, at, plain_route, play
+from lab.site import Site, at, play
+from lab.site_routes import plain_route
 from lab.store import StoreMode
 from lab.upstreams import UpstreamMode
 
--- a/features/steps/gateway_crashes_steps.py
+++ b/features/steps/gateway_crashes_steps.py
@@ -13,7 +13,8 @@
 from bergamotdoor.settings.document import Address
 from features.crash_scenes import CrashPlan, answered, arrive, ended
 from features.support import logged
-from lab.site import Site, plain_route, play
+from lab.site import Site, play
+from lab.site_routes import plain_route
 from lab.upstreams import UpstreamMode
 
 
--- a/lab/site.py
+++ b/lab/site.py
@@ -6,7 +6,6 @@
 import datetime as dt
 import logging
 import warnings
-from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, Final
 
 from bergamotdoor.agent.daemon import AgentDaemon
@@ -16,21 +15,14 @@
 from bergamotdoor.types import NodeId, ZoneId
 from lab.client import Call, Client, Reply
 from lab.receiver import Receiver, duties_for
+from lab.site_routes import JOB_PATH, usual_routes
 from lab.store import Store
 from lab.upstreams import Engine, Upstream
 from lab.virtual import run_virtual, virtual_clock
-from lab.wire import (
-    DESKS,
-    ENGINES,
-    HOST,
-    JobItem,
-    job_body,
-    manifest,
-    route,
-)
+from lab.wire import DESKS, ENGINES, HOST, JobItem, job_body, manifest
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Mapping
+    from collections.abc import Awaitable, Callable
 
 logging.getLogger('bergamotdoor').addHandler(logging.NullHandler())
 warnings.filterwarnings('ignore', message='Ignoring socket option')
@@ -46,18 +38,6 @@
 _AGENT_PORT: Final = 9500
 _OBJECT_BYTES: Final = 1_000_000
 _RETENTION_S: Final = 120
-_JOB_PATH: Final = '/roll/'
-_JOB_BOUNDS: Final[Mapping[str, int]] = MappingProxyType(
-    {
-        'timeout_ms': 10_000,
-        'goal_ms': 400,
-        'due_ms': 7500,
-        'max_attempts': 3,
-    }
-)
-_CALL_BOUNDS: Final[Mapping[str, int]] = MappingProxyType(
-    {'timeout_ms': 1500, 'goal_ms': 200}
-)
 _OK: Final = 200
 #: Readers come again after this.
 _READ_S: Final = 0.2
@@ -92,7 +72,7 @@
         #: Where a process runs, unless it is here.
         self._zones: dict[str, str] = {}
         self.version = 3
-        self.routes = _routes()
+        self.routes = usual_routes()
 
     def put_manifest(self, **changes: Any) -> None:
         """Put the next manifest in force."""
@@ -235,11 +215,11 @@
             for group, members in enumerate(lengths)
             for number, length in enumerate(members)
         )
-        body = job_body(_JOB_PATH, items, least, len(lengths))
+        body = job_body(JOB_PATH, items, least, len(lengths))
         return await self.ask(
             entry,
             'POST',
-            f'{_JOB_PATH}{job}',
+            f'{JOB_PATH}{job}',
             body,
             Request_Id=job,
         )
@@ -280,22 +260,6 @@
     return receiver
 
 
-def plain_route(prefix: str, kind: str, attempts: int) -> dict[str, Any]:
-    """Return a route to the plain service."""
-    return route(
-        HOST, prefix, kind, DESKS, max_attempts=attempts, **_CALL_BOUNDS
-    )
-
-
-def _routes() -> list[dict[str, Any]]:
-    return [
-        route(HOST, _JOB_PATH, 'rollout', ENGINES, **_JOB_BOUNDS),
-        plain_route('/book/', 'safe', 2),
-        plain_route('/once/', 'unsafe', 2),
-        plain_route('/score/', 'unsafe', 4),
-    ]
-
-
 def play(scene: Callable[[Site], Awaitable[Any]]) -> Any:
     """Run a scene on a new site; nothing may fail in the background."""
     failures: list[Any] = []
