--- a/bergamotdoor/duties/true_time.py
+++ b/bergamotdoor/duties/true_time.py
@@ -5,6 +5,8 @@
 import datetime as dt
 from typing import Final
 
+from bergamotdoor.duties.usage import UNIX_EPOCH
+
 #: A wall clock that is set by more than this at once has jumped, or jumped
 #: back. Its drift against the steady clock is far smaller.
 _JUMP_MS: Final = 300
@@ -38,10 +40,10 @@
         uptime
             The time since the machine's start.
         """
-        distance = wall - _UNIX_EPOCH - uptime
+        distance = wall - UNIX_EPOCH - uptime
         if self._distance is None or self._believes(distance, uptime):
             self._distance = distance
-        return _UNIX_EPOCH + uptime + self._distance
+        return UNIX_EPOCH + uptime + self._distance
 
     def _believes(self, distance: dt.timedelta, uptime: dt.timedelta) -> bool:
         assert self._distance is not None
@@ -54,6 +56,3 @@
         if lasting:
             self._jumped_at = None
         return lasting
-
-
-_UNIX_EPOCH: Final = dt.datetime.fromtimestamp(0, dt.UTC)
--- a/bergamotdoor/duties/usage.py
+++ b/bergamotdoor/duties/usage.py
@@ -10,7 +10,7 @@
 
 from bergamotdoor.types import AccountId, NodeId, UsageWindow
 
-_UNIX_EPOCH: Final = dt.datetime.fromtimestamp(0, dt.UTC)
+UNIX_EPOCH: Final = dt.datetime.fromtimestamp(0, dt.UTC)
 #: Windows that are kept until they are reported: one minute and more of the
 #: usual five seconds, far behind the time at which a report is due.
 _MOST_WINDOWS: Final = 16
@@ -41,11 +41,11 @@
 
     def at(self, moment: dt.datetime) -> UsageWindow:
         """Return the window that holds a moment."""
-        return UsageWindow((moment - _UNIX_EPOCH) // self.length)
+        return UsageWindow((moment - UNIX_EPOCH) // self.length)
 
     def end(self, window: UsageWindow) -> dt.datetime:
         """Return when a window is over."""
-        return _UNIX_EPOCH + (window + 1) * self.length
+        return UNIX_EPOCH + (window + 1) * self.length
 
 
 class UsageTally:
--- a/bergamotdoor/reporting/counting.py
+++ b/bergamotdoor/reporting/counting.py
@@ -90,10 +90,12 @@
     def told(self) -> EntryUsage:
         """Return what is counted and not reported."""
         return EntryUsage(
-            self.node, self.boot, self._tally.counts(), self._whole_below()
+            self.node, self.boot, self._tally.counts(), self.whole_below
         )
 
-    def _whole_below(self) -> UsageWindow:
+    @property
+    def whole_below(self) -> UsageWindow:
+        """The window below which all are whole."""
         now = self.true_time()
         if self._closed:
             return UsageWindow(self.windows.at(now) + _FOR_GOOD)
--- a/bergamotdoor/reporting/record.py
+++ b/bergamotdoor/reporting/record.py
@@ -53,10 +53,10 @@
             self.known = KnownRecord(record, revision, now)
 
     async def read(self) -> KnownRecord | None:
-        """Return the record as stored; None if there surely is none.
+        """Return the record as stored, or as known if the store can't tell.
 
-        While the store can't tell, what is known already is returned, at a
-        revision that no write will be done at if it is outdated.
+        No write is done at the revision of one that is outdated, and none is
+        created beside one that exists.
         """
         found = await self._store.get(DUTY_KIND, USAGE_NAME)
         if isinstance(found, StoredObject):
--- a/bergamotdoor/reporting/reporter.py
+++ b/bergamotdoor/reporting/reporter.py
@@ -199,7 +199,7 @@
         the window to a process that hears more.
         """
         windows = self._counter.windows
-        if self._counter.told().whole_below <= window:
+        if self._counter.whole_below <= window:
             return False
         since = self._clock.uptime() - windows.length * _ALIVE_WINDOWS
         missing = len(self._book.missing(window, since))
