Place items by length where engines differ in speed

Cause: short items occupied fast engines, and an engine with all slots in use counted as twice as slow, while it is about a twentieth slower, so long items went to slow engines. Lengths were converted with 58 tokens an event whatever the manifest states.

Change: where event intervals differ by 1.15, an item that takes less than half of the step's floor on an engine is short there and goes to the slowest such engine; others go to the fastest engine with a free slot, then to the one with the fewest requests. `engine.stride` is decoded.

--- a/bergamotdoor/calls/manifest.py
+++ b/bergamotdoor/calls/manifest.py
@@ -19,6 +19,9 @@
 _DEFAULT_MAX_BODY_BYTES: Final = 33_554_432
 _DEFAULT_HEADER_TIMEOUT_S: Final = 10
 _DEFAULT_IDLE_TIMEOUT_S: Final = 75
+#: Number of tokens in one event of an engine's stream where the manifest
+#: states none.
+DEFAULT_TOKENS_PER_EVENT: Final = 58
 
 
 class RouteKind(enum.Enum):
@@ -35,11 +38,11 @@
 
 
 class Share(msgspec.Struct, frozen=True):
-    """A service's share of a route's requests."""
+    """A service's share of a route's requests, as the manifest states it."""
 
     service: ServiceId
     #: Relative to the sum of the weights of the route's shares.
-    weight: float
+    weight: float = 1
 
 
 class Route(msgspec.Struct, frozen=True, kw_only=True):
@@ -83,8 +86,11 @@
 class ServiceRules(msgspec.Struct, frozen=True):
     """Rules of the operator for one service."""
 
-    max_connections: int
-    health_path: str
+    max_connections: int = 0
+    health_path: str = ''
+    #: Number of tokens in one event of an engine's stream. It converts the
+    #: token counts of items to events.
+    tokens_per_event: float = DEFAULT_TOKENS_PER_EVENT
 
 
 class Manifest:
@@ -113,7 +119,7 @@
         accounts: Accounts | None = None,
     ) -> None:
         self.generation = generation
-        self.services = services
+        self._services = services
         self.limits = limits
         self.accounts = accounts or Accounts()
         self._routes_by_host: dict[str, list[Route]] = {}
@@ -150,6 +156,10 @@
             None,
         )
 
+    def service_rules(self, service: ServiceId) -> ServiceRules:
+        """Return the rules of a service; the default ones if it has none."""
+        return self._services.get(service, ServiceRules())
+
     def serves_jobs_publicly(self, host: str) -> bool:
         """Return whether all of a host's batch routes need no key.
 
--- a/bergamotdoor/entry/views.py
+++ b/bergamotdoor/entry/views.py
@@ -6,13 +6,13 @@
 import logging
 from typing import TYPE_CHECKING, Final, NamedTuple
 
-from bergamotdoor.calls.manifest import RouteKind
+from bergamotdoor.calls.manifest import RouteKind, ServiceRules
 from bergamotdoor.entry.startup import StartupGate, StartupListing
 from bergamotdoor.objects.reader import ObjectReader
 from bergamotdoor.platform.engines import parse_upstream
 from bergamotdoor.platform.headers import MANIFEST_NAME
 from bergamotdoor.platform.manifest import parse_manifest
-from bergamotdoor.types import RegistrationId, UpstreamId
+from bergamotdoor.types import RegistrationId, ServiceId, UpstreamId
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -77,6 +77,12 @@
             return None
         return route
 
+    def service_rules(self, service: ServiceId) -> ServiceRules:
+        """Return the rules of a service in the manifest in force."""
+        if self.manifest is None:
+            return ServiceRules()
+        return self.manifest.service_rules(service)
+
     def reset(self, listing: Listing) -> None:
         """Apply the manifest in a listing."""
         for stored in listing.objects:
--- a/bergamotdoor/jobs/__init__.py
+++ b/bergamotdoor/jobs/__init__.py
@@ -10,10 +10,15 @@
 
 from __future__ import annotations
 
+from bergamotdoor.jobs.item_lengths import ItemLengths
 from bergamotdoor.jobs.item_queue import ItemQueue, QueuedItem, RunEnd
 from bergamotdoor.jobs.ledger import Ledger
 from bergamotdoor.jobs.messages import ItemResult, ItemState, JobSpec
-from bergamotdoor.jobs.placement import free_slots, place_item
+from bergamotdoor.jobs.placement import (
+    ItemToPlace,
+    free_slots,
+    place_item,
+)
 from bergamotdoor.jobs.progress import Move, Progress, Speeds, choose_moves
 from bergamotdoor.jobs.reservations import Reservations
 from bergamotdoor.jobs.scoring import ScoreEnd, ScoreQueue, free_score_slots
@@ -21,8 +26,10 @@
 
 __all__ = (
     'GeneratedEvent',
+    'ItemLengths',
     'ItemResult',
     'ItemState',
+    'ItemToPlace',
     'ItemQueue',
     'JobSpec',
     'Ledger',
--- a/bergamotdoor/jobs/item_queue.py
+++ b/bergamotdoor/jobs/item_queue.py
@@ -99,6 +99,8 @@
         #: job's route.
         self.max_failures = 1
         self._items: dict[ItemId, QueuedItem] = {}
+        #: State of all items, for reading only.
+        self.items = self._items.values()
         #: Heap of the items that may start now.
         self._waiting: list[tuple[int, ItemId]] = []
         #: Heap of the items that may start after a pause.
--- a/bergamotdoor/jobs/open_items.py
+++ b/bergamotdoor/jobs/open_items.py
@@ -70,6 +70,11 @@
         """Return the transcript of an item; a new one if it has none."""
         return self._transcripts.setdefault(queued.spec.item, Transcript())
 
+    def event_count(self, item: ItemId) -> int:
+        """Return how many events an item has so far."""
+        found = self._transcripts.get(item)
+        return 0 if found is None else found.event_count
+
     def record_text(self, result: ItemResult, score_failures: int = 0) -> None:
         """Record the complete text of an item, which may still need a score.
 
--- a/bergamotdoor/jobs/progress.py
+++ b/bergamotdoor/jobs/progress.py
@@ -50,10 +50,10 @@
 _EVENTS_PER_SAMPLE: Final = 5
 #: Event interval that is assumed while no engine has been measured.
 _DEFAULT_INTERVAL_S: Final = 0.04
-#: Items leave an engine only if it is slower than the other engine by this
-#: factor. A full engine is 4 to 10 % slower than an empty one. Engines of one
-#: service differ by up to a third; an engine that has become slow is several
-#: times as slow.
+#: An engine counts as slower than another one if its event interval is longer
+#: by this factor. A full engine is 4 to 10 % slower than an empty one. Engines
+#: of one service differ by up to a factor of two; an engine that has become
+#: slow is several times as slow.
 _LEAST_RATIO: Final = 1.15
 
 
@@ -143,23 +143,51 @@
 
     @property
     def remaining_events(self) -> float:
-        """Expected number of events that the item still lacks.
-
-        One item in fourteen reaches its maximum length, and so do most of
-        the items that outgrow the trainer's estimate by much.
-        """
-        missing = max(
-            self._expected_events - self.events, self.events * _OVERRUN_SHARE
+        """Expected number of events that the item still lacks."""
+        return remaining_events(
+            self._expected_events, self._most_events, self.events
         )
-        if not self._most_events:
-            return missing
-        return min(missing, max(self._most_events - self.events, 0))
 
     def _start_sample(self, now: dt.timedelta) -> None:
         self._sampled_events = self.events
         self._sampled_at = now
 
 
+def is_slower(interval_s: float, other_s: float) -> bool:
+    """Return whether an event interval is longer by more than noise and load.
+
+    No interval is slower than itself, not even one of zero, which is measured
+    where this process was paused and then reads many events at once.
+
+    Parameters
+    ----------
+    interval_s
+        Event interval of an engine, in seconds.
+    other_s
+        Event interval of the engine that it is compared with, in seconds.
+    """
+    return interval_s > other_s and interval_s >= other_s * _LEAST_RATIO
+
+
+def remaining_events(expected: float, most: float, events: int) -> float:
+    """Return the expected number of events that an item still lacks.
+
+    One item in fourteen reaches its maximum length, and so do most of the
+    items that outgrow the trainer's estimate by much.
+
+    Parameters
+    ----------
+    expected
+        Expected number of events of the item.
+    most
+        Maximum number of events of the item; 0 if it is not known.
+    events
+        Number of events of the item so far.
+    """
+    missing = max(expected - events, events * _OVERRUN_SHARE)
+    return min(missing, max(most - events, 0)) if most else missing
+
+
 class Speeds:
     """Event interval of each engine, measured at the items that it runs."""
 
@@ -268,7 +296,7 @@
     The result is zero if its own engine is not slower by ``_LEAST_RATIO``.
     """
     own_s = speeds.interval_s(progress.upstream)
-    if own_s < interval_s * _LEAST_RATIO:
+    if not is_slower(own_s, interval_s):
         return dt.timedelta()
     slower_s = own_s - interval_s
     return dt.timedelta(seconds=progress.remaining_events * slower_s)
--- a/bergamotdoor/platform/manifest.py
+++ b/bergamotdoor/platform/manifest.py
@@ -11,6 +11,7 @@
 from bergamotdoor import utils
 from bergamotdoor.calls.accounts import AccountKeys, Accounts, digest_of
 from bergamotdoor.calls.manifest import (
+    DEFAULT_TOKENS_PER_EVENT,
     CallerLimits,
     Manifest,
     Route,
@@ -37,18 +38,13 @@
 _DEFAULT_TIMEOUT_MS: Final = 600_000
 
 
-class _Split(msgspec.Struct, frozen=True):
-    service: ServiceId
-    weight: float = 1
-
-
 class _Route(msgspec.Struct, frozen=True):
     host: str
     path_prefix: str
     kind: str
     name: str = ''
     service: ServiceId = ServiceId('')
-    split: tuple[_Split, ...] = ()
+    split: tuple[Share, ...] = ()
     timeout_ms: float = _DEFAULT_TIMEOUT_MS
     goal_ms: float = 0
     max_attempts: int = 1
@@ -59,10 +55,15 @@
     public: bool = False
 
 
+class _Engine(msgspec.Struct, frozen=True):
+    stride: float = DEFAULT_TOKENS_PER_EVENT
+
+
 class _Service(msgspec.Struct, frozen=True):
     name: ServiceId
     max_conns: int = 0
     health_path: str = ''
+    engine: _Engine | None = None
 
 
 class _Tenant(msgspec.Struct, frozen=True):
@@ -100,25 +101,27 @@
             [_build_route(route) for route in decoded.routes],
             {
                 service.name: ServiceRules(
-                    service.max_conns, service.health_path
+                    service.max_conns,
+                    service.health_path,
+                    (service.engine or _Engine()).stride,
                 )
                 for service in decoded.services
             },
             _build_limits(decoded.limits),
-            Accounts(_build_account_keys(tenant) for tenant in decoded.tenants),
+            Accounts(
+                AccountKeys(tenant.name, tuple(map(digest_of, tenant.api_keys)))
+                for tenant in decoded.tenants
+            ),
         )
 
 
 def _build_route(decoded: _Route) -> Route:
-    shares = tuple(
-        Share(split.service, split.weight) for split in decoded.split
-    )
     return Route(
         name=decoded.name or decoded.path_prefix,
         host=decoded.host.lower(),
         path_prefix=decoded.path_prefix,
         kind=_KINDS.get(decoded.kind, RouteKind.ONCE),
-        shares=shares or (Share(decoded.service, 1),),
+        shares=decoded.split or (Share(decoded.service),),
         timeout=utils.from_ms(decoded.timeout_ms),
         target_latency=utils.from_ms(decoded.goal_ms),
         max_attempts=max(decoded.max_attempts, 1),
@@ -130,12 +133,6 @@
     )
 
 
-def _build_account_keys(decoded: _Tenant) -> AccountKeys:
-    return AccountKeys(
-        decoded.name, tuple(digest_of(key) for key in decoded.api_keys)
-    )
-
-
 def _optional_seconds(number: float | None) -> dt.timedelta | None:
     return None if number is None else dt.timedelta(seconds=number)
 
--- a/bergamotdoor/steps/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -4,13 +4,14 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING
 
 from bergamotdoor.calls.manifest import pick_service
 from bergamotdoor.forwarding.counted import start_counted
 from bergamotdoor.jobs import (
+    ItemLengths,
     ItemResult,
-    Progress,
+    ItemToPlace,
     Reservations,
     RunEnd,
     choose_moves,
@@ -24,20 +25,16 @@
 from bergamotdoor.steps.job_run import RunningItem, RunState
 
 if TYPE_CHECKING:
-    import datetime as dt
     from collections.abc import Callable
 
     from bergamotdoor.calls.manifest import Route
     from bergamotdoor.entry.context import Context
+    from bergamotdoor.entry.views import ManifestView
     from bergamotdoor.fleet.upstreams import Upstream
     from bergamotdoor.jobs import Move, QueuedItem
     from bergamotdoor.steps.job_run import JobRun
     from bergamotdoor.types import UpstreamId
 
-#: Assumed number of tokens in one event of an engine's stream. It converts the
-#: token counts of an item's length hint to events.
-TOKENS_PER_EVENT: Final = 58
-
 _log = logging.getLogger('bergamotdoor.gateway')
 
 
@@ -48,15 +45,21 @@
     ----------
     context
         Services of the process.
+    manifests
+        The current manifest, with the rules of the engines' services.
     on_item_end
         Callback without arguments. It is called after the run of an item has
         ended, when a slot is free or the item waits to run again.
     """
 
     def __init__(
-        self, context: Context, on_item_end: Callable[[], None]
+        self,
+        context: Context,
+        manifests: ManifestView,
+        on_item_end: Callable[[], None],
     ) -> None:
         self._context = context
+        self._manifests = manifests
         self._on_item_end = on_item_end
         self._reservations = Reservations(context.loads)
         self._suspects = ItemSuspects(context)
@@ -65,6 +68,7 @@
         """Start waiting items of a job while engines have free slots."""
         now = self._context.clock.elapsed()
         upstreams = self._eligible_engines(run, route)
+        lengths = self._item_lengths(run, route)
         queued = run.items.item_queue.next_item(now)
         while queued is not None:
             wait = self._suspects.wait_time(
@@ -73,11 +77,22 @@
             if wait:
                 run.items.item_queue.defer(queued, now + wait)
             else:
-                upstream = self._choose_engine(run, queued, upstreams, now)
+                upstream = self._choose_engine(run, queued, upstreams, lengths)
                 if upstream is None:
                     return
                 run.items.item_queue.start(queued)
-                self._start_item(run, route, queued, upstream)
+                progress = lengths.start_progress(
+                    queued.spec, upstream.upstream, now
+                )
+                item = ItemRun(
+                    run.spec,
+                    queued.spec,
+                    route,
+                    upstream,
+                    run.items.transcript(queued),
+                    progress,
+                )
+                self._start_item(run, queued, item)
             queued = run.items.item_queue.next_item(now)
 
     def move_items(self, run: JobRun, route: Route) -> None:
@@ -119,12 +134,16 @@
             >= run.spec.min_version
         )
 
+    def _item_lengths(self, run: JobRun, route: Route) -> ItemLengths:
+        rules = self._manifests.service_rules(pick_service(route, 0))
+        return ItemLengths(run.items, rules.tokens_per_event)
+
     def _choose_engine(
         self,
         run: JobRun,
         queued: QueuedItem,
         upstreams: tuple[Upstream, ...],
-        now: dt.timedelta,
+        lengths: ItemLengths,
     ) -> Upstream | None:
         """Return the engine that should run an item; ``None`` if all are full.
 
@@ -132,6 +151,7 @@
         """
         if self._suspects.is_isolated(run.spec, queued.spec):
             upstreams = self._suspects.engines_without_isolated(upstreams)
+        now = self._context.clock.elapsed()
         group = queued.spec.group
         reserved = self._reservations.release_slot(queued.spec.item)
         chosen = next(
@@ -143,8 +163,12 @@
             upstreams,
             self._context.loads,
             self._context.speeds,
-            run.items.item_queue.prompt_upstreams.get(group),
-            queued.avoid,
+            ItemToPlace(
+                run.items.item_queue.prompt_upstreams.get(group),
+                queued.avoid,
+                lengths.remaining_events(queued.spec),
+                lengths.longest_events,
+            ),
             now,
         )
         if chosen is not None:
@@ -152,33 +176,19 @@
         return chosen
 
     def _start_item(
-        self, run: JobRun, route: Route, queued: QueuedItem, upstream: Upstream
+        self, run: JobRun, queued: QueuedItem, item: ItemRun
     ) -> None:
-        now = self._context.clock.elapsed()
-        transcript = run.items.transcript(queued)
-        progress = Progress(
-            queued.spec.item,
-            upstream.upstream,
-            now,
-            queued.spec.expected_tokens / TOKENS_PER_EVENT,
-            transcript.event_count,
-            queued.spec.most_tokens / TOKENS_PER_EVENT,
-        )
-        item = ItemRun(
-            run.spec, queued.spec, route, upstream, transcript, progress
-        )
+        upstream = item.upstream.upstream
         # Counted before the task starts, so that the next choice of an engine
         # includes this run.
-        self._suspects.record_item_start(
-            run.spec, queued.spec, upstream.upstream
-        )
-        load = self._context.loads.of(upstream.upstream)
-        load.record_sent(now)
+        self._suspects.record_item_start(run.spec, queued.spec, upstream)
+        load = self._context.loads.of(upstream)
+        load.record_sent(self._context.clock.elapsed())
         task = start_counted(load, self._run_item(run, queued, item))
         # Added after the callback that counts the slot as free, so it runs
         # after that one.
         task.add_done_callback(lambda _: self._on_item_end())
-        run.running[queued.spec.item] = RunningItem(progress, task)
+        run.running[queued.spec.item] = RunningItem(item.progress, task)
 
     async def _run_item(
         self, run: JobRun, queued: QueuedItem, item: ItemRun
--- a/bergamotdoor/steps/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -63,7 +63,7 @@
         self._context = context
         self._store = store
         self._manifests = manifests
-        self._dispatcher = Dispatcher(context, self.wake_up)
+        self._dispatcher = Dispatcher(context, manifests, self.wake_up)
         self._scorer = Scorer(context, manifests, self.wake_up)
         self._runs: dict[JobId, JobRun] = {}
         #: Jobs whose end was reported while this process did not have them.
--- a/features/steps/jobs_progress_steps.py
+++ b/features/steps/jobs_progress_steps.py
@@ -12,6 +12,7 @@
 from bergamotdoor.jobs import (
     GeneratedEvent,
     ItemQueue,
+    ItemToPlace,
     JobSpec,
     Progress,
     Reservations,
@@ -144,8 +145,9 @@
         context.engines,
         context.loads,
         Speeds(),
-        None if prompt_upstream is None else UpstreamId(prompt_upstream),
-        frozenset(),
+        ItemToPlace(
+            None if prompt_upstream is None else UpstreamId(prompt_upstream)
+        ),
         ms(0),
     )
     assert found is not None
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -108,6 +108,10 @@
                 ],
             },
         ],
+        'services': [
+            {'name': 's1', 'max_conns': 9, 'engine': {'stride': 73}},
+            {'name': 's2', 'engine': None},
+        ],
         'limits': {'max_body_bytes': 5, 'idle_timeout_ms': 4000},
     }
     return json.dumps(fields).encode()
@@ -130,6 +134,11 @@
     assert calls.target_latency == dt.timedelta(milliseconds=191)
     assert manifest.match('b.example', '/p/q/x') is None
     assert manifest.match('a.example', '/p') is None
+    tokens = [
+        manifest.service_rules(ServiceId(name)).tokens_per_event
+        for name in ('s1', 's2', 's3')
+    ]
+    assert tokens == [73, 58, 58], tokens
     assert manifest.limits.max_body_bytes == 5
     assert manifest.limits.idle_timeout.total_seconds() == 4
 
