Plan which engine of a service serves which model

Cause: engines are divided evenly among models by count, whatever the models demand and however fast the engines are.

Change: owners tell the slot time that their steps require, and the event intervals that they measured, to the planner of the service (`DemandTold`, `PacesKnown`). The planner computes the plan (`fleet/capacity_plan.py`) and writes it to the store by a conditional write. Agents list plans where several models share the engines, and take turns among the engines of their model in the plan. Without a plan, and where the even assignment is good enough, everything is served as before.

--- a/bergamotdoor/agent/weights.py
+++ b/bergamotdoor/agent/weights.py
@@ -8,12 +8,10 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
-from bergamotdoor.fleet.model_assignment import ModelAssignment
+from bergamotdoor.agent.assignment import AssignmentView
 from bergamotdoor.fleet.orders import LoadMode, LoadOrder
 from bergamotdoor.objects.reader import ObjectReader
-from bergamotdoor.platform import headers as names
-from bergamotdoor.platform.engines import parse_upstream, parse_version
-from bergamotdoor.stored import Listing, Outcome
+from bergamotdoor.platform.engines import parse_version
 from bergamotdoor.types import FencingToken, ModelId, WeightVersion
 
 if TYPE_CHECKING:
@@ -23,7 +21,7 @@
     from bergamotdoor.clock import Clock
     from bergamotdoor.fleet.orders import EngineReport
     from bergamotdoor.objects.client import ObjectClient
-    from bergamotdoor.stored import Change, StoredObject
+    from bergamotdoor.stored import Change, Listing, StoredObject
     from bergamotdoor.types import NodeId
 
 #: How often the engine is checked if no new version is published.
@@ -31,9 +29,6 @@
 #: The interval of reading the engine's report while a load is outstanding.
 _REPORT_INTERVAL_MS: Final = 150
 _REPORT_INTERVAL: Final = dt.timedelta(milliseconds=_REPORT_INTERVAL_MS)
-#: How long the listing of engines is cached. Engines are seldom added or
-#: removed, and a stale listing costs a tenth of a call.
-_ENGINES_CACHE_TIME: Final = dt.timedelta(seconds=5)
 #: The delay after which an order is sent again if the engine neither loads
 #: nor has the version: the order was lost or is delayed. The count of
 #: accepted orders in both orders prevents the first one from taking effect as
@@ -80,7 +75,6 @@
         clock: Clock,
         loaded: Callable[[ModelId, WeightVersion], None],
     ) -> None:
-        self._store = store
         self._engine = engine
         self._node = node
         self._clock = clock
@@ -91,8 +85,7 @@
         #: The latest start time that the engine has reported.
         self._engine_started_at = dt.timedelta()
         self._versions_changed = asyncio.Event()
-        self._assignment = ModelAssignment((), engine.address)
-        self._assignment_valid_until = dt.timedelta()
+        self._assignment = AssignmentView(store, engine.address, clock)
 
     def reset(self, listing: Listing) -> None:
         """Add a listing of all published versions to the known ones."""
@@ -131,8 +124,8 @@
         """
         if not self._published:
             return
-        await self._refresh_assignment()
-        for model in sorted(self._assignment.models()):
+        await self._assignment.refresh()
+        for model in sorted(self._assignment.current.models()):
             await self._load_version(model)
 
     def _add_version(self, stored: StoredObject) -> None:
@@ -145,21 +138,6 @@
     def _advance_token(self, revision: int) -> None:
         self._token = FencingToken(max(self._token, revision))
 
-    async def _refresh_assignment(self) -> None:
-        now = self._clock.elapsed()
-        if now < self._assignment_valid_until:
-            return
-        listing = await self._store.listing(names.UPSTREAM_KIND, stale=True)
-        if isinstance(listing, Outcome):
-            return
-        found = (
-            self._reader.read(stored, parse_upstream)
-            for stored in listing.objects
-        )
-        engines = (upstream for upstream in found if upstream is not None)
-        self._assignment = ModelAssignment(engines, self._engine.address)
-        self._assignment_valid_until = now + _ENGINES_CACHE_TIME
-
     async def _load_version(self, model: ModelId) -> None:
         """Send orders until the engine has a model's published version."""
         report = await self._read_report()
@@ -196,7 +174,7 @@
         once: it could run no items while it waits.
         """
         now = self._clock.elapsed()
-        until = now + self._assignment.turn_delay(model)
+        until = now + self._assignment.current.turn_delay(model)
         while now < until and not self._has_unusable_weights(report, model):
             await self._clock.sleep(min(_REPORT_INTERVAL, until - now))
             now = self._clock.elapsed()
--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -82,6 +82,7 @@
             self._components.owner,
             self._access.store.counts,
             self._components.usage,
+            self._components.planner,
         )
         self._servers = Servers(self, self._clock, listening)
 
--- a/bergamotdoor/gateway/inspection.py
+++ b/bergamotdoor/gateway/inspection.py
@@ -14,6 +14,7 @@
 from bergamotdoor.observe.dump import DumpRegistry
 from bergamotdoor.observe.exposition import exposition
 from bergamotdoor.reporting.usage_duty import DutyState
+from bergamotdoor.steps.planned_service import PlanState
 from bergamotdoor.types import Fingerprint, Generation, JobId, UpstreamId
 
 if TYPE_CHECKING:
@@ -22,6 +23,7 @@
     from bergamotdoor.http.messages import HttpRequest
     from bergamotdoor.observe.call_counts import CallCounts
     from bergamotdoor.reporting.usage_duty import UsageDuty
+    from bergamotdoor.steps.capacity_planner import CapacityPlanner
     from bergamotdoor.steps.owner import JobOwner
 
 METRICS_PATH: Final = '/metrics'
@@ -90,6 +92,8 @@
     #: The duty to report usage; ``None`` if usage is not reported or the
     #: holder of the duty is not known.
     duty: DutyState | None = None
+    #: Services of which this entry was told demands, with their plans.
+    plans: tuple[PlanState, ...] = ()
 
 
 class GatewayInspector:
@@ -107,6 +111,8 @@
         The counts of calls to the store.
     usage
         The usage reporting; ``None`` if this entry does not report usage.
+    planner
+        The planner of this entry.
     """
 
     def __init__(
@@ -116,12 +122,14 @@
         owner: JobOwner,
         store_calls: CallCounts,
         usage: UsageDuty | None,
+        planner: CapacityPlanner,
     ) -> None:
         self._store_calls = store_calls
         self._context = context
         self._manifests = manifests
         self._owner = owner
         self._usage = usage
+        self._planner = planner
         self._dumps = DumpRegistry()
         self._dumps.register('gateway', self)
 
@@ -151,6 +159,7 @@
             tuple(self._collect_quarantined()),
             self._proof_age_s(),
             None if self._usage is None else self._usage.state,
+            self._planner.states(),
         )
 
     def _proof_age_s(self) -> float | None:
--- a/bergamotdoor/gateway/wiring.py
+++ b/bergamotdoor/gateway/wiring.py
@@ -11,8 +11,8 @@
 from bergamotdoor.objects.job_store import JobStore
 from bergamotdoor.peers.news_source import NewsSource
 from bergamotdoor.reporting.usage_duty import UsageDuty
+from bergamotdoor.steps import demand_reports, job_handoff
 from bergamotdoor.steps.job_finder import JobFinder
-from bergamotdoor.steps.job_handoff import JobHandoff
 from bergamotdoor.steps.job_reads import JobReadService
 from bergamotdoor.steps.job_submission import JobSubmissionService
 from bergamotdoor.steps.owner import JobOwner
@@ -59,7 +59,7 @@
             context.clock,
             context.settings.zone,
         )
-        self.handoff = JobHandoff(
+        self.handoff = job_handoff.JobHandoff(
             self.owner, self.notifier, self.store, context.clock
         )
         self.news_source = NewsSource(
@@ -82,6 +82,9 @@
             )
             for message_type in self.usage.messages:
                 self.peer_service.register(message_type, self.usage.take)
+        self.planner = demand_reports.connect_planner(
+            context, manifests, access, tasks, self.owner, self.peer_service
+        )
         self.router = self._make_router(context, access, manifests)
 
     async def resume_jobs(self) -> bool:
--- a/bergamotdoor/jobs/progress.py
+++ b/bergamotdoor/jobs/progress.py
@@ -165,6 +165,10 @@
 
     def __init__(self) -> None:
         self._intervals_s: dict[UpstreamId, float] = {}
+        #: Monotonic time of the last event that was measured at each engine.
+        self._measured_at: dict[UpstreamId, dt.timedelta] = {}
+        #: Intervals that other processes measured.
+        self._learned_s: dict[UpstreamId, float] = {}
 
     def add_intervals(self, progress: Progress) -> None:
         """Add the event intervals measured since the last call.
@@ -185,22 +189,49 @@
             self._intervals_s[progress.upstream] = known_s + _NEWEST_WEIGHT * (
                 interval_s - known_s
             )
+            if progress.last_event_at is not None:
+                self._measured_at[progress.upstream] = progress.last_event_at
+
+    def learn(self, intervals: Mapping[UpstreamId, float]) -> None:
+        """Add intervals that other processes measured.
+
+        Failure: the jobs of a model get a new owner. Symptom: it places the
+        long items of its first step at slow engines, since it has measured
+        none. A learned interval counts until this process measures the
+        engine.
+
+        Parameters
+        ----------
+        intervals
+            Time between two events at engines that exist, in seconds.
+        """
+        self._learned_s.update(intervals)
+
+    def measured_since(self, since: dt.timedelta) -> dict[UpstreamId, float]:
+        """Return the intervals in seconds that were measured since a time."""
+        return {
+            upstream: self._intervals_s[upstream]
+            for upstream, measured_at in self._measured_at.items()
+            if measured_at >= since
+        }
 
     def interval_s(self, upstream: UpstreamId) -> float:
         """Return the time between two events at an engine, in seconds.
 
-        An engine that has not been measured is assumed to have the median
-        interval of the others.
+        An engine that neither this process nor another one has measured is
+        assumed to have the median interval of the others.
         """
-        known_s = self._intervals_s.get(upstream)
+        known_s = self._intervals_s.get(upstream, self._learned_s.get(upstream))
         return self._median_interval_s() if known_s is None else known_s
 
     def forget(self, upstream: UpstreamId) -> None:
         """Remove an engine that no longer exists."""
         self._intervals_s.pop(upstream, None)
+        self._measured_at.pop(upstream, None)
+        self._learned_s.pop(upstream, None)
 
     def _median_interval_s(self) -> float:
-        sorted_s = sorted(self._intervals_s.values())
+        sorted_s = sorted({**self._learned_s, **self._intervals_s}.values())
         return sorted_s[len(sorted_s) // 2] if sorted_s else _DEFAULT_INTERVAL_S
 
 
--- a/bergamotdoor/observe/events.py
+++ b/bergamotdoor/observe/events.py
@@ -33,3 +33,6 @@
     JOB_TAKEN_OVER = 'jobs_taken_over'
     JOB_ENDED = 'jobs_ended'
     RESULTS_LISTED = 'results_listed'
+    PLAN_WRITTEN = 'plans_written'
+    #: Engines that a written plan gives another model.
+    ENGINE_REASSIGNED = 'engines_reassigned'
--- a/bergamotdoor/peers/messages.py
+++ b/bergamotdoor/peers/messages.py
@@ -9,6 +9,7 @@
 from bergamotdoor.fleet.quarantine import Strike
 from bergamotdoor.jobs.messages import ItemResult, JobRecord, JobSpec
 from bergamotdoor.jobs.transcript import SavedTranscript
+from bergamotdoor.peers.demand_messages import DemandTold, PacesKnown
 from bergamotdoor.peers.duty_messages import DutyHeld, UsageTold
 from bergamotdoor.peers.news_messages import (
     HistoryGone,
@@ -120,6 +121,7 @@
     | UsageTold
     | DutyHeld
     | WatchKind
+    | DemandTold
 )
 
 
@@ -170,4 +172,5 @@
     | StoreReply
     | KindChanges
     | HistoryGone
+    | PacesKnown
 )
--- a/bergamotdoor/steps/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -18,7 +18,7 @@
 from bergamotdoor.tasks import Tasks
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Callable, Iterator
 
     from bergamotdoor.entry.context import Context
     from bergamotdoor.entry.views import ManifestView
@@ -71,6 +71,8 @@
         self._tasks = Tasks()
         #: Whether this process accepts no more jobs.
         self.stopping = False
+        #: Called with each job whose items this process begins to run.
+        self.on_adoption: Callable[[JobRun], None] = _ignore
         self._wake = asyncio.Event()
 
     def start(self) -> None:
@@ -151,10 +153,10 @@
                 self._context,
                 find_resubmitted_groups(loaded.spec, earlier),
             )
-            self._tasks.start(writer.run())
-            self._tasks.start(
-                save_open_items(run, self._store, self._context.clock)
-            )
+            saving = save_open_items(run, self._store, self._context.clock)
+            for work in (writer.run(), saving):
+                self._tasks.start(work)
+            self.on_adoption(run)
         _log.info(
             'gateway: job %s owned, term %d, %d items, %d listed',
             found.job,
@@ -247,6 +249,10 @@
                 self.drop_job(found.job)
 
 
+def _ignore(run: JobRun) -> None:
+    """Do nothing; stands for a callback that is not set."""
+
+
 def _is_active(run: JobRun) -> bool:
     return run.active
 
--- a/bergamotdoor/steps/peer_service.py
+++ b/bergamotdoor/steps/peer_service.py
@@ -79,7 +79,7 @@
         self._fleet = context.fleet
         self._strikes = context.strikes
         self._direct = direct
-        self._handlers: dict[type[Any], Callable[[Any], None]] = {}
+        self._handlers: dict[type[Any], Callable[[Any], PeerReply | None]] = {}
         self.register(AdoptJob, self._adopt)
         self.register(JobEnded, self._end)
         self.register(JobOwned, self._cache_owner)
@@ -99,21 +99,23 @@
         if isinstance(message, (ReadBody, ReadResults)):
             return await self._read(message)
         handler = self._handlers.get(type(message))
-        if handler is not None:
-            handler(message)
-        return Done()
+        reply = None if handler is None else handler(message)
+        return Done() if reply is None else reply
 
     def register(
-        self, message_type: type[Any], handler: Callable[[Any], None]
+        self,
+        message_type: type[Any],
+        handler: Callable[[Any], PeerReply | None],
     ) -> None:
-        """Register the handler of messages whose reply is only ``Done``.
+        """Register the handler of messages that are answered at once.
 
         Parameters
         ----------
         message_type
             The class of the messages.
         handler
-            Function that is called with each message.
+            Function that is called with each message. It returns the reply;
+            ``None`` stands for ``Done``.
         """
         self._handlers[message_type] = handler
 
--- /dev/null
+++ b/features/fleet_capacity_plan.feature
@@ -0,0 +1,127 @@
+Feature: which engine of a service serves which model
+
+  Scenario: three of four trainers demand 1.8 times as much as the fourth
+    Guards against engines that are divided evenly by count: the trainer with
+    little work has idle engines while the steps of the others end late.
+
+    Given 22 engines, of which 0 take half the time for an event
+    And models that demand 180, 180, 180 and 100 events per second
+    When plans are made until none changes
+    Then the largest ratio is under that of the even assignment by 10 % or more
+    And each plan moves 2 engines at most
+
+  Scenario: a quarter of the engines take half the time for an event
+    Guards against a model that has one fast engine while another has three.
+
+    Given 22 engines, of which 5 take half the time for an event
+    And models that demand 150, 150, 150 and 150 events per second
+    When plans are made until none changes
+    Then the largest ratio is under that of the even assignment by 10 % or more
+
+  Scenario: equal demand and equal engines need no plan
+    Guards against plans, and so weight loads, in a deployment that the even
+    assignment serves well.
+
+    Given 22 engines, of which 0 take half the time for an event
+    And models that demand 150, 150, 150 and 150 events per second
+    Then there is no plan
+
+  Scenario: a single model needs no plan
+    Given 5 engines, of which 2 take half the time for an event
+    And a model that demands 150 events per second
+    Then there is no plan
+
+  Scenario: more models than engines need no plan
+    Guards against a plan that names one model for each engine, so that some
+    models get no new weights.
+
+    Given 2 engines, of which 1 take half the time for an event
+    And models that demand 150, 10 and 10 events per second
+    Then there is no plan
+
+  Scenario: a model without demand keeps an engine
+    Guards against a trainer whose first step finds no engine with the newest
+    weights.
+
+    Given 8 engines, of which 2 take half the time for an event
+    And models that demand 150, 150, 150 and 0 events per second
+    When plans are made until none changes
+    Then each model has an engine
+    And the model without demand has 1 engine
+
+  Scenario Outline: noise of 10 % in demand and speed changes no plan
+    Guards against weight loads that gain nothing, since each measurement
+    differs from the one before. A model has a step every 4 s, and each owner
+    tells the demand and the intervals of its own engines.
+
+    Given 22 engines, of which <fast> take half the time for an event
+    And models that demand <demands> events per second
+    When plans are made until none changes
+    Then 600 s with 10 % of noise change nothing
+
+    Examples:
+      | fast | demands                   |
+      | 5    | 180, 180, 180 and 100     |
+      | 5    | 149, 84, 123 and 149      |
+      | 0    | 139, 79, 139 and 123      |
+      | 0    | 150, 150, 150 and 150     |
+
+  Scenario: a new engine is added at once, and one that is gone is no move
+    Given 22 engines, of which 5 take half the time for an event
+    And models that demand 180, 180, 180 and 100 events per second
+    When plans are made until none changes
+    And one engine is replaced by another one shortly after the last plan
+    Then the next plan names the new engine and moves no other
+
+  Scenario: a model that lost its only engine gets another one at once
+    Given 10 engines, of which 0 take half the time for an event
+    And models that demand 150, 150, 150 and 0 events per second
+    When plans are made until none changes
+    And the only engine of a model is gone shortly after the last plan
+    Then each model has an engine after the next plan
+
+  Scenario: an engine that drains keeps its model and counts for nothing
+    Guards against a weight load of an engine that completes its last items.
+
+    Given 10 engines, of which 0 take half the time for an event
+    And models that demand 150, 150, 150 and 10 events per second
+    When plans are made until none changes
+    And all engines of the model with most engines but one drain
+    Then the next plans leave these as they are and give the model another
+
+  Scenario: engines of a model of unknown demand are left alone
+    Guards against the first demand that is told after a start: if the other
+    models counted as ones without demand, their engines would be taken.
+
+    Given 10 engines, of which 0 take half the time for an event
+    And models that demand 150, 0, 0 and 0 events per second
+    And the demand of the last 3 models is unknown
+    Then there is no plan
+
+  Scenario: plans of any input have the promised properties
+    Then in 300 cases the same input gives the same plan, every model has an engine, few engines move and the plans end
+
+  Scenario: the demand of a model does not depend on how often steps come
+    Guards against a trainer that falls behind and loses engines because of it.
+
+    Given steps of 10 and 20 events per second, 14 s apart
+    Then the second demand is told as 20, and one 2 s later of 5 as 20
+    And a step of 5 after 20 s more is told as 5
+
+  Scenario: items without a hint count with the mean of the others
+    Then items of 100, 300, no and no tokens count as 800
+
+  Scenario: told intervals and demands expire
+    Given the owner of a model tells a demand of 5 and an interval of 40 ms
+    Then the owner of another model hears of it for 15 s, and its own does not
+    And the demand is settled after 15 s
+    And the model has a demand for 30 s
+    And other models are unknown for 30 s from the first demand on
+    And figures that are not positive are ignored
+
+  Scenario: agents follow a plan, and else the even assignment
+    Given 6 engines that 2 models share
+    Then an engine that the plan names with a model loads that model
+    And engines without a place in the plan are assigned evenly
+    And a model in the plan that is no longer registered has no effect
+    And turns count the engines of the same model in the plan
