Decode load headers with a pace, and use it over seconds

Cause: a load header with a fourth figure was rejected, so entries knew nothing about the load of these upstreams, and a slow moment of a VM counted as its usual latency.

--- a/bergamotdoor/fleet/choice.py
+++ b/bergamotdoor/fleet/choice.py
@@ -2,10 +2,10 @@
 
 Load pattern: a service has a few upstreams of unequal speed, and some of
 them slow down when nearly full. A request is sent to the upstream that is
-expected to answer first, estimated from its usual latency and from the share
-of its slots in use. A request to another availability zone costs traffic
-between zones and a millisecond of latency, so an upstream there is selected
-only if it is clearly better.
+expected to answer first, estimated from its usual latency, from the pace of
+its VM in the last seconds and from the share of its slots in use. A request
+to another availability zone costs traffic between zones and a millisecond of
+latency, so an upstream there is selected only if it is clearly better.
 """
 
 from __future__ import annotations
@@ -74,6 +74,7 @@
     """Return the expected latency in seconds, with the zone's factor."""
     load = loads.of(upstream.upstream)
     utilization = (load.estimated_requests(now) + 1) / upstream.slots
-    latency_s = load.latency_s or _DEFAULT_LATENCY_S
+    usual_s = load.latency_s or _DEFAULT_LATENCY_S
+    latency_s = usual_s * load.known.pace.steady(now)
     zone_factor = 1 if upstream.zone == zone else _CROSS_ZONE_FACTOR
     return latency_s * zone_factor * (1 + utilization)
--- a/bergamotdoor/fleet/loads.py
+++ b/bergamotdoor/fleet/loads.py
@@ -12,9 +12,10 @@
 import datetime as dt
 from typing import TYPE_CHECKING, Final
 
-import msgspec
+from bergamotdoor.fleet.known_load import KnownLoad
 
 if TYPE_CHECKING:
+    from bergamotdoor.fleet.known_load import ReportedLoad
     from bergamotdoor.types import UpstreamId
 
 #: Backoff after a refusal. The upstream is full or loads weights, which takes
@@ -29,24 +30,12 @@
 _FAILURE_BACKOFF_MS: Final = 500
 FAILURE_BACKOFF: Final = dt.timedelta(milliseconds=_FAILURE_BACKOFF_MS)
 _MAX_BACKOFF_DOUBLINGS: Final = 4
-#: Age from which an upstream's report of its load is disregarded.
-_MAX_REPORT_AGE: Final = dt.timedelta(seconds=2)
 #: Weight of the newest measurement in the moving average of the latency.
 _LATENCY_SMOOTHING: Final = 0.25
 
 _ZERO: Final = dt.timedelta()
 
 
-class ReportedLoad(msgspec.Struct, frozen=True):
-    """An upstream's load, as it reports it in a response."""
-
-    #: Number of requests that it runs, and that wait in its queue.
-    running: int
-    waiting: int
-    #: Number of requests that it runs concurrently at most.
-    slots: int
-
-
 class UpstreamLoad:
     """Load, latency and backoff of one upstream."""
 
@@ -55,11 +44,11 @@
         self.in_flight = 0
         #: Slots that are reserved for items that move to this upstream.
         self.reserved_slots = 0
-        #: Moving average of its latency in seconds; 0 while unmeasured.
+        #: Moving average of its latency at the usual pace of its VM, in
+        #: seconds; 0 while unmeasured.
         self.latency_s = float()
-        #: Requests of other processes, as of the upstream's last report.
-        self._reported_others = 0
-        self._reported_at = _ZERO
+        #: What is known about its load besides the requests of this process.
+        self.known = KnownLoad()
         self._backoff_until = _ZERO
         #: Failures since the last successful request.
         self._failures = 0
@@ -74,19 +63,17 @@
         """Stop counting a request as in flight, whatever its outcome."""
         self.in_flight -= 1
 
-    def record_report(self, reported_requests: int, now: dt.timedelta) -> None:
+    def record_report(self, report: ReportedLoad, now: dt.timedelta) -> None:
         """Record a load report of the upstream.
 
         Parameters
         ----------
-        reported_requests
-            Number of requests that it runs or keeps in its queue, those of
-            this process included.
+        report
+            The report, in which the requests of this process are included.
         now
             The monotonic time.
         """
-        self._reported_others = max(reported_requests - self.in_flight, 0)
-        self._reported_at = now
+        self.known.record_report(report, self.in_flight, now)
 
     def record_refusal(self, now: dt.timedelta) -> None:
         """Record that the upstream refused a request, and begin a backoff."""
@@ -134,9 +121,15 @@
         self._failures = 0
 
     def record_response(self, latency: dt.timedelta) -> None:
-        """Record a successful response and its latency."""
+        """Record a successful response and its latency.
+
+        The latency is converted to the usual pace by the pace that the
+        response states. Otherwise a few responses in a slow moment would
+        raise the average for as long as no others arrive, since each one has
+        a weight of a quarter.
+        """
         self.record_success()
-        seconds = latency.total_seconds()
+        seconds = latency.total_seconds() / self.known.pace.newest
         if self.latency_s:
             self.latency_s += _LATENCY_SMOOTHING * (seconds - self.latency_s)
         else:
@@ -159,11 +152,7 @@
 
     def estimated_other_requests(self, now: dt.timedelta) -> int:
         """Return the estimated number of requests of other processes."""
-        return (
-            self._reported_others
-            if now - self._reported_at < _MAX_REPORT_AGE
-            else 0
-        )
+        return self.known.other_requests(now)
 
 
 class Loads:
--- a/bergamotdoor/forwarding/attempt.py
+++ b/bergamotdoor/forwarding/attempt.py
@@ -81,9 +81,7 @@
     reported = names.parse_load(response.headers.first(names.LOAD))
     if reported is not None:
         load = context.loads.of(upstream.upstream)
-        load.record_report(
-            reported.running + reported.waiting, context.clock.elapsed()
-        )
+        load.record_report(reported, context.clock.elapsed())
     return await judge(context, call, upstream, response)
 
 
--- a/bergamotdoor/platform/headers.py
+++ b/bergamotdoor/platform/headers.py
@@ -4,7 +4,7 @@
 
 from typing import Final
 
-from bergamotdoor.fleet.loads import ReportedLoad
+from bergamotdoor.fleet.known_load import ReportedLoad
 
 _PREFIX: Final = 'x-bergamotdoor-'
 
@@ -52,12 +52,12 @@
 #: Storage VMs that are to be evacuated.
 EVACUATION_KIND: Final = 'retirements'
 
-_LOAD_FIELD_COUNT: Final = 3
+_LOAD_FIELD_COUNTS: Final = (3, 4)
 
 
 def parse_load(text: str) -> ReportedLoad | None:
-    """Decode the load header; ``None`` if it is missing or malformed."""
+    """Decode the load header, with or without a pace; ``None`` if malformed."""
     numbers = [part for part in text.split(',') if part.strip().isdecimal()]
-    if len(numbers) != _LOAD_FIELD_COUNT:
+    if len(numbers) not in _LOAD_FIELD_COUNTS:
         return None
     return ReportedLoad(*(int(number) for number in numbers))
--- a/bergamotdoor/steps/item_run.py
+++ b/bergamotdoor/steps/item_run.py
@@ -121,9 +121,7 @@
     load = context.loads.of(run.upstream.upstream)
     load.record_acceptance(context.clock.elapsed())
     if reported is not None:
-        load.record_report(
-            reported.running + reported.waiting, context.clock.elapsed()
-        )
+        load.record_report(reported, context.clock.elapsed())
     text = fields.first(names.WEIGHT_VERSION)
     if not text.isdecimal():
         return RunEnd.BROKEN
--- a/lab/upstreams.py
+++ b/lab/upstreams.py
@@ -36,6 +36,7 @@
 #: The start time of each upstream, an arbitrary one; restarts are later.
 _FIRST_START_MS: Final = 1_700_000_000_000
 _MS_PER_S: Final = 1000
+_USUAL_PERCENT: Final = 100
 
 
 class UpstreamMode(enum.Enum):
@@ -70,6 +71,10 @@
 class Upstream:
     """A model of a service that runs requests and records them."""
 
+    #: The time that work takes, in percent of ``work_s``; ``None`` is usual
+    #: and not reported.
+    pace_percent: int | None = None
+
     def __init__(
         self, name: str, service: str, address: Address, clock: Clock
     ) -> None:
@@ -146,10 +151,11 @@
 
     def fields(self, request_id: str) -> list[tuple[str, str]]:
         """Return the header fields of a response."""
+        pace = '' if self.pace_percent is None else f',{self.pace_percent}'
         return [
             (f'{_HEADER_PREFIX}request-id', request_id),
             (f'{_HEADER_PREFIX}server-stamp', self.stamp(request_id)),
-            (f'{_HEADER_PREFIX}server-load', f'{len(self.running)},0,4'),
+            (f'{_HEADER_PREFIX}server-load', f'{len(self.running)},0,4{pace}'),
         ]
 
     def proofs(self, request_id: str) -> set[str]:
@@ -160,6 +166,10 @@
         """Return the stamp that proves which upstream ran a request."""
         return f'proof of {self.name} {request_id}'
 
+    def at_pace(self, work_s: float) -> float:
+        """Return the time that work takes now, in seconds."""
+        return work_s * (self.pace_percent or _USUAL_PERCENT) / _USUAL_PERCENT
+
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handle one request as the mode says."""
         headers = {field.name: field.value for field in request.headers}
@@ -194,7 +204,7 @@
         self, request: HttpRequest, headers: dict[str, str], body: bytes
     ) -> HttpResponse:
         """Run a request that was accepted; return the response."""
-        await asyncio.sleep(self.work_s)
+        await asyncio.sleep(self.at_pace(self.work_s))
         if self.mode is UpstreamMode.BROKEN:
             return cut_off()
         status = HTTPStatus.OK
@@ -345,7 +355,7 @@
             self.running.discard(request_id)
 
     async def _generate_event(self) -> None:
-        await asyncio.sleep(self.event_s)
+        await asyncio.sleep(self.at_pace(self.event_s))
         while self.loading:
             await asyncio.sleep(_LOAD_POLL_INTERVAL_S)
 
