--- a/bergamotdoor/jobs/open_items.py
+++ b/bergamotdoor/jobs/open_items.py
@@ -161,7 +161,9 @@
         """Record every item without a result as lost."""
         for text in tuple(self.score_queue):
             self.score_queue.drop(text.spec.item)
-        self.item_queue.mark_open_items_lost()
+        for queued in self.item_queue.unfinished():
+            lost = ItemResult(queued.spec.item, ItemState.LOST)
+            self.item_queue.record_result(lost)
         self._notify_finished()
 
     def saved_transcripts(
--- a/bergamotdoor/steps/demand_reports.py
+++ b/bergamotdoor/steps/demand_reports.py
@@ -6,7 +6,10 @@
 import math
 from typing import TYPE_CHECKING, Final
 
-from bergamotdoor.calls.manifest import pick_service
+from bergamotdoor.calls.manifest import (
+    DEFAULT_TOKENS_PER_EVENT,
+    pick_service,
+)
 from bergamotdoor.fleet.demand import (
     INTERVAL_LIFETIME,
     StepDemands,
@@ -14,7 +17,6 @@
 )
 from bergamotdoor.peers.demand_messages import DemandTold, PacesKnown
 from bergamotdoor.steps.capacity_planner import CapacityPlanner
-from bergamotdoor.steps.dispatcher import TOKENS_PER_EVENT
 from bergamotdoor.steps.planned_service import (
     models_of_service,
     planner_order,
@@ -86,7 +88,9 @@
         if run.spec.model not in models or len(models) == 1:
             return
         tokens = step_tokens(item.expected_tokens for item in run.spec.items)
-        demand = tokens / TOKENS_PER_EVENT / route.due_after.total_seconds()
+        demand = (
+            tokens / DEFAULT_TOKENS_PER_EVENT / route.due_after.total_seconds()
+        )
         now = self._context.clock.elapsed()
         self._steps.add(run.spec.model, demand, now)
         due = self._steps.pop_due(run.spec.model, now)
--- a/bergamotdoor/steps/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -25,7 +25,7 @@
 from bergamotdoor.steps.job_run import RunningItem, RunState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from bergamotdoor.calls.manifest import Route
     from bergamotdoor.entry.context import Context
@@ -64,8 +64,15 @@
         self._reservations = Reservations(context.loads)
         self._suspects = ItemSuspects(context)
 
-    def start_items(self, run: JobRun, route: Route) -> None:
-        """Start waiting items of a job while engines have free slots."""
+    def start_items(self, run: JobRun, route: Route) -> Iterator[None]:
+        """Start waiting items of a job while engines have free slots.
+
+        Yields
+        ------
+        None
+            After each item that was started or deferred, so that an item of
+            another job can start next.
+        """
         now = self._context.clock.elapsed()
         upstreams = self._eligible_engines(run, route)
         lengths = self._item_lengths(run, route)
@@ -93,6 +100,7 @@
                     progress,
                 )
                 self._start_item(run, queued, item)
+            yield
             queued = run.items.item_queue.next_item(now)
 
     def move_items(self, run: JobRun, route: Route) -> None:
