Announce weight loads to the owner of a model's jobs

Cause: the owner learned that an engine loads weights from stalls of 350 ms and from refusals, each of which costs a connection and a backoff.

Change: where a service has several models, an agent sends LoadAnnounced before it orders a load, and waits 150 ms at the latest. The owner closes the engine until it has the version, accepts an item or 1.5 s have passed, and moves the items that gain. Moves and the agent's messages have modules of their own. A move states its reason, so the check of two stalled moves compares the reason.

--- a/bergamotdoor/agent/daemon.py
+++ b/bergamotdoor/agent/daemon.py
@@ -9,21 +9,18 @@
 from bergamotdoor.agent.cleanup import CleanupAgent
 from bergamotdoor.agent.engine import EngineClient
 from bergamotdoor.agent.evacuation import EvacuationAgent
+from bergamotdoor.agent.notifier import EntryNotifier
 from bergamotdoor.agent.weights import WeightsAgent
 from bergamotdoor.clock import Clock, LoopClock
 from bergamotdoor.http import HttpClient
 from bergamotdoor.objects import Watch, Watcher
 from bergamotdoor.objects.job_store import JobStore
 from bergamotdoor.peers.access import StoreAccess
-from bergamotdoor.peers.directory import home_order
-from bergamotdoor.peers.messages import EngineLoaded
 from bergamotdoor.platform import headers as names
 from bergamotdoor.tasks import Tasks
 
 if TYPE_CHECKING:
-    from bergamotdoor.settings.document import Address
     from bergamotdoor.settings.node import NodeSettings
-    from bergamotdoor.types import ModelId, WeightVersion
 
 #: Versions of several models that are published within this time are
 #: applied in one batch.
@@ -71,12 +68,20 @@
             self._tasks.start(cleanup.run())
             return
         self._tasks.start(self._access.directory.run())
+        notifier = EntryNotifier(
+            self._settings.engine,
+            self._settings.zone,
+            self._access,
+            self._tasks,
+            self._clock,
+        )
         weights = WeightsAgent(
             self._access.store,
             EngineClient(self._client, self._settings.engine),
             self._settings.node,
             self._clock,
-            self._notify_entry,
+            notifier.announce_load,
+            notifier.notify_of_load,
         )
         self._start_watcher(names.VERSION_KIND, weights)
         self._tasks.start(weights.run())
@@ -92,25 +97,6 @@
         self._access.use_settings(settings)
         self._settings = settings
 
-    def _notify_entry(self, model: ModelId, version: WeightVersion) -> None:
-        """Notify the entry that runs the model's jobs of a loaded version.
-
-        That entry's view of the registrations is a second behind by design.
-        Without the notification the engine would get no items that require
-        the new version for that second.
-        """
-        entries = self._access.directory.entries
-        preferred = home_order(model, entries, self._settings.zone)
-        engine = self._settings.engine
-        if preferred and engine is not None:
-            message = EngineLoaded(engine, model, version)
-            self._tasks.start(
-                self._send(entries[preferred[0]].address, message)
-            )
-
-    async def _send(self, address: Address, message: EngineLoaded) -> None:
-        await self._access.peers.ask(address, message)
-
     def _start_watcher(
         self, kind: str, view: EvacuationAgent | WeightsAgent
     ) -> None:
--- a/bergamotdoor/agent/weights.py
+++ b/bergamotdoor/agent/weights.py
@@ -17,7 +17,7 @@
 from bergamotdoor.types import FencingToken, ModelId, WeightVersion
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from bergamotdoor.agent.engine import EngineClient
     from bergamotdoor.clock import Clock
@@ -68,6 +68,9 @@
         The name of this VM, sent as the holder in each order.
     clock
         The clock for delays and intervals.
+    announce
+        The coroutine function that announces a version before the engine is
+        ordered to load it.
     loaded
         The callback that receives each version which the engine has loaded.
     """
@@ -78,12 +81,14 @@
         engine: EngineClient,
         node: NodeId,
         clock: Clock,
+        announce: Callable[[ModelId, WeightVersion], Awaitable[None]],
         loaded: Callable[[ModelId, WeightVersion], None],
     ) -> None:
         self._store = store
         self._engine = engine
         self._node = node
         self._clock = clock
+        self._announce = announce
         self._on_loaded = loaded
         self._published: dict[ModelId, WeightVersion] = {}
         self._reader = ObjectReader(_log, 'agent')
@@ -230,6 +235,8 @@
     async def _send_order(self, model: ModelId, report: EngineReport) -> None:
         if report.loading:
             return
+        if self._assignment.has_several_models:
+            await self._announce(model, self._published[model])
         order = LoadOrder(
             model=model,
             version=self._published[model],
--- a/bergamotdoor/fleet/loads.py
+++ b/bergamotdoor/fleet/loads.py
@@ -29,6 +29,10 @@
 _FAILURE_BACKOFF_MS: Final = 500
 FAILURE_BACKOFF: Final = dt.timedelta(milliseconds=_FAILURE_BACKOFF_MS)
 _MAX_BACKOFF_DOUBLINGS: Final = 4
+#: Time within which an engine begins a load that its agent has announced. The
+#: agent orders the load after 150 ms at the latest.
+_LOAD_BEGIN_TIME_MS: Final = 300
+LOAD_BEGIN_TIME: Final = dt.timedelta(milliseconds=_LOAD_BEGIN_TIME_MS)
 #: Age from which an upstream's report of its load is disregarded.
 _MAX_REPORT_AGE: Final = dt.timedelta(seconds=2)
 #: Weight of the newest measurement in the moving average of the latency.
@@ -61,6 +65,9 @@
         self._reported_others = 0
         self._reported_at = _ZERO
         self._backoff_until = _ZERO
+        #: When the upstream was closed to requests, and until when it is.
+        self._closed_at = _ZERO
+        self._closed_until = _ZERO
         #: Failures since the last successful request.
         self._failures = 0
         #: Refusals since the last accepted request.
@@ -108,11 +115,36 @@
         """Record that the upstream runs a request.
 
         This ends the backoff that follows a refusal.
+
+        Failure: an engine accepts a request that was sent before it was
+        closed. Symptom: it is opened before it loads weights, and refuses
+        what is sent then. A closed upstream is therefore opened only by an
+        acceptance that is later than the begin of its load.
         """
+        if now - self._closed_at > LOAD_BEGIN_TIME:
+            self._closed_until = min(self._closed_until, now)
         if self._refusals:
             self._refusals = 0
             self._backoff_until = min(self._backoff_until, now)
 
+    def close_until(self, until: dt.timedelta, now: dt.timedelta) -> None:
+        """Send no requests to the upstream for a time, which counts as backoff.
+
+        Parameters
+        ----------
+        until
+            The monotonic time at which requests are sent again; an earlier
+            one than before opens the upstream.
+        now
+            The monotonic time.
+        """
+        self._closed_at = now
+        self._closed_until = until
+
+    def is_closed(self, now: dt.timedelta) -> bool:
+        """Return whether the upstream is closed, as it loads weights."""
+        return now < self._closed_until
+
     def record_failure(self, now: dt.timedelta) -> None:
         """Record a broken or failed request, and begin a backoff.
 
@@ -143,8 +175,8 @@
             self.latency_s = seconds
 
     def is_in_backoff(self, now: dt.timedelta) -> bool:
-        """Return whether the upstream is in backoff."""
-        return now < self._backoff_until
+        """Return whether the upstream is in backoff or closed."""
+        return now < max(self._backoff_until, self._closed_until)
 
     def estimated_requests(self, now: dt.timedelta) -> int:
         """Return the estimated number of requests at the upstream.
--- a/bergamotdoor/fleet/model_assignment.py
+++ b/bergamotdoor/fleet/model_assignment.py
@@ -86,6 +86,11 @@
             if self._own_index in self._engine_range(model)
         )
 
+    @property
+    def has_several_models(self) -> bool:
+        """Whether the service of the own engine has more than one model."""
+        return len(self._models) > 1
+
     def turn_delay(self, model: ModelId) -> dt.timedelta:
         """Return how long the own engine waits for its turn to load.
 
--- a/bergamotdoor/jobs/__init__.py
+++ b/bergamotdoor/jobs/__init__.py
@@ -14,12 +14,13 @@
 from bergamotdoor.jobs.item_queue import ItemQueue, QueuedItem, RunEnd
 from bergamotdoor.jobs.ledger import Ledger
 from bergamotdoor.jobs.messages import ItemResult, ItemState, JobSpec
+from bergamotdoor.jobs.moves import Move, MoveReason, choose_moves
 from bergamotdoor.jobs.placement import (
     ItemToPlace,
     free_slots,
     place_item,
 )
-from bergamotdoor.jobs.progress import Move, Progress, Speeds, choose_moves
+from bergamotdoor.jobs.progress import Progress, Speeds
 from bergamotdoor.jobs.reservations import Reservations
 from bergamotdoor.jobs.scoring import ScoreEnd, ScoreQueue, free_score_slots
 from bergamotdoor.jobs.transcript import GeneratedEvent, Transcript
@@ -34,6 +35,7 @@
     'JobSpec',
     'Ledger',
     'Move',
+    'MoveReason',
     'Progress',
     'Reservations',
     'RunEnd',
--- /dev/null
+++ b/bergamotdoor/jobs/moves.py
@@ -0,0 +1,138 @@
+"""Choice of the running items that move to another engine.
+
+Load pattern: a step waits for a few long items. Time can be gained through
+the speed of the engine: engines differ, some become slow, and an engine that
+loads weights or hangs generates nothing. An item that moves continues after
+its last event. The new engine first has to read the prompt and the text so
+far, which is a hundred times as fast as generating them.
+"""
+
+from __future__ import annotations
+
+import datetime as dt
+import enum
+from typing import TYPE_CHECKING, Final
+
+import msgspec
+
+from bergamotdoor.fleet.model_assignment import LOAD_TIME
+from bergamotdoor.jobs.progress import is_slower
+from bergamotdoor.types import ItemId, UpstreamId
+
+if TYPE_CHECKING:
+    from collections.abc import Container, Iterable, Iterator, Mapping
+
+    from bergamotdoor.jobs.progress import Progress, Speeds
+
+#: An item moves if that gains more time than this. A move costs a connection
+#: and the reading of a prompt of some thousand tokens, about 30 ms. A
+#: smaller gain does not justify the disturbance.
+_LEAST_GAIN_MS: Final = 250
+LEAST_GAIN: Final = dt.timedelta(milliseconds=_LEAST_GAIN_MS)
+#: Minimum time between two moves of an item.
+_LEAST_STAY_MS: Final = 500
+LEAST_STAY: Final = dt.timedelta(milliseconds=_LEAST_STAY_MS)
+
+
+class MoveReason(enum.Enum):
+    """Why an item leaves its engine."""
+
+    #: The item is stalled.
+    STALLED = 'stalled'
+    #: The engine is slow.
+    SLOW = 'slow'
+    #: The engine is about to load weights.
+    LOAD = 'its engine loads weights'
+
+
+class Move(msgspec.Struct, frozen=True):
+    """Decision to continue an item at another engine."""
+
+    item: ItemId
+    reason: MoveReason
+    #: The engine at which the item continues.
+    destination: UpstreamId
+
+
+def choose_moves(
+    running: Iterable[Progress],
+    free_slots: Mapping[UpstreamId, int],
+    speeds: Speeds,
+    now: dt.timedelta,
+    loading: Container[UpstreamId] = (),
+) -> Iterator[Move]:
+    """Yield the items that should move, those with most events left first.
+
+    An item moves to the fastest engine that has a free slot and no stalled
+    item, if the item is stalled or would end sooner there by more than
+    ``LEAST_GAIN``.
+
+    Parameters
+    ----------
+    running
+        Runs in progress.
+    free_slots
+        Number of free slots of each engine that accepts an item.
+    speeds
+        Event intervals of the engines.
+    now
+        The monotonic time.
+    loading
+        Engines that are about to load weights. Their items are treated as
+        stalled for the time of the load, and move if they gain from that.
+    """
+    movable = [one for one in running if now - one.started_at > LEAST_STAY]
+    stalled_upstreams = {one.upstream for one in movable if one.is_stalled(now)}
+    slots_by_speed = sorted(
+        (speeds.interval_s(name), name)
+        for name, free in free_slots.items()
+        if name not in stalled_upstreams
+        for _ in range(free)
+    )
+    for progress in sorted(movable, key=_remaining_events, reverse=True):
+        if not slots_by_speed:
+            return
+        interval_s, fastest = slots_by_speed[0]
+        reason = _reason_to_move(progress, now, loading)
+        gains = (
+            reason is MoveReason.STALLED
+            or _time_gained(progress, speeds, interval_s, reason) > LEAST_GAIN
+        )
+        if gains and fastest != progress.upstream:
+            slots_by_speed.pop(0)
+            yield Move(progress.item, reason, fastest)
+
+
+def _reason_to_move(
+    progress: Progress, now: dt.timedelta, loading: Container[UpstreamId]
+) -> MoveReason:
+    """Return why an item moves, if it gains from a move."""
+    if progress.upstream in loading:
+        return MoveReason.LOAD
+    stalled = progress.is_stalled(now)
+    return MoveReason.STALLED if stalled else MoveReason.SLOW
+
+
+def _remaining_events(progress: Progress) -> float:
+    return progress.remaining_events
+
+
+def _time_gained(
+    progress: Progress, speeds: Speeds, interval_s: float, reason: MoveReason
+) -> dt.timedelta:
+    """Return how much sooner an item ends at an engine of this interval.
+
+    The result is zero if its own engine is not slower by ``_LEAST_RATIO``,
+    and neither about to load weights.
+
+    Failure: a long item leaves a fast engine that loads weights for a slow
+    one. Symptom: it ends later than if it had waited for the end of the load.
+    What the item loses at a slower engine is therefore subtracted.
+    """
+    own_s = speeds.interval_s(progress.upstream)
+    gained = dt.timedelta(
+        seconds=progress.remaining_events * (own_s - interval_s)
+    )
+    if reason is MoveReason.LOAD:
+        return LOAD_TIME + gained
+    return gained if is_slower(own_s, interval_s) else dt.timedelta()
--- a/bergamotdoor/jobs/progress.py
+++ b/bergamotdoor/jobs/progress.py
@@ -1,12 +1,8 @@
-"""Progress of running items, and which of them move to another engine.
+"""Progress of running items, and the speed of engines that it shows.
 
 Load pattern: lengths are heavy-tailed. After the first second a step waits
 for a few long items, whose tokens are generated one after the other, and an
-engine generates one item hardly faster than sixteen. Time can be gained
-through the speed of the engine: engines differ, some become slow, and an
-engine that loads weights or hangs generates nothing. An item that moves
-continues after its last event. The new engine first has to read the prompt
-and the text so far, which is a hundred times as fast as generating them.
+engine generates one item hardly faster than sixteen.
 """
 
 from __future__ import annotations
@@ -14,12 +10,10 @@
 import datetime as dt
 from typing import TYPE_CHECKING, Final
 
-import msgspec
-
-from bergamotdoor.types import ItemId, UpstreamId
-
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator, Mapping
+    from collections.abc import Iterator
+
+    from bergamotdoor.types import ItemId, UpstreamId
 
 #: An item is stalled if its engine sends no event for this long. Events
 #: arrive every 40 ms. An engine that stays silent for longer than this
@@ -30,14 +24,6 @@
 #: this: the engine first reads the prompt, and the item may wait for a slot.
 _FIRST_EVENT_TIMEOUT_MS: Final = 700
 FIRST_EVENT_TIMEOUT: Final = dt.timedelta(milliseconds=_FIRST_EVENT_TIMEOUT_MS)
-#: An item moves if that gains more time than this. A move costs a connection
-#: and the reading of a prompt of some thousand tokens, about 30 ms. A
-#: smaller gain does not justify the disturbance.
-_LEAST_GAIN_MS: Final = 250
-LEAST_GAIN: Final = dt.timedelta(milliseconds=_LEAST_GAIN_MS)
-#: Minimum time between two moves of an item.
-_LEAST_STAY_MS: Final = 500
-LEAST_STAY: Final = dt.timedelta(milliseconds=_LEAST_STAY_MS)
 #: How many more events an item is expected to have once it has outgrown the
 #: trainer's estimate, as a share of its events so far. The estimates are
 #: often far off.
@@ -230,73 +216,3 @@
     def _median_interval_s(self) -> float:
         sorted_s = sorted(self._intervals_s.values())
         return sorted_s[len(sorted_s) // 2] if sorted_s else _DEFAULT_INTERVAL_S
-
-
-class Move(msgspec.Struct, frozen=True):
-    """Decision to continue an item at another engine."""
-
-    item: ItemId
-    #: Whether the item is stalled; otherwise its engine is slow. For the log.
-    is_stalled: bool
-    #: The engine at which the item continues.
-    destination: UpstreamId
-
-
-def choose_moves(
-    running: Iterable[Progress],
-    free_slots: Mapping[UpstreamId, int],
-    speeds: Speeds,
-    now: dt.timedelta,
-) -> Iterator[Move]:
-    """Yield the items that should move, those with most events left first.
-
-    An item moves to the fastest engine that has a free slot and no stalled
-    item, if the item is stalled or would end sooner there by more than
-    ``LEAST_GAIN``.
-
-    Parameters
-    ----------
-    running
-        Runs in progress.
-    free_slots
-        Number of free slots of each engine that accepts an item.
-    speeds
-        Event intervals of the engines.
-    now
-        The monotonic time.
-    """
-    movable = [one for one in running if now - one.started_at > LEAST_STAY]
-    stalled_upstreams = {one.upstream for one in movable if one.is_stalled(now)}
-    slots_by_speed = sorted(
-        (speeds.interval_s(name), name)
-        for name, free in free_slots.items()
-        if name not in stalled_upstreams
-        for _ in range(free)
-    )
-    for progress in sorted(movable, key=_remaining_events, reverse=True):
-        if not slots_by_speed:
-            return
-        interval_s, fastest = slots_by_speed[0]
-        stalled = progress.is_stalled(now)
-        gains = _time_gained(progress, speeds, interval_s) > LEAST_GAIN
-        if fastest != progress.upstream and (stalled or gains):
-            slots_by_speed.pop(0)
-            yield Move(progress.item, stalled, fastest)
-
-
-def _remaining_events(progress: Progress) -> float:
-    return progress.remaining_events
-
-
-def _time_gained(
-    progress: Progress, speeds: Speeds, interval_s: float
-) -> dt.timedelta:
-    """Return how much sooner an item ends at an engine of this interval.
-
-    The result is zero if its own engine is not slower by ``_LEAST_RATIO``.
-    """
-    own_s = speeds.interval_s(progress.upstream)
-    if not is_slower(own_s, interval_s):
-        return dt.timedelta()
-    slower_s = own_s - interval_s
-    return dt.timedelta(seconds=progress.remaining_events * slower_s)
--- a/bergamotdoor/observe/events.py
+++ b/bergamotdoor/observe/events.py
@@ -28,6 +28,10 @@
     ITEM_REFUSED = 'items_refused'
     ITEM_BROKEN = 'items_broken'
     ITEM_MOVED = 'items_moved'
+    #: Items that left an engine which is about to load weights.
+    ITEM_MOVED_FOR_LOAD = 'items_moved_for_load'
+    #: Announcements of engines that are about to load weights.
+    LOAD_ANNOUNCED = 'loads_announced'
     ITEM_STALE = 'items_of_old_weights'
     JOB_OWNED = 'jobs_owned'
     JOB_TAKEN_OVER = 'jobs_taken_over'
--- a/bergamotdoor/peers/messages.py
+++ b/bergamotdoor/peers/messages.py
@@ -15,6 +15,7 @@
     KindChanges,
     WatchKind,
 )
+from bergamotdoor.peers.weight_messages import LoadAnnounced
 from bergamotdoor.settings.document import Address
 from bergamotdoor.types import ItemId, JobId, ModelId, Revision, WeightVersion
 
@@ -115,6 +116,7 @@
     | TakeOver
     | JobOwned
     | EngineLoaded
+    | LoadAnnounced
     | StrikesLearned
     | StoreCall
     | UsageTold
--- a/bergamotdoor/steps/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -12,6 +12,7 @@
     ItemLengths,
     ItemResult,
     ItemToPlace,
+    MoveReason,
     Reservations,
     RunEnd,
     choose_moves,
@@ -117,8 +118,13 @@
             free = free_slots(upstream, self._context.loads, now)
             if free > 0:
                 free_by_engine[upstream.upstream] = free
+        loading = {
+            one.upstream
+            for one in progresses
+            if self._context.loads.of(one.upstream).is_closed(now)
+        }
         for move in choose_moves(
-            progresses, free_by_engine, self._context.speeds, now
+            progresses, free_by_engine, self._context.speeds, now, loading
         ):
             self._move_item(run, move)
 
@@ -218,12 +224,14 @@
         now = self._context.clock.elapsed()
         self._reservations.reserve_slot(move.item, move.destination, now)
         self._context.metrics.count(Counted.ITEM_MOVED)
+        if move.reason is MoveReason.LOAD:
+            self._context.metrics.count(Counted.ITEM_MOVED_FOR_LOAD)
         _log.info(
             'gateway: item %s of job %s leaves %s after %d events: %s',
             move.item,
             run.spec.job,
             item.progress.upstream,
             item.progress.events,
-            'stalled' if move.is_stalled else 'slow',
+            move.reason.value,
         )
         item.task.cancel()
--- a/bergamotdoor/steps/peer_notifier.py
+++ b/bergamotdoor/steps/peer_notifier.py
@@ -26,6 +26,7 @@
     from bergamotdoor.peers.client import PeerClient
     from bergamotdoor.peers.directory import Directory
     from bergamotdoor.peers.messages import TakeOver
+    from bergamotdoor.peers.weight_messages import LoadAnnounced
     from bergamotdoor.settings.document import Address
     from bergamotdoor.steps.job_finder import JobFinder
     from bergamotdoor.tasks import Tasks
@@ -117,8 +118,10 @@
         for entry in self.directory.entries.values():
             self._tasks.start(self._send(entry.address, message))
 
-    def forward_engine_loaded(self, message: EngineLoaded) -> None:
-        """Forward an engine's loaded version to the owner of the model's jobs.
+    def forward_engine_loaded(
+        self, message: EngineLoaded | LoadAnnounced
+    ) -> None:
+        """Forward an engine's load to the owner of the model's jobs.
 
         A message that was forwarded before is dropped.
         """
@@ -155,7 +158,7 @@
         self._tasks.start(self._notify_of_end(job))
 
     async def _send(
-        self, address: Address, message: JobOwned | EngineLoaded
+        self, address: Address, message: JobOwned | EngineLoaded | LoadAnnounced
     ) -> None:
         await self._peers.ask(address, message)
 
--- a/bergamotdoor/steps/peer_service.py
+++ b/bergamotdoor/steps/peer_service.py
@@ -10,12 +10,13 @@
 from bergamotdoor.peers.messages import (
     AdoptJob,
     Done,
-    EngineLoaded,
     ItemBody,
     JobEnded,
     JobOwned,
     NotKnown,
     NotOwner,
+    PeerReply,
+    PeerRequest,
     ReadBody,
     ReadResults,
     StoreCall,
@@ -24,6 +25,7 @@
 )
 from bergamotdoor.peers.news_messages import WatchKind
 from bergamotdoor.peers.relay import relayed
+from bergamotdoor.steps.engine_loads import EngineLoads
 from bergamotdoor.steps.item_bodies import body_of
 from bergamotdoor.steps.job_handoff import found_job_in, loaded_job_in
 from bergamotdoor.steps.job_reads import wait_for_page
@@ -34,7 +36,6 @@
 
     from bergamotdoor.entry.context import Context
     from bergamotdoor.objects.client import Caller
-    from bergamotdoor.peers.messages import PeerReply, PeerRequest
     from bergamotdoor.peers.news_source import NewsSource
     from bergamotdoor.steps.job_finder import JobFinder
     from bergamotdoor.steps.owner import JobOwner
@@ -55,7 +56,7 @@
     notifier
         Client that forwards messages to other entries.
     context
-        Services of the process, with the fleet and the link's bandwidth.
+        Services of the process, with the link's bandwidth.
     direct
         Client that calls the store from this VM only, not through others.
     news
@@ -73,17 +74,17 @@
     ) -> None:
         self._news = news
         self._page_bytes = page_limit_bytes(context.settings.link_mbps)
-        self._notifier = notifier
         self._owner = owner
         self._finder = finder
-        self._fleet = context.fleet
         self._strikes = context.strikes
         self._direct = direct
         self._handlers: dict[type[Any], Callable[[Any], None]] = {}
         self.register(AdoptJob, self._adopt)
         self.register(JobEnded, self._end)
         self.register(JobOwned, self._cache_owner)
-        self.register(EngineLoaded, self._record_load)
+        engine_loads = EngineLoads(context, notifier, owner.wake_up)
+        for message_type, handler in engine_loads.handlers.items():
+            self.register(message_type, handler)
         self.register(StrikesLearned, self._add_strikes)
 
     async def handle(self, message: PeerRequest) -> PeerReply:
@@ -126,13 +127,6 @@
     def _cache_owner(self, message: JobOwned) -> None:
         self._finder.cache_record(message.job, message.record, message.model)
 
-    def _record_load(self, message: EngineLoaded) -> None:
-        self._fleet.record_version_at(
-            message.engine, message.model, message.version
-        )
-        self._owner.wake_up()
-        self._notifier.forward_engine_loaded(message)
-
     async def _read(self, message: ReadResults | ReadBody) -> PeerReply:
         """Return a page or a body of a job, if this process owns the job."""
         run = self._owner.get(message.job)
--- a/features/jobs_placement.feature
+++ b/features/jobs_placement.feature
@@ -25,6 +25,7 @@
 
     Given 3 engines that take 42, 40 and 41 ms an event
     Then items of every length go where an item of unknown length goes
+    And with 3, 1 and 2 requests an item goes to e2, which has its prompt
 
   Scenario: an engine that was not measured counts with the median interval
     Given 3 engines that take 80, 40 and 40 ms an event, and one not measured
--- a/features/steps/jobs_placement_steps.py
+++ b/features/steps/jobs_placement_steps.py
@@ -123,6 +123,13 @@
     assert place(context, 20, cached) == engine
 
 
+@then('with 3, 1 and 2 requests an item goes to e2, which has its prompt')
+def check_prompt_first(context: Any) -> None:
+    for one, count in zip(context.engines, (3, 1, 2)):
+        context.loads.of(one.upstream).in_flight = count
+    assert place(context, LONGEST, 'e2') == 'e2'
+
+
 @then('items of every length go where an item of unknown length goes')
 def check_old_rule(context: Any) -> None:
     for in_flight in ([0, 0, 0], [3, 1, 2], [1, 7, 1], [8, 8, 7]):
@@ -177,6 +184,7 @@
     queued = items.item_queue.next_item(NOW)
     assert queued is not None
     assert ItemLengths(items, 73).longest_events == 20
+    assert ItemLengths(items, 0).longest_events == 1460
     for number in range(1, 11):
         event = GeneratedEvent(number, 'x', WeightVersion(1))
         assert items.transcript(queued).add(event)
--- a/features/steps/jobs_progress_steps.py
+++ b/features/steps/jobs_progress_steps.py
@@ -14,6 +14,7 @@
     ItemQueue,
     ItemToPlace,
     JobSpec,
+    MoveReason,
     Progress,
     Reservations,
     RunEnd,
@@ -356,7 +357,8 @@
     found = list(
         choose_moves(context.progresses, free_by_engine, Speeds(), ms(1400))
     )
-    assert [move.is_stalled for move in found] == [True, True], found
+    reasons = [move.reason for move in found]
+    assert reasons == [MoveReason.STALLED, MoveReason.STALLED], found
 
 
 def transcript_of(*versions: int) -> Transcript:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -31,6 +31,8 @@
 _USAGE: Final = 'reporting_usage'
 _NEWS: Final = 'peers_news'
 _CRASHES: Final = 'gateway_crashes'
+_PLACEMENT: Final = 'jobs_placement'
+_LOADS: Final = 'steps_engine_loads'
 
 
 class Mutation(msgspec.Struct, frozen=True):
@@ -188,7 +190,7 @@
     ),
     Mutation(
         'items are not moved to stalled engines',
-        'jobs/progress.py',
+        'jobs/moves.py',
         'if name not in stalled_upstreams',
         'if name is not stalled_upstreams',
         'jobs_progress',
@@ -282,7 +284,7 @@
     ),
     Mutation(
         "the owner of a model's jobs is notified of an engine's weights",
-        'steps/peer_service.py',
+        'steps/engine_loads.py',
         'self._notifier.forward_engine_loaded(message)',
         'return',
         'peers_directory',
@@ -528,6 +530,104 @@
         '        if False:\n',
         'steps_crashes',
     ),
+    Mutation(
+        'short items leave the fast engines to long ones',
+        'jobs/placement.py',
+        '_SHORT_SHARE: Final = 0.5',
+        '_SHORT_SHARE: Final = 0',
+        _PLACEMENT,
+    ),
+    Mutation(
+        'a busy fast engine is preferred for long items',
+        'jobs/placement.py',
+        '        _fastest(free, speeds),',
+        '        free,',
+        _PLACEMENT,
+    ),
+    Mutation(
+        'engines of equal speed are chosen by load',
+        'jobs/placement.py',
+        'if free and is_slower(max(intervals_s), min(intervals_s)):',
+        'if free:',
+        _PLACEMENT,
+    ),
+    Mutation(
+        'no event interval is slower than itself',
+        'jobs/progress.py',
+        'interval_s > other_s and ',
+        '',
+        _MODEL,
+    ),
+    Mutation(
+        'lengths are converted by the tokens that the manifest states',
+        'platform/manifest.py',
+        '(service.engine or _Engine()).stride',
+        '_Engine().stride',
+        'platform_adapter',
+    ),
+    Mutation(
+        'an engine that announced a load gets no items',
+        'fleet/loads.py',
+        'max(self._backoff_until, self._closed_until)',
+        'self._backoff_until',
+        _LOADS,
+    ),
+    Mutation(
+        'an announcement without an end expires',
+        'steps/engine_loads.py',
+        '_CLOSED_TIME_MS: Final = 1500',
+        '_CLOSED_TIME_MS: Final = 4500',
+        _LOADS,
+    ),
+    Mutation(
+        'a late announcement is ignored',
+        'steps/engine_loads.py',
+        'if known < message.version:',
+        'if message.version:',
+        _LOADS,
+    ),
+    Mutation(
+        'an earlier load does not open an engine',
+        'steps/engine_loads.py',
+        'and announced.message.version <= message.version',
+        'and announced.message.version',
+        _LOADS,
+    ),
+    Mutation(
+        'an item accepted before the load does not open an engine',
+        'fleet/loads.py',
+        'if now - self._closed_at > LOAD_BEGIN_TIME:',
+        'if now >= self._closed_at:',
+        _LOADS,
+    ),
+    Mutation(
+        'a load does not wait for an entry that does not answer',
+        'agent/notifier.py',
+        'asyncio.timeout(_ANNOUNCE_TIMEOUT_S)',
+        'asyncio.timeout(None)',
+        _LOADS,
+    ),
+    Mutation(
+        'an item stays if it loses more at a slower engine',
+        'jobs/moves.py',
+        'return LOAD_TIME + gained',
+        'return LOAD_TIME',
+        _LOADS,
+    ),
+    Mutation(
+        'items leave an engine before it loads weights',
+        'jobs/moves.py',
+        'if progress.upstream in loading:',
+        'if progress.upstream is loading:',
+        _LOADS,
+    ),
+    Mutation(
+        'a service of one model announces no loads',
+        'agent/weights.py',
+        'if self._assignment.has_several_models:',
+        'if self._assignment is not None:',
+        _LOADS,
+    ),
 )
 
 
