Report kept and deferred groups, and the forecast of each open job

Cause: an operator could not see which groups wait for others, nor that a step will be late.

The check for overdue steps is removed from the choice of groups, since a group of such a step is too long in any case.

--- a/bergamotdoor/cli/ctl.py
+++ b/bergamotdoor/cli/ctl.py
@@ -16,6 +16,7 @@
 from bergamotdoor.gateway.inspection import (
     STATE_PATH,
     GatewayState,
+    JobState,
     UpstreamState,
 )
 from bergamotdoor.http.client import HttpClient
@@ -182,7 +183,20 @@
     jobs = [job for entry in entries for job in entry.jobs if not job.ended]
     yield f'jobs in progress: {len(jobs)}'
     for job in jobs:
-        yield f'  {job.job}: {job.listed} of {job.items} results listed'
+        yield (
+            f'  {job.job}: {job.listed} of {job.items} results listed'
+            f'{_describe_forecast(job)}'
+        )
+
+
+def _describe_forecast(job: JobState) -> str:
+    """Return the forecast of a job; empty if its entry has none."""
+    if job.forecast_s is None:
+        return ''
+    return (
+        f', {job.kept_groups} groups kept, {job.deferred_groups} deferred, '
+        f'forecast {job.forecast_s:.1f} s'
+    )
 
 
 def _quarantine_lines(entries: list[GatewayState]) -> Iterator[str]:
--- a/bergamotdoor/gateway/inspection.py
+++ b/bergamotdoor/gateway/inspection.py
@@ -22,6 +22,7 @@
     from bergamotdoor.http.messages import HttpRequest
     from bergamotdoor.observe.call_counts import CallCounts
     from bergamotdoor.reporting.usage_duty import UsageDuty
+    from bergamotdoor.steps.job_run import JobRun
     from bergamotdoor.steps.owner import JobOwner
 
 METRICS_PATH: Final = '/metrics'
@@ -52,7 +53,10 @@
     """Progress of a job that this entry owns.
 
     ``items`` counts all items of the job, ``listed`` those with a listed
-    result and ``running`` those that run at an engine.
+    result and ``running`` those that run at an engine. ``kept_groups`` and
+    ``deferred_groups`` count the groups with open items. ``forecast_s`` is
+    the time until the target of the job is expected to be complete, in
+    seconds; ``None`` without a forecast.
     """
 
     job: JobId
@@ -61,6 +65,9 @@
     items: int
     listed: int
     running: int
+    kept_groups: int = 0
+    deferred_groups: int = 0
+    forecast_s: float | None = None
 
 
 class QuarantinedState(msgspec.Struct, frozen=True):
@@ -198,14 +205,20 @@
         return states
 
     def _collect_jobs(self) -> list[JobState]:
-        return [
-            JobState(
-                run.spec.job,
-                run.stored_job.record.term,
-                run.ended,
-                len(run.spec.items),
-                len(run.ledger),
-                len(run.running),
-            )
-            for run in self._owner.runs()
-        ]
+        return [self._job_state(run) for run in self._owner.runs()]
+
+    def _job_state(self, run: JobRun) -> JobState:
+        planner = self._owner.planner
+        forecast = planner.forecast_of(run.spec.job) if run.active else None
+        target_in = planner.target_in(run.spec.job) if run.active else None
+        return JobState(
+            run.spec.job,
+            run.stored_job.record.term,
+            run.ended,
+            len(run.spec.items),
+            len(run.ledger),
+            len(run.running),
+            0 if forecast is None else len(forecast.kept),
+            0 if forecast is None else len(forecast.deferred),
+            None if target_in is None else target_in.total_seconds(),
+        )
--- a/bergamotdoor/jobs/kept_groups.py
+++ b/bergamotdoor/jobs/kept_groups.py
@@ -88,7 +88,7 @@
         job.job: {
             one.group: one
             for one in works[job.job]
-            if job.due_in > _ZERO and one.longest <= job.due_in
+            if one.longest <= job.due_in
         }
         for job in pool.jobs
     }
--- a/bergamotdoor/observe/events.py
+++ b/bergamotdoor/observe/events.py
@@ -33,3 +33,7 @@
     JOB_TAKEN_OVER = 'jobs_taken_over'
     JOB_ENDED = 'jobs_ended'
     RESULTS_LISTED = 'results_listed'
+    #: Groups whose items start only when no item of another group waits.
+    GROUP_DEFERRED = 'groups_deferred'
+    #: Jobs whose target was expected to be complete after the due time.
+    STEP_FORECAST_LATE = 'steps_forecast_late'
--- a/bergamotdoor/steps/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -64,7 +64,8 @@
         self._store = store
         self._manifests = manifests
         self._dispatcher = Dispatcher(context, self.wake_up)
-        self._planner = StepPlanner(context)
+        #: Forecasts of the open jobs.
+        self.planner = StepPlanner(context)
         self._scorer = Scorer(context, manifests, self.wake_up)
         self._runs: dict[JobId, JobRun] = {}
         #: Jobs whose end was reported while this process did not have them.
@@ -147,10 +148,8 @@
         if found.status.ended or found.job in self._early_ends:
             run.end()
         else:
-            resubmitted = self._planner.add_job(loaded.spec, earlier)
-            writer = ResultWriter(
-                run, self._context, resubmitted, self._planner
-            )
+            resubmitted = self.planner.add_job(loaded.spec, earlier)
+            writer = ResultWriter(run, self._context, resubmitted, self.planner)
             self._tasks.start(writer.run())
             self._tasks.start(
                 save_open_items(run, self._store, self._context.clock)
@@ -207,14 +206,14 @@
             for run in active
             if (route := self._manifests.batch_route(run.spec)) is not None
         ]
-        self._planner.update(routed)
+        self.planner.update(routed)
         starts = []
         for run, route in routed:
             run.items.item_queue.max_failures = route.max_attempts
             self._dispatcher.move_items(run, route)
             job_starts = self._dispatcher.start_items(run, route)
             starts.append((run, job_starts))
-        self._planner.start_items(starts)
+        self.planner.start_items(starts)
 
     def _tick(self) -> None:
         """Move items, and end jobs that are overdue or have no route."""
@@ -237,7 +236,7 @@
         while True:
             await asyncio.sleep(_STORE_CHECK_INTERVAL_S)
             self._runs = dict(_retained(self._runs, self._context))
-            self._planner.retain_jobs(self._runs)
+            self.planner.retain_jobs(self._runs)
             if not _any_active(self._runs):
                 continue
             jobs = await self._store.all_jobs(stale=True)
--- a/bergamotdoor/steps/step_planner.py
+++ b/bergamotdoor/steps/step_planner.py
@@ -17,6 +17,7 @@
     usual_interval_s,
 )
 from bergamotdoor.steps.dispatcher import TOKENS_PER_EVENT
+from bergamotdoor.steps.forecast_report import ForecastReport
 from bergamotdoor.steps.target import (
     count_missing_others,
     find_resubmitted_groups,
@@ -60,6 +61,7 @@
     def __init__(self, context: Context) -> None:
         self._context = context
         self._resubmitted_groups: dict[JobId, frozenset[GroupId]] = {}
+        self._report = ForecastReport(context.metrics)
         self._plan = StepPlan()
         self._planned_at = context.clock.elapsed()
 
@@ -130,6 +132,7 @@
             },
         )
         self._planned_at = now
+        self._report.record(self._plan.forecasts, now)
         for run, _ in routed:
             run.items.item_queue.set_order(self._plan.ranks[run.spec.job])
 
--- a/features/jobs_forecast.feature
+++ b/features/jobs_forecast.feature
@@ -25,6 +25,16 @@
     When twice as many groups are submitted together
     Then at least 10 of them are complete on time
 
+  Scenario: a job without a due time keeps its order
+    All of its groups would count as late, and would start last.
+
+    Given a site whose route states no due time
+    Then the long items of a job start first and it has no forecast
+
+  Scenario: deferred groups are seen by an operator
+    Given a site whose step has groups that cannot end on time
+    Then its state, ctl, a log line and counters show them once
+
   Scenario: deferred items start last, group by group
     Given jobs of 12 groups of which half fit, on 2 slots
     Then the items of kept groups start first, the others group by group
--- a/features/steps/jobs_forecast_steps.py
+++ b/features/steps/jobs_forecast_steps.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import datetime as dt
+import json
 from typing import Any
 
 import hypothesis
 from behave import given, then, when
 from hypothesis import strategies as st
 
+from bergamotdoor.cli.ctl import Seen, status_lines
 from bergamotdoor.jobs import RunEnd
 from bergamotdoor.jobs.forecast import StepPlan, plan_steps
 from bergamotdoor.jobs.open_work import (
@@ -21,8 +23,10 @@
     usual_interval_s,
 )
 from bergamotdoor.types import GroupId, ItemId, JobId, UpstreamId
+from features.steps.gateway_inspection_steps import read_page
 from features.steps.jobs_progress_steps import WHERE, ms, queue_of, start_next
-from lab.site import Site, play
+from features.support import logged
+from lab.site import Site, at, play
 from lab.wire import JobItem, job_body
 
 #: Time within which a step of a site is due.
@@ -185,6 +189,54 @@
     assert context.complete >= least, context.complete
 
 
+@given('a site whose route states no due time')
+def no_due_time(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        site.routes[0].pop('due_ms')
+        await site.start(engines=1, entries=1)
+        await submit(site, 'j', [[10], [10], [10], [10], [40], [40]])
+        await asyncio.sleep(1)
+        context.state = json.loads(await read_page(site, '/state'))
+        context.waited_s = start_of(site, 'j.4.0') - start_of(site, 'j.3.0')
+
+    play(scene)
+
+
+@then('the long items of a job start first and it has no forecast')
+def order_kept(context: Any) -> None:
+    assert context.state['gateway']['jobs'][0]['forecast_s'] is None
+    assert context.waited_s < 0, context.waited_s
+
+
+@given('a site whose step has groups that cannot end on time')
+def operator_sees(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start(entries=1)
+        await submit(site, 'j', [[250], [240], [10]])
+        await asyncio.sleep(0.8)
+        context.pages = [
+            await read_page(site, path) for path in ('/state', '/metrics')
+        ]
+
+    with logged('bergamotdoor.gateway') as told:
+        play(scene)
+        context.lines = told
+
+
+@then('its state, ctl, a log line and counters show them once')
+def seen_once(context: Any) -> None:
+    state, metrics = context.pages
+    seen = Seen(at(1), state.encode())
+    lines = [line for line in status_lines((seen,)) if '  j: ' in line]
+    assert '0 groups kept, 2 deferred, forecast 9.' in lines[0], lines
+    told = [line for line in context.lines if 'groups kept' in line]
+    assert 'job j: 1 of 3 groups kept, forecast' in told[0], told
+    assert len(told) == 1, told
+    for name, count in (('groups_deferred', 2), ('steps_forecast_late', 1)):
+        line = f'bergamotdoor_{name}_total{{service=""}} {count}'
+        assert line in metrics.split('\n'), metrics
+
+
 @given('jobs of 12 groups of which half fit, on 2 slots')
 def half_fits(context: Any) -> None:
     groups = [uniform(2, 10) for _ in range(6)]
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -31,6 +31,7 @@
 _USAGE: Final = 'reporting_usage'
 _NEWS: Final = 'peers_news'
 _CRASHES: Final = 'gateway_crashes'
+_FORECAST: Final = 'jobs_forecast'
 
 
 class Mutation(msgspec.Struct, frozen=True):
@@ -528,6 +529,104 @@
         '        if False:\n',
         'steps_crashes',
     ),
+    Mutation(
+        'a moved item starts first, whatever the order of the items',
+        'jobs/item_queue.py',
+        'if item not in moved:',
+        'if item:',
+        _FORECAST,
+    ),
+    Mutation(
+        'groups that do not fit are deferred',
+        'jobs/kept_groups.py',
+        'while self._ahead[engines] > job.due_in * self._slots[engines]:',
+        'while not self._slots[engines]:',
+        _FORECAST,
+    ),
+    Mutation(
+        'groups beyond the target are deferred before others',
+        'jobs/kept_groups.py',
+        '        possible[beyond_job].pop(beyond_group)\n',
+        '        break\n',
+        _FORECAST,
+    ),
+    Mutation(
+        'a resubmitted group does not count as beyond the target',
+        'jobs/open_work.py',
+        'group in job.resubmitted_groups',
+        'False',
+        _FORECAST,
+    ),
+    Mutation(
+        'a group whose longest item cannot end on time is deferred',
+        'jobs/kept_groups.py',
+        'one.longest <= job.due_in',
+        'one.work',
+        _FORECAST,
+    ),
+    Mutation(
+        'work counts only against engines that can run it',
+        'jobs/kept_groups.py',
+        'apart = [one for one in unions if not one & job.engines]',
+        'apart = list(unions[:0])',
+        _FORECAST,
+    ),
+    Mutation(
+        'deferred groups are served whole, those with the least work first',
+        'jobs/forecast.py',
+        'one.group: (1, not one.is_needed, one.work, job.job, one.group)',
+        'one.group: (1,)',
+        _FORECAST,
+    ),
+    Mutation(
+        'a job without a due time keeps its order',
+        'steps/step_planner.py',
+        'routed = [entry for entry in routed if entry[1].due_after]',
+        'routed = list(routed)',
+        _FORECAST,
+    ),
+    Mutation(
+        'items of all jobs start in one order',
+        'steps/step_planner.py',
+        'return queued.order if run.spec.job in self._plan.ranks else -1',
+        'return -1',
+        _FORECAST,
+    ),
+    Mutation(
+        'an event interval of zero has a lower bound',
+        'jobs/open_work.py',
+        'slots / max(interval_s, _LEAST_INTERVAL_S)',
+        'slots / (interval_s or 1e-9)',
+        _FORECAST,
+    ),
+    Mutation(
+        'an item beyond its length hint is expected to go on',
+        'jobs/open_work.py',
+        'missing = events * _OVERRUN_SHARE',
+        'missing = 0',
+        _FORECAST,
+    ),
+    Mutation(
+        'results are held by the forecast of the target',
+        'jobs/listing.py',
+        'return target.is_near if target_in is None else',
+        'return target.is_near if target else',
+        'jobs_listing',
+    ),
+    Mutation(
+        'without a length hint, results are not held by the forecast',
+        'steps/result_writer.py',
+        'if self._planner is None or not has_hints:',
+        'if self._planner is None:',
+        'gateway_jobs',
+    ),
+    Mutation(
+        'a deferred group and a late step are counted once',
+        'steps/forecast_report.py',
+        'job: self._reported.get(job, _Reported()) for job in forecasts',
+        'job: _Reported() for job in forecasts',
+        _FORECAST,
+    ),
 )
 
 
