--- a/bergamotdoor/agent/weights.py
+++ b/bergamotdoor/agent/weights.py
@@ -213,7 +213,7 @@
     async def _send_order(self, model: ModelId, report: EngineReport) -> None:
         if report.loading:
             return
-        if self._assignment.has_several_models:
+        if self._assignment.current.is_shared:
             await self._announce(model, self._published[model])
         order = LoadOrder(
             model=model,
--- a/bergamotdoor/fleet/model_assignment.py
+++ b/bergamotdoor/fleet/model_assignment.py
@@ -116,11 +116,6 @@
             for index in engines
         }
 
-    @property
-    def has_several_models(self) -> bool:
-        """Whether the service of the own engine has more than one model."""
-        return len(self._models) > 1
-
     def turn_delay(self, model: ModelId) -> dt.timedelta:
         """Return how long the own engine waits for its turn to load.
 
--- a/bergamotdoor/gateway/inspection.py
+++ b/bergamotdoor/gateway/inspection.py
@@ -9,7 +9,7 @@
 
 from bergamotdoor.fleet.quarantine import CALL_STRIKE_LIMIT
 from bergamotdoor.gateway.responses import text_response
-from bergamotdoor.http.messages import Headers, HttpResponse
+from bergamotdoor.http.messages import Headers, HttpRequest, HttpResponse
 from bergamotdoor.observe.call_counts import StoreCalls
 from bergamotdoor.observe.dump import DumpRegistry
 from bergamotdoor.observe.exposition import exposition
@@ -20,10 +20,10 @@
 if TYPE_CHECKING:
     from bergamotdoor.entry.context import Context
     from bergamotdoor.entry.views import ManifestView
-    from bergamotdoor.http.messages import HttpRequest
     from bergamotdoor.observe.call_counts import CallCounts
     from bergamotdoor.reporting.usage_duty import UsageDuty
     from bergamotdoor.steps.capacity_planner import CapacityPlanner
+    from bergamotdoor.steps.job_run import JobRun
     from bergamotdoor.steps.owner import JobOwner
 
 METRICS_PATH: Final = '/metrics'
@@ -54,7 +54,10 @@
     """Progress of a job that this entry owns.
 
     ``items`` counts all items of the job, ``listed`` those with a listed
-    result and ``running`` those that run at an engine.
+    result and ``running`` those that run at an engine. ``kept_groups`` and
+    ``deferred_groups`` count the groups with open items. ``forecast_s`` is
+    the time until the target of the job is expected to be complete, in
+    seconds; ``None`` without a forecast.
     """
 
     job: JobId
@@ -63,6 +66,9 @@
     items: int
     listed: int
     running: int
+    kept_groups: int = 0
+    deferred_groups: int = 0
+    forecast_s: float | None = None
 
 
 class QuarantinedState(msgspec.Struct, frozen=True):
@@ -207,14 +213,20 @@
         return states
 
     def _collect_jobs(self) -> list[JobState]:
-        return [
-            JobState(
-                run.spec.job,
-                run.stored_job.record.term,
-                run.ended,
-                len(run.spec.items),
-                len(run.ledger),
-                len(run.running),
-            )
-            for run in self._owner.runs()
-        ]
+        return [self._job_state(run) for run in self._owner.runs()]
+
+    def _job_state(self, run: JobRun) -> JobState:
+        planner = self._owner.planner
+        forecast = planner.forecast_of(run.spec.job) if run.active else None
+        target_in = planner.target_in(run.spec.job) if run.active else None
+        return JobState(
+            run.spec.job,
+            run.stored_job.record.term,
+            run.ended,
+            len(run.spec.items),
+            len(run.ledger),
+            len(run.running),
+            0 if forecast is None else len(forecast.kept),
+            0 if forecast is None else len(forecast.deferred),
+            None if target_in is None else target_in.total_seconds(),
+        )
--- a/bergamotdoor/jobs/forecast.py
+++ b/bergamotdoor/jobs/forecast.py
@@ -3,9 +3,11 @@
 Load pattern: the items of the open steps of one or more trainers are more
 than the engines can run before the steps are due. A short item of an earlier
 step can wait, while a long item of a newer step takes nearly all the time
-that its step has. So items start in the order of the latest time at which
-they have to start. Items of groups that cannot be complete on time, or that
-no trainer waits for, start when no other item waits.
+that its step has. So long items start first, in the order of the latest time
+at which they have to start. The others start by due time and group by group,
+so that groups become complete one after the other. Items of groups that
+cannot be complete on time, or that no trainer waits for, start when no other
+item waits.
 """
 
 from __future__ import annotations
@@ -34,6 +36,9 @@
 #: Sort key of an item, its job, and the item.
 _Entry: TypeAlias = tuple[tuple[Any, ...], JobId, ItemId]
 _ZERO: Final = dt.timedelta()
+#: An item is long if it lacks at least this share of the events that the
+#: longest open item of its job lacks. The step waits for these items.
+_LONG_SHARE: Final = 0.5
 
 
 class JobForecast(msgspec.Struct, frozen=True):
@@ -113,12 +118,16 @@
 def _start_order(
     jobs: Sequence[OpenJob], works: Works, kept: frozenset[GroupKey]
 ) -> Iterator[tuple[JobId, ItemId]]:
-    """Yield all items: the kept ones by latest start, then the deferred ones.
+    """Yield all items: long ones, other kept ones, then the deferred ones.
 
     Failure: the items of the step that is due first always start first.
     Symptom: a long item of a new step waits for slots that short items of an
     earlier step occupy, which have time, and the new step ends late.
 
+    Failure: short items start by their length as well. Symptom: all groups of
+    a step become complete at its end, and a delay of half a second makes all
+    of them late.
+
     Deferred groups that a target lacks come before others, and those with
     the least work first, so that each group is served whole.
     """
@@ -139,14 +148,19 @@
         if (job.job, one.group) not in kept
     }
     due_s = job.due_in.total_seconds()
+    key: tuple[Any, ...]
+    long_events = _LONG_SHARE * max(
+        (item.events for item in job.items), default=0
+    )
     for number, item in enumerate(job.items):
         latest_s = due_s - item.events * job.fast_interval_s
-        prefix = deferred.get(item.group)
-        key = (
-            (0, latest_s, due_s, job.job, number)
-            if prefix is None
-            else (*prefix, latest_s, number)
-        )
+        prefix = deferred.get(item.group, ())
+        if prefix:
+            key = (*prefix, latest_s, number)
+        elif item.events >= long_events:
+            key = (0, False, latest_s, due_s, job.job, number)
+        else:
+            key = (0, True, due_s, job.job, number)
         yield key, job.job, item.item
 
 
--- a/bergamotdoor/jobs/progress.py
+++ b/bergamotdoor/jobs/progress.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
-    from collections.abc import Iterator
+    from collections.abc import Iterator, Mapping
 
     from bergamotdoor.types import ItemId, UpstreamId
 
--- a/bergamotdoor/observe/events.py
+++ b/bergamotdoor/observe/events.py
@@ -40,3 +40,7 @@
     PLAN_WRITTEN = 'plans_written'
     #: Engines that a written plan gives another model.
     ENGINE_REASSIGNED = 'engines_reassigned'
+    #: Groups whose items start only when no item of another group waits.
+    GROUP_DEFERRED = 'groups_deferred'
+    #: Jobs whose target was expected to be complete after the due time.
+    STEP_FORECAST_LATE = 'steps_forecast_late'
--- a/bergamotdoor/steps/step_planner.py
+++ b/bergamotdoor/steps/step_planner.py
@@ -16,6 +16,7 @@
     mean_hint,
     usual_interval_s,
 )
+from bergamotdoor.steps.forecast_report import ForecastReport
 from bergamotdoor.steps.target import (
     count_missing_others,
     find_resubmitted_groups,
@@ -64,6 +65,7 @@
         self._context = context
         self._manifests = manifests
         self._resubmitted_groups: dict[JobId, frozenset[GroupId]] = {}
+        self._report = ForecastReport(context.metrics)
         self._plan = StepPlan()
         self._planned_at = context.clock.elapsed()
 
@@ -137,6 +139,7 @@
             },
         )
         self._planned_at = now
+        self._report.record(self._plan.forecasts, now)
         for run, _ in routed:
             run.items.item_queue.set_order(self._plan.ranks[run.spec.job])
 
