Test that engines about to load the weights of a job count for it

Cause: no test failed if the forecast of a job counted only engines that have its weight version already.

Change: a scenario and a mutation.

--- a/features/jobs_forecast.feature
+++ b/features/jobs_forecast.feature
@@ -31,6 +31,13 @@
     Given a site whose route states no due time
     Then the long items of a job start first and it has no forecast
 
+  Scenario: engines that are about to load the weights of a job count for it
+    At the start of a step, most engines have the version before. Unless they
+    counted, nearly all groups would be deferred for the first seconds.
+
+    Given a site whose engines have the version before that of a job
+    Then all groups of the job are kept and it has a forecast
+
   Scenario: deferred groups are seen by an operator
     Given a site whose step has groups that cannot end on time
     Then its state, ctl, a log line and counters show them once
--- a/features/steps/jobs_forecast_steps.py
+++ b/features/steps/jobs_forecast_steps.py
@@ -208,6 +208,24 @@
     assert context.waited_s < 0, context.waited_s
 
 
+@given('a site whose engines have the version before that of a job')
+def about_to_load(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start(entries=1)
+        await site.submit('entry-0', 'j', [[10], [20]], least=2)
+        await asyncio.sleep(0.5)
+        state = json.loads(await read_page(site, '/state'))
+        context.job = state['gateway']['jobs'][0]
+
+    play(scene)
+
+
+@then('all groups of the job are kept and it has a forecast')
+def kept_before_load(context: Any) -> None:
+    assert context.job['kept_groups'] == 2, context.job
+    assert context.job['forecast_s'] is not None, context.job
+
+
 @given('a site whose step has groups that cannot end on time')
 def operator_sees(context: Any) -> None:
     async def scene(site: Site) -> None:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -578,6 +578,13 @@
         'one.group: (1,)',
         _FORECAST,
     ),
+    Mutation(
+        'engines that are about to load the weights of a job count for it',
+        'steps/step_planner.py',
+        'max(run.spec.min_version - 1, 1)',
+        'run.spec.min_version',
+        _FORECAST,
+    ),
     Mutation(
         'a job without a due time keeps its order',
         'steps/step_planner.py',
