Keep items at a fast engine after it has loaded weights

Cause: an item that stays during an announced load, since all free slots are at slower engines, has sent no event for a second when the load is over. It counted as stalled then and left for the slow engine.

Change: for 150 ms after an engine was closed, its items do not move. The three scenarios of single messages share a step.

--- a/bergamotdoor/fleet/loads.py
+++ b/bergamotdoor/fleet/loads.py
@@ -33,6 +33,10 @@
 #: agent orders the load after 150 ms at the latest.
 _LOAD_BEGIN_TIME_MS: Final = 300
 LOAD_BEGIN_TIME: Final = dt.timedelta(milliseconds=_LOAD_BEGIN_TIME_MS)
+#: Time within which an engine sends events again after a load: the interval of
+#: two or three events.
+_RESUME_TIME_MS: Final = 150
+RESUME_TIME: Final = dt.timedelta(milliseconds=_RESUME_TIME_MS)
 #: Age from which an upstream's report of its load is disregarded.
 _MAX_REPORT_AGE: Final = dt.timedelta(seconds=2)
 #: Weight of the newest measurement in the moving average of the latency.
@@ -141,6 +145,15 @@
         self._closed_at = now
         self._closed_until = until
 
+    def is_resuming(self, now: dt.timedelta) -> bool:
+        """Return whether the upstream was closed until a moment ago.
+
+        Failure: an engine has loaded its weights, and its items have sent no
+        event yet. Symptom: they seem stalled, and those that had stayed for
+        its speed leave it for a slow engine.
+        """
+        return _ZERO <= now - self._closed_until < RESUME_TIME
+
     def is_closed(self, now: dt.timedelta) -> bool:
         """Return whether the upstream is closed, as it loads weights."""
         return now < self._closed_until
--- a/bergamotdoor/steps/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -118,13 +118,19 @@
             free = free_slots(upstream, self._context.loads, now)
             if free > 0:
                 free_by_engine[upstream.upstream] = free
+        loads = self._context.loads
         loading = {
             one.upstream
             for one in progresses
-            if self._context.loads.of(one.upstream).is_closed(now)
+            if loads.of(one.upstream).is_closed(now)
         }
+        movable = (
+            one
+            for one in progresses
+            if not loads.of(one.upstream).is_resuming(now)
+        )
         for move in choose_moves(
-            progresses, free_by_engine, self._context.speeds, now, loading
+            movable, free_by_engine, self._context.speeds, now, loading
         ):
             self._move_item(run, move)
 
--- a/features/steps/steps_engine_loads_steps.py
+++ b/features/steps/steps_engine_loads_steps.py
@@ -42,7 +42,7 @@
     return dt.timedelta(milliseconds=value)
 
 
-async def prepare(site: Site, models: int) -> Engine:
+async def prepare(site: Site, models: int, speed: int) -> Engine:
     """Start a job with an item at each of three engines, and an agent."""
     await site.start(engines=3, services=0)
     for name, engine in site.engines.items():
@@ -50,6 +50,7 @@
         if models > 1:
             registered['models'].append({'name': 'other', 'version': 1})
         site.store.put('servers', name, registered)
+    site.engines['engine-0'].event_s /= speed
     await site.add_agent('side-0', site.engines['engine-0'])
     await asyncio.sleep(2)
     await site.submit('entry-0', JOB, [[300], [300], [300]])
@@ -63,6 +64,7 @@
     context.models = 2
     context.patches = ()
     context.answers = True
+    context.speed = 1
 
 
 @given('a site whose engines one model has, with an item at each engine')
@@ -70,6 +72,7 @@
     context.models = 1
     context.patches = ()
     context.answers = True
+    context.speed = 1
 
 
 @given('entries that are of the previous release')
@@ -101,7 +104,7 @@
     """Play a scene on the prepared site, and keep what it logs and counts."""
 
     async def whole(site: Site) -> None:
-        engine = await prepare(site, context.models)
+        engine = await prepare(site, context.models, context.speed)
         context.owner = owner_of(site)
         if not context.answers:
             for entry in site.entries.values():
@@ -141,12 +144,24 @@
         while engine.version < 2:
             await asyncio.sleep(0.01)
         await asyncio.sleep(0.3)
+        context.items_later = set(engine.running)
         context.sent_after = await probe(site, engine, 'j3')
         context.engine = engine
 
     play_scene(context, scene)
 
 
+@given('a first engine that is three times as fast as the others')
+def fast_engine(context: Any) -> None:
+    context.speed = 3
+
+
+@then('its items are still there after the load')
+def check_item_stays(context: Any) -> None:
+    assert context.items_left
+    assert context.items_left <= context.items_later, context.items_later
+
+
 @then('its item continues at another engine within 100 ms')
 def check_moved(context: Any) -> None:
     assert not context.items_left, context.items_left
@@ -172,13 +187,6 @@
     assert found == (loads, moved), context.counts
 
 
-async def tell(site: Site, owner: str, *messages: Any) -> None:
-    """Send messages of the agent to the owner of the job."""
-    service = site.entries[owner]._components.peer_service
-    for message in messages:
-        await service.handle(message)
-
-
 async def measure_closed_time(context: Any, site: Site, engine: Engine) -> None:
     """Probe the engine until it gets items; keep the time that it takes."""
     began = site.clock.elapsed()
@@ -189,33 +197,18 @@
     context.closed_s = (site.clock.elapsed() - began).total_seconds()
 
 
-@when('a load of the first engine is announced that never begins')
-def announce_only(context: Any) -> None:
-    async def scene(site: Site, engine: Engine) -> None:
-        announced = LoadAnnounced(engine.address, MODEL, WeightVersion(2))
-        await tell(site, context.owner, announced)
-        await measure_closed_time(context, site, engine)
-
-    play_scene(context, scene)
-
+@when('the owner is told that the first engine {news}')
+def tell_owner(context: Any, news: str) -> None:
+    kinds: dict[str, type[Any]] = {'loads': LoadAnnounced, 'has': EngineLoaded}
 
-@when('the first engine has loaded version 2 and its announcement arrives')
-def announce_late(context: Any) -> None:
     async def scene(site: Site, engine: Engine) -> None:
-        loaded = EngineLoaded(engine.address, MODEL, WeightVersion(2))
-        announced = LoadAnnounced(engine.address, MODEL, WeightVersion(2))
-        await tell(site, context.owner, loaded, announced)
-        await measure_closed_time(context, site, engine)
-
-    play_scene(context, scene)
-
-
-@when('version 3 is announced before the notification of version 2 arrives')
-def notify_late(context: Any) -> None:
-    async def scene(site: Site, engine: Engine) -> None:
-        announced = LoadAnnounced(engine.address, MODEL, WeightVersion(3))
-        loaded = EngineLoaded(engine.address, MODEL, WeightVersion(2))
-        await tell(site, context.owner, announced, loaded)
+        service = site.entries[context.owner]._components.peer_service
+        for one in news.split(' and then '):
+            word, version = one.split()
+            told = kinds[word](
+                engine.address, MODEL, WeightVersion(int(version))
+            )
+            await service.handle(told)
         await measure_closed_time(context, site, engine)
 
     play_scene(context, scene)
--- a/features/steps_engine_loads.feature
+++ b/features/steps_engine_loads.feature
@@ -25,7 +25,7 @@
     stayed closed, its slots would not be used until it restarts.
 
     Given a site whose engines two models share, with an item at each engine
-    When a load of the first engine is announced that never begins
+    When the owner is told that the first engine loads 2
     Then the engine gets no item for 1.4 s, and gets items after 1.7 s
 
   Scenario: an announcement that arrives after the load is ignored
@@ -33,12 +33,12 @@
     engine that is ready would get no items for 1.5 s.
 
     Given a site whose engines two models share, with an item at each engine
-    When the first engine has loaded version 2 and its announcement arrives
+    When the owner is told that the first engine has 2 and then loads 2
     Then the engine gets no item for 0 s, and gets items after 0.3 s
 
   Scenario: the notification of an earlier load does not open an engine
     Given a site whose engines two models share, with an item at each engine
-    When version 3 is announced before the notification of version 2 arrives
+    When the owner is told that the first engine loads 3 and then has 2
     Then the engine gets no item for 1.4 s, and gets items after 1.7 s
 
   Scenario Outline: a load is ordered although its announcement fails
@@ -78,5 +78,15 @@
     Then it moves to an engine that is as fast, not to one twice as slow
     And a short item moves to the slower one
 
+  Scenario: an item that stays during a load stays after it
+    All free slots are at engines that take three times as long. When the load
+    is over, the item has sent no event for a second. If it moved then, it
+    would have lost the time of the load and the speed of its engine.
+
+    Given a site whose engines two models share, with an item at each engine
+    And a first engine that is three times as fast as the others
+    When the first engine is ordered to load version 2 of its model
+    Then its items are still there after the load
+
   Scenario: no item moves twice, or to an engine that loads or is full
     Then any items at engines of which some load move to free slots of others
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -607,6 +607,13 @@
         'asyncio.timeout(None)',
         _LOADS,
     ),
+    Mutation(
+        'an item that stayed during a load is not stalled after it',
+        'fleet/loads.py',
+        'return _ZERO <= now - self._closed_until < RESUME_TIME',
+        'return now < _ZERO',
+        _LOADS,
+    ),
     Mutation(
         'an item stays if it loses more at a slower engine',
         'jobs/moves.py',
