Queue calls while all upstreams of their service are full

Cause: calls were sent at once to up to six upstreams, and refused with a constant Retry-After when all of them refused; nothing ordered client accounts or limited what an entry has in flight. Change: the package queueing decides on limits by upstream, the order by priority and virtual finish time, forecasts, Retry-After and hedges; calls without room wait, and are admitted again before they are sent.

--- a/bergamotdoor/calls/accounts.py
+++ b/bergamotdoor/calls/accounts.py
@@ -32,6 +32,8 @@
 
     account: AccountId
     keys: tuple[KeyDigest, ...]
+    #: Priority of its calls, 0 is the highest; ``None`` for their routes'.
+    priority: int | None = None
 
 
 class Denial(enum.Enum):
@@ -67,6 +69,7 @@
         self._accounts = {
             digest: one.account for one in known for digest in one.keys
         }
+        self._priorities = {one.account: one.priority for one in known}
 
     def __bool__(self) -> bool:
         """Return whether requests need a key."""
@@ -97,6 +100,10 @@
             return NO_ACCOUNT
         return found
 
+    def priority_of(self, account: AccountId) -> int | None:
+        """Return the priority of an account, ``None`` if it has none."""
+        return self._priorities.get(account)
+
     def may_see(self, account: AccountId, owner: AccountId) -> bool:
         """Return whether an account may read what belongs to `owner`."""
         return not self._in_force or owner in {account, NO_ACCOUNT}
--- a/bergamotdoor/calls/attempts.py
+++ b/bergamotdoor/calls/attempts.py
@@ -41,7 +41,7 @@
 #: caller before its deadline.
 _ANSWER_MARGIN_MS: Final = 20
 _ANSWER_MARGIN: Final = dt.timedelta(milliseconds=_ANSWER_MARGIN_MS)
-#: Maximum number of upstreams that a call is sent to, refusals included.
+#: Maximum number of times that a call is sent, refusals included.
 _MAX_TRIES: Final = 6
 _NO_TIME: Final = dt.timedelta()
 
@@ -109,6 +109,8 @@
         self._zone = zone
         #: Upstreams that the call was sent to.
         self._tried: set[UpstreamId] = set()
+        #: How often the call was sent.
+        self._send_count = 0
         #: Number of upstreams that crashed in a chain while they ran the
         #: call, or an earlier request with the same fingerprint.
         self.strike_count = 0
@@ -138,25 +140,41 @@
         """
         if not self.may_begin_attempt(now):
             return None
-        candidates = (
-            one for one in upstreams if one.upstream not in self._tried
-        )
+        candidates = self.untried(upstreams)
         upstream = select_upstream(candidates, loads, self._zone, now)
         if upstream is not None:
+            self._send_count += 1
             self._tried.add(upstream.upstream)
             self.in_flight += 1
         return upstream
 
-    def end_attempt(self, verdict: Verdict) -> None:
-        """Record the outcome of an attempt that has ended."""
+    def untried(self, upstreams: Iterable[Upstream]) -> list[Upstream]:
+        """Return the upstreams that may get the call."""
+        return [one for one in upstreams if one.upstream not in self._tried]
+
+    def end_attempt(
+        self, verdict: Verdict, refused_by: UpstreamId | None = None
+    ) -> None:
+        """Record the outcome of an attempt that has ended.
+
+        Parameters
+        ----------
+        verdict
+            Whether the call may have run.
+        refused_by
+            The upstream that stated that it did not run the call, if one
+            did. It may get the call again.
+        """
         self.in_flight -= 1
         if verdict is not Verdict.NOT_RUN:
             self.possible_runs += 1
+        elif refused_by is not None:
+            self._tried.discard(refused_by)
 
     def may_begin_attempt(self, now: dt.timedelta) -> bool:
         """Return whether another attempt may begin."""
         rules = self._rules
-        if len(self._tried) >= _MAX_TRIES or self.is_out_of_time(now):
+        if self._send_count >= _MAX_TRIES or self.is_out_of_time(now):
             return False
         if self.in_flight and (self.strike_count or not rules.idempotent):
             # A call that may crash upstreams runs at one of them at a time.
--- a/bergamotdoor/calls/manifest.py
+++ b/bergamotdoor/calls/manifest.py
@@ -14,6 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from bergamotdoor.types import AccountId
+
 #: Limits of the platform's clients; they apply before a manifest is known.
 _DEFAULT_MAX_HEADER_BYTES: Final = 32_768
 _DEFAULT_MAX_BODY_BYTES: Final = 33_554_432
@@ -67,6 +69,13 @@
     single_version: bool = False
     #: Whether requests without an API key are admitted.
     public: bool = False
+    #: Priority of the calls of accounts without one; 0 is the highest.
+    priority: int = 0
+
+    def leads_to(self, service: ServiceId, kind: RouteKind) -> bool:
+        """Return whether a service gets requests of a kind by this route."""
+        services = {share.service for share in self.shares if share.weight}
+        return self.kind is kind and service in services
 
 
 class CallerLimits(msgspec.Struct, frozen=True):
@@ -150,6 +159,11 @@
             None,
         )
 
+    def priority_of(self, route: Route, account: AccountId) -> int:
+        """Return the priority of an account's calls; 0 is the highest."""
+        priority = self.accounts.priority_of(account)
+        return route.priority if priority is None else priority
+
     def serves_jobs_publicly(self, host: str) -> bool:
         """Return whether all of a host's batch routes need no key.
 
--- a/bergamotdoor/entry/context.py
+++ b/bergamotdoor/entry/context.py
@@ -18,6 +18,7 @@
 from bergamotdoor.observe.metrics import Metrics
 from bergamotdoor.peers.directory import EntryRecord
 from bergamotdoor.peers.strike_sharing import StrikeSharing
+from bergamotdoor.queueing.service_calls import CallQueueing
 from bergamotdoor.settings.document import Address
 from bergamotdoor.settings.node import NodeSettings
 
@@ -43,6 +44,8 @@
     strikes: StrikeSharing
     metrics: Metrics
     startup: StartupGate
+    #: Limits and queues of calls.
+    queueing: CallQueueing
 
     @classmethod
     def create(
@@ -68,13 +71,14 @@
         loads = Loads()
         speeds = Speeds()
         quarantine = Quarantine()
+        queueing = CallQueueing(loads)
         return cls(
             settings,
             clock,
             access.rng,
             client,
             access.store,
-            Fleet((loads.forget, speeds.forget)),
+            Fleet((loads.forget, speeds.forget, queueing.limits.forget)),
             loads,
             speeds,
             quarantine,
@@ -88,6 +92,7 @@
             ),
             Metrics(),
             StartupGate(),
+            queueing,
         )
 
     @property
--- a/bergamotdoor/forwarding/attempt.py
+++ b/bergamotdoor/forwarding/attempt.py
@@ -84,6 +84,7 @@
         load.record_report(
             reported.running + reported.waiting, context.clock.elapsed()
         )
+        context.queueing.limits.of(upstream.upstream).record_report()
     return await judge(context, call, upstream, response)
 
 
@@ -100,6 +101,9 @@
         context.fleet.remove_replaced(upstream.upstream)
     elif attempt.failed:
         _record_failure(load, attempt, now)
+        if attempt.refused:
+            calls = context.queueing.limits.of(upstream.upstream)
+            calls.record_refusal(upstream.slots, now)
     else:
         load.record_response(latency)
 
--- a/bergamotdoor/forwarding/call.py
+++ b/bergamotdoor/forwarding/call.py
@@ -3,20 +3,27 @@
 from __future__ import annotations
 
 import datetime as dt
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import msgspec
 
+from bergamotdoor.calls.accounts import NO_ACCOUNT
 from bergamotdoor.calls.attempts import CallRules
 from bergamotdoor.calls.fingerprint import request_fingerprint
 from bergamotdoor.calls.manifest import Route
 from bergamotdoor.http.messages import Headers, HttpResponse
+from bergamotdoor.types import AccountId, ServiceId
 from bergamotdoor.verdict import Verdict
 
 if TYPE_CHECKING:
     from bergamotdoor.types import Fingerprint
 
 
+def _admit(service: ServiceId) -> HttpResponse | None:
+    """Admit a call that needs no further check."""
+
+
 class Call(msgspec.Struct):
     """A request to forward: a caller's, or a score call of a trainer's item."""
 
@@ -29,6 +36,12 @@
     rules: CallRules
     #: Monotonic time at which the call began.
     began: dt.timedelta
+    account: AccountId = NO_ACCOUNT
+    #: 0 is the highest priority.
+    priority: int = 0
+    #: Called before the call is sent after it waited. Returns the response if
+    #: the manifest in force does not admit it at the service any more.
+    readmit: Callable[[ServiceId], HttpResponse | None] = _admit
     #: Monotonic time at which the call was sent to the first upstream that may
     #: have run it; for a stream, at which that upstream responded. ``None`` if
     #: no upstream may have run it.
--- a/bergamotdoor/forwarding/counted.py
+++ b/bergamotdoor/forwarding/counted.py
@@ -1,14 +1,18 @@
-"""Tasks that count as requests in flight at an upstream while they run."""
+"""Counting of the requests that are in flight at an upstream."""
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from typing import TYPE_CHECKING, TypeVar
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Coroutine, Iterator
 
+    from bergamotdoor.entry.context import Context
     from bergamotdoor.fleet.loads import UpstreamLoad
+    from bergamotdoor.fleet.upstreams import Upstream
+    from bergamotdoor.forwarding.call import Attempt
 
 Value = TypeVar('Value')
 
@@ -36,3 +40,82 @@
     task = asyncio.create_task(work)
     task.add_done_callback(lambda _: load.end_request())
     return task
+
+
+class CountedCall:
+    """A call that counts as in flight at an upstream from its creation on.
+
+    Parameters
+    ----------
+    context
+        Services of the process.
+    upstream
+        The upstream.
+    """
+
+    def __init__(self, context: Context, upstream: Upstream) -> None:
+        self._clock = context.clock
+        self._began_at = context.clock.elapsed()
+        self._service_calls = context.queueing.of(
+            upstream.service, context.fleet
+        )
+        self._calls = context.queueing.limits.of(upstream.upstream)
+        self._calls.begin()
+
+    def end(self, is_served: bool) -> None:
+        """Stop counting; send the waiting calls for which there is room now.
+
+        Parameters
+        ----------
+        is_served
+            Whether the call used a slot of the upstream to its end.
+        """
+        self._calls.end()
+        now = self._clock.elapsed()
+        if is_served:
+            self._service_calls.record_service_time(now - self._began_at)
+        self._service_calls.serve(now)
+
+    def end_with_task(self, task: asyncio.Task[Attempt]) -> None:
+        """Stop counting when the task of an attempt has ended."""
+        has_result = not task.cancelled() and task.exception() is None
+        self.end(is_served=has_result and task.result().served)
+
+
+def start_counted_call(
+    context: Context,
+    upstream: Upstream,
+    work: Coroutine[None, None, Attempt],
+) -> asyncio.Task[Attempt]:
+    """Start an attempt that counts as a call in flight until it ends.
+
+    Parameters
+    ----------
+    context
+        Services of the process.
+    upstream
+        The upstream.
+    work
+        The coroutine that sends the call.
+    """
+    counted = CountedCall(context, upstream)
+    task = start_counted(context.loads.of(upstream.upstream), work)
+    task.add_done_callback(counted.end_with_task)
+    return task
+
+
+@contextlib.contextmanager
+def counted_stream(context: Context, upstream: Upstream) -> Iterator[None]:
+    """Count a stream as a call in flight while it is relayed.
+
+    Failure: a stream uses a slot of its upstream for seconds after its
+    response began. Symptom: calls are sent to an upstream that is full.
+    """
+    load = context.loads.of(upstream.upstream)
+    load.begin_request()
+    counted = CountedCall(context, upstream)
+    try:
+        yield
+    finally:
+        load.end_request()
+        counted.end(is_served=True)
--- a/bergamotdoor/forwarding/relayed_stream.py
+++ b/bergamotdoor/forwarding/relayed_stream.py
@@ -12,6 +12,7 @@
 from bergamotdoor.fleet.choice import select_upstream
 from bergamotdoor.fleet.quarantine import CALL_STRIKE_LIMIT
 from bergamotdoor.forwarding.call_request import call_request
+from bergamotdoor.forwarding.counted import counted_stream
 from bergamotdoor.forwarding.upstream_end import note_end, strikes_of
 from bergamotdoor.http import close_body
 from bergamotdoor.http.messages import BodyBrokenError, ClientResponse
@@ -72,8 +73,9 @@
     """Yield the pieces of a response that no other upstream can resume."""
     strikes_before = strikes_of(context, call)
     try:
-        async for piece in response.body:
-            yield piece
+        with counted_stream(context, upstream):
+            async for piece in response.body:
+                yield piece
     except BodyBrokenError:
         await note_end(context, upstream, call.fingerprint, strikes_before)
         raise
@@ -99,19 +101,30 @@
         self._upstreams = [upstream]
         self._strikes_before = strikes_of(context, call)
         self._last_event_id = call.headers.first(names.LAST_EVENT_ID)
+        #: Why the present response broke off; ``None`` if it did not.
+        self._error: Exception | None = None
 
     async def events(self) -> AsyncGenerator[bytes, None]:
         """Yield complete events up to the end of the stream."""
         is_complete = False
         while not is_complete:
-            try:
-                async for event in _read_events(self._response):
-                    self._last_event_id = str(event.number)
-                    yield event.raw
-            except (BodyBrokenError, ValueError) as error:
-                await self._resume(error)
-            else:
+            with counted_stream(self._context, self._upstreams[-1]):
+                async for event in self._events_until_break():
+                    yield event
+            if self._error is None:
                 is_complete = True
+            else:
+                await self._resume(self._error)
+
+    async def _events_until_break(self) -> AsyncIterator[bytes]:
+        """Yield the complete events of the present response."""
+        self._error = None
+        try:
+            async for event in _read_events(self._response):
+                self._last_event_id = str(event.number)
+                yield event.raw
+        except (BodyBrokenError, ValueError) as error:
+            self._error = error
 
     async def _resume(self, error: Exception) -> None:
         """Resume the stream at another upstream after an error."""
@@ -186,11 +199,15 @@
             for upstream in self._context.fleet.of_service(service)
             if upstream.upstream not in used
         ]
+        # The limit gives way if all are full: without a next upstream, the
+        # caller would lose the rest of a stream that has begun.
+        limits = self._context.queueing.limits
+        now = self._context.clock.elapsed()
         return select_upstream(
-            candidates,
+            limits.with_room(candidates, now) or candidates,
             self._context.loads,
             self._context.settings.zone,
-            self._context.clock.elapsed(),
+            now,
         )
 
     def _remaining_call(self) -> Call:
--- /dev/null
+++ b/bergamotdoor/forwarding/waiting.py
@@ -0,0 +1,146 @@
+"""The wait of calls for room at the upstreams of their service."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime as dt
+import logging
+from typing import TYPE_CHECKING, Final
+
+from bergamotdoor import utils
+from bergamotdoor.forwarding.call import Attempt
+from bergamotdoor.queueing.forecast import retry_delay
+from bergamotdoor.queueing.ticket import QueueRefusal, RoomUse, Ticket
+from bergamotdoor.verdict import Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from bergamotdoor.entry.context import Context
+    from bergamotdoor.forwarding.call import Call
+    from bergamotdoor.queueing.service_calls import ServiceCalls
+
+#: Interval at which waiting calls are checked for room that no end of a
+#: request shows: after a report, a backoff or a new registration.
+_CHECK_INTERVAL_MS: Final = 20
+_CHECK_INTERVAL: Final = dt.timedelta(milliseconds=_CHECK_INTERVAL_MS)
+
+_log = logging.getLogger('bergamotdoor.gateway')
+
+
+class QueuePlace:
+    """Place of one call in the queue of its service.
+
+    Parameters
+    ----------
+    context
+        Services of the process.
+    service_calls
+        All calls to the service.
+    call
+        The call.
+    send
+        Sends the call if an upstream has room.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        service_calls: ServiceCalls,
+        call: Call,
+        send: Callable[[], RoomUse],
+    ) -> None:
+        self._context = context
+        self._service_calls = service_calls
+        self._call = call
+        self._send = send
+        self._ticket = Ticket(
+            call.account, call.priority, self._use_room, self._refuse
+        )
+        self._left = asyncio.Event()
+        #: The refusal if the call was refused or is not admitted any more.
+        self.refusal: Attempt | None = None
+
+    def record_first_send(self) -> None:
+        """Record that the call was sent without waiting."""
+        self._service_calls.queue.charge(self._ticket)
+        self._record_send()
+
+    async def wait(self, answer_by: dt.timedelta) -> None:
+        """Wait until the call has left the queue, whatever the reason.
+
+        Parameters
+        ----------
+        answer_by
+            Monotonic time by which an upstream must answer the call.
+        """
+        self._left.clear()
+        try:
+            self._service_calls.enter(self._ticket, answer_by, self._now())
+            schedule_check(self._context, self._service_calls)
+            await self._left.wait()
+        finally:
+            # Failure: a caller leaves while its call waits. Symptom: the call
+            # is sent for nobody and takes a slot from another.
+            self._service_calls.queue.remove(self._ticket)
+
+    def _use_room(self) -> RoomUse:
+        response = self._call.readmit(self._service_calls.service)
+        if response is not None:
+            self.refusal = Attempt(
+                Verdict.NOT_RUN, 'not admitted after its wait', answer=response
+            )
+            self._left.set()
+            return RoomUse.ENDED
+        use = self._send()
+        if use is RoomUse.SENT:
+            self._record_send()
+        if use is not RoomUse.NO_ROOM:
+            self._left.set()
+        return use
+
+    def _record_send(self) -> None:
+        if self._ticket.is_fresh:
+            self._ticket.is_fresh = False
+            self._service_calls.hedges.record_call(self._now())
+
+    def _refuse(self, refusal: QueueRefusal) -> None:
+        self.refusal = Attempt(
+            Verdict.NOT_RUN,
+            refusal.reason.value,
+            retry_after=retry_delay(
+                refusal.drain_time, self._context.rng.random()
+            ),
+        )
+        self._left.set()
+        _log.info(
+            'gateway: call %s to %s refused: %s, %d calls wait, '
+            'forecast %d ms, %d ms left',
+            self._call.request_id,
+            self._service_calls.service,
+            refusal.reason.value,
+            refusal.queue_length,
+            utils.to_ms(refusal.wait),
+            utils.to_ms(refusal.time_left),
+        )
+
+    def _now(self) -> dt.timedelta:
+        return self._context.clock.elapsed()
+
+
+def schedule_check(context: Context, service_calls: ServiceCalls) -> None:
+    """Check the waiting calls of a service soon, while there are any."""
+    if service_calls.check_scheduled or not service_calls.queue:
+        return
+    service_calls.check_scheduled = True
+    asyncio.get_running_loop().call_later(
+        _CHECK_INTERVAL.total_seconds(), _check, context, service_calls
+    )
+
+
+def _check(context: Context, service_calls: ServiceCalls) -> None:
+    service_calls.check_scheduled = False
+    now = context.clock.elapsed()
+    service_calls.serve(now)
+    service_calls.refuse_late(now)
+    schedule_check(context, service_calls)
--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -112,6 +112,8 @@
         """
         _log.info('gateway: %s stops', self._settings.node)
         stop_by = self._clock.elapsed() + self._settings.grace - _STOP_MARGIN
+        # What still waits at that time is refused, not cut off.
+        self._context.queueing.closes_at = stop_by
         await self._leave_rotation()
         # Handing off the jobs may have taken longer than _ROTATION_EXIT.
         drain = stop_by - self._clock.elapsed()
--- a/bergamotdoor/gateway/request_router.py
+++ b/bergamotdoor/gateway/request_router.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
-import logging
-from http import HTTPStatus
+import functools
 from typing import TYPE_CHECKING
 
 from bergamotdoor.calls.manifest import RouteKind
 from bergamotdoor.gateway.call_handler import build_call
 from bergamotdoor.gateway.credentials import build_upstream_headers
-from bergamotdoor.gateway.responses import refusal_response, text_response
+from bergamotdoor.gateway.readmission import (
+    Readmission,
+    refuse_without_route,
+)
+from bergamotdoor.gateway.responses import refusal_response
 from bergamotdoor.http.messages import HttpResponse
-from bergamotdoor.observe.events import Counted
-from bergamotdoor.platform import headers as names
 from bergamotdoor.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -24,8 +25,6 @@
     from bergamotdoor.gateway.call_handler import CallHandler
     from bergamotdoor.http.messages import HttpRequest
 
-_log = logging.getLogger('bergamotdoor.gateway')
-
 
 class RequestRouter:
     """Router that passes each request to the handler of calls or of jobs.
@@ -57,6 +56,7 @@
         self._admission = admission
         self._calls = calls
         self._batches = batches
+        self._readmission = Readmission(context, manifests, admission)
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Return the response to a request of a caller or a trainer.
@@ -79,7 +79,7 @@
         host = request.headers.first('host')
         route = manifest.match(host, request.target)
         if route is None:
-            return self._refuse_without_route(request, manifest)
+            return refuse_without_route(self._context, request, manifest)
         account = self._admission.admit_run(request, manifest, route)
         if isinstance(account, HttpResponse):
             return account
@@ -103,18 +103,7 @@
             accounts_in_force=bool(newest_manifest.accounts),
         )
         call = build_call(request, headers, body, route, began)
+        call.account = account
+        call.priority = newest_manifest.priority_of(route, account)
+        call.readmit = functools.partial(self._readmission.check, request, call)
         return await self._calls.answer(call, account)
-
-    def _refuse_without_route(
-        self, request: HttpRequest, manifest: Manifest
-    ) -> HttpResponse:
-        request_id = request.headers.first(names.REQUEST_ID)
-        self._context.metrics.count(Counted.CALL_WITHOUT_ROUTE)
-        _log.info(
-            'gateway: call %s: no route for %s%s, manifest %d',
-            request_id,
-            request.headers.first('host'),
-            request.target,
-            manifest.generation,
-        )
-        return text_response(HTTPStatus.NOT_FOUND, 'no route', request_id)
--- a/bergamotdoor/platform/manifest.py
+++ b/bergamotdoor/platform/manifest.py
@@ -57,6 +57,7 @@
     max_wait_s: float | None = None
     single_version: bool = False
     public: bool = False
+    priority: int = 0
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -68,6 +69,7 @@
 class _Tenant(msgspec.Struct, frozen=True):
     name: AccountId
     api_keys: tuple[str, ...] = ()
+    priority: int | None = None
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -110,9 +112,7 @@
 
 
 def _build_route(decoded: _Route) -> Route:
-    shares = tuple(
-        Share(split.service, split.weight) for split in decoded.split
-    )
+    shares = tuple(Share(one.service, one.weight) for one in decoded.split)
     return Route(
         name=decoded.name or decoded.path_prefix,
         host=decoded.host.lower(),
@@ -127,13 +127,13 @@
         abandon_after=_optional_seconds(decoded.max_wait_s),
         single_version=decoded.single_version,
         public=decoded.public,
+        priority=decoded.priority,
     )
 
 
 def _build_account_keys(decoded: _Tenant) -> AccountKeys:
-    return AccountKeys(
-        decoded.name, tuple(digest_of(key) for key in decoded.api_keys)
-    )
+    digests = tuple(digest_of(key) for key in decoded.api_keys)
+    return AccountKeys(decoded.name, digests, decoded.priority)
 
 
 def _optional_seconds(number: float | None) -> dt.timedelta | None:
--- a/bergamotdoor/steps/scorer.py
+++ b/bergamotdoor/steps/scorer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import datetime as dt
+import functools
 import logging
 from collections import Counter
 from http import HTTPStatus
@@ -12,7 +13,7 @@
 from bergamotdoor.calls.attempts import CallRules
 from bergamotdoor.calls.manifest import Route, pick_service
 from bergamotdoor.forwarding import Attempt, Call, Forwarder
-from bergamotdoor.http.messages import Headers
+from bergamotdoor.http.messages import Headers, HttpResponse
 from bergamotdoor.jobs import free_score_slots
 from bergamotdoor.platform import headers as names
 
@@ -159,8 +160,26 @@
                 route, now + min(route.timeout, _CALL_TIMEOUT)
             ),
             began=now,
+            account=account,
+            priority=self._priority_of(route, account),
+            readmit=functools.partial(self._readmit, text),
         )
 
+    def _priority_of(self, route: Route, account: AccountId) -> int:
+        manifest = self._manifests.manifest
+        if manifest is None:
+            return route.priority
+        return manifest.priority_of(route, account)
+
+    def _readmit(
+        self, text: UnscoredText, service: ServiceId
+    ) -> HttpResponse | None:
+        """Refuse a call that waited if its route leads elsewhere now."""
+        route = self._find_route(text)
+        if route is not None and route.leads_to(service, route.kind):
+            return None
+        return HttpResponse(status=int(HTTPStatus.SERVICE_UNAVAILABLE))
+
     def _end_call(self, service: ServiceId) -> None:
         self._in_flight[service] -= 1
         self._on_call_end()
--- a/features/steps/peers_strikes_steps.py
+++ b/features/steps/peers_strikes_steps.py
@@ -103,6 +103,9 @@
         for service in others:
             site.store.remove('servers', service.name)
         first.work_s = 0.05
+        # An entry has no more calls in flight than there are slots.
+        spec = first.registration(slots=count + 1)
+        site.store.put('servers', first.name, spec)
         await asyncio.sleep(2.5)
         ending = asyncio.create_task(
             send_crashing_request(site, 'entry-0', 'call-0')
