Merge admission and queueing of calls

Cause: queue, placement and plan change manifest, state and status. Change: all are kept; an item that its step does not wait for no longer moves for speed alone, as it took the free slots of fast engines from long items.

--- a/bergamotdoor/cli/ctl.py
+++ b/bergamotdoor/cli/ctl.py
@@ -13,6 +13,7 @@
 from bergamotdoor.cli.codes import ExitCode
 from bergamotdoor.cli.command import Command, Invocation, Option, UsageError
 from bergamotdoor.cli.plan_status import plan_lines
+from bergamotdoor.cli.queue_status import queue_lines
 from bergamotdoor.clock import LoopClock
 from bergamotdoor.gateway.inspection import (
     STATE_PATH,
@@ -126,6 +127,7 @@
         _proof_lines,
         _duty_lines,
         _upstream_lines,
+        queue_lines,
         plan_lines,
         _job_lines,
         _quarantine_lines,
--- a/bergamotdoor/forwarding/attempt.py
+++ b/bergamotdoor/forwarding/attempt.py
@@ -82,6 +82,7 @@
     if reported is not None:
         load = context.loads.of(upstream.upstream)
         load.record_report(reported, context.clock.elapsed())
+        context.queueing.limits.of(upstream.upstream).record_report()
     return await judge(context, call, upstream, response)
 
 
@@ -98,6 +99,9 @@
         context.fleet.remove_replaced(upstream.upstream)
     elif attempt.failed:
         _record_failure(load, attempt, now)
+        if attempt.refused:
+            calls = context.queueing.limits.of(upstream.upstream)
+            calls.record_refusal(upstream.slots, now)
     else:
         load.record_response(latency)
 
--- a/bergamotdoor/gateway/inspection.py
+++ b/bergamotdoor/gateway/inspection.py
@@ -8,9 +8,10 @@
 import msgspec
 
 from bergamotdoor.fleet.quarantine import CALL_STRIKE_LIMIT
+from bergamotdoor.gateway.queue_state import QueueState, collect_queues
 from bergamotdoor.gateway.responses import text_response
 from bergamotdoor.http.messages import Headers, HttpRequest, HttpResponse
-from bergamotdoor.observe.call_counts import StoreCalls
+from bergamotdoor.observe.call_counts import CallCounts, StoreCalls
 from bergamotdoor.observe.dump import DumpRegistry
 from bergamotdoor.observe.exposition import exposition
 from bergamotdoor.reporting.usage_duty import DutyState
@@ -20,7 +21,6 @@
 if TYPE_CHECKING:
     from bergamotdoor.entry.context import Context
     from bergamotdoor.entry.views import ManifestView
-    from bergamotdoor.observe.call_counts import CallCounts
     from bergamotdoor.reporting.usage_duty import UsageDuty
     from bergamotdoor.steps.capacity_planner import CapacityPlanner
     from bergamotdoor.steps.job_run import JobRun
@@ -100,6 +100,8 @@
     duty: DutyState | None = None
     #: Services of which this entry was told demands, with their plans.
     plans: tuple[PlanState, ...] = ()
+    #: Queues of calls, by service.
+    queues: tuple[QueueState, ...] = ()
 
 
 class GatewayInspector:
@@ -166,6 +168,7 @@
             self._proof_age_s(),
             None if self._usage is None else self._usage.state,
             self._planner.states(),
+            tuple(collect_queues(self._context)),
         )
 
     def _proof_age_s(self) -> float | None:
--- a/bergamotdoor/jobs/__init__.py
+++ b/bergamotdoor/jobs/__init__.py
@@ -19,6 +19,7 @@
     ItemToPlace,
     free_slots,
     place_item,
+    short_time_s,
 )
 from bergamotdoor.jobs.progress import Progress, Speeds
 from bergamotdoor.jobs.reservations import Reservations
@@ -47,5 +48,6 @@
     'free_slots',
     'choose_moves',
     'place_item',
+    'short_time_s',
     'free_score_slots',
 )
--- a/bergamotdoor/jobs/moves.py
+++ b/bergamotdoor/jobs/moves.py
@@ -60,6 +60,7 @@
     speeds: Speeds,
     now: dt.timedelta,
     loading: Container[UpstreamId] = (),
+    short_s: float = 0,
 ) -> Iterator[Move]:
     """Yield the items that should move, those with most events left first.
 
@@ -67,6 +68,10 @@
     item, if the item is stalled or would end sooner there by more than
     ``LEAST_GAIN``.
 
+    Failure: an item that its step does not wait for moves to a faster engine.
+    Symptom: it takes the free slot that a long item at a slow engine, or one
+    that has not started, needs, and the step ends later.
+
     Parameters
     ----------
     running
@@ -80,6 +85,9 @@
     loading
         Engines that are about to load weights. Their items are treated as
         stalled for the time of the load, and move if they gain from that.
+    short_s
+        An item that still takes less time than this where it runs, in
+        seconds, does not move for speed alone.
     """
     movable = [one for one in running if now - one.started_at > LEAST_STAY]
     stalled_upstreams = {one.upstream for one in movable if one.is_stalled(now)}
@@ -94,11 +102,10 @@
             return
         interval_s, fastest = slots_by_speed[0]
         reason = _reason_to_move(progress, now, loading)
-        gains = (
-            reason is MoveReason.STALLED
-            or _time_gained(progress, speeds, interval_s, reason) > LEAST_GAIN
-        )
-        if gains and fastest != progress.upstream:
+        gained = _time_gained(progress, speeds, interval_s, reason)
+        if reason is MoveReason.SLOW and _is_short(progress, speeds, short_s):
+            continue
+        if fastest != progress.upstream and gained > LEAST_GAIN:
             slots_by_speed.pop(0)
             yield Move(progress.item, reason, fastest)
 
@@ -113,6 +120,11 @@
     return MoveReason.STALLED if stalled else MoveReason.SLOW
 
 
+def _is_short(progress: Progress, speeds: Speeds, short_s: float) -> bool:
+    own_s = speeds.interval_s(progress.upstream)
+    return progress.remaining_events * own_s < short_s
+
+
 def _remaining_events(progress: Progress) -> float:
     return progress.remaining_events
 
@@ -122,13 +134,15 @@
 ) -> dt.timedelta:
     """Return how much sooner an item ends at an engine of this interval.
 
-    The result is zero if its own engine is not slower by ``_LEAST_RATIO``,
-    and neither about to load weights.
+    A stalled item gains any time. The result is zero if the own engine is not
+    slower by ``_LEAST_RATIO``, and neither about to load weights.
 
     Failure: a long item leaves a fast engine that loads weights for a slow
     one. Symptom: it ends later than if it had waited for the end of the load.
     What the item loses at a slower engine is therefore subtracted.
     """
+    if reason is MoveReason.STALLED:
+        return dt.timedelta.max
     own_s = speeds.interval_s(progress.upstream)
     gained = dt.timedelta(
         seconds=progress.remaining_events * (own_s - interval_s)
--- a/bergamotdoor/jobs/placement.py
+++ b/bergamotdoor/jobs/placement.py
@@ -30,7 +30,7 @@
 
 if TYPE_CHECKING:
     import datetime as dt
-    from collections.abc import Sequence
+    from collections.abc import Collection, Sequence
 
     from bergamotdoor.fleet.loads import Loads
     from bergamotdoor.fleet.upstreams import Upstream
@@ -88,7 +88,7 @@
     ]
     intervals_s = [speeds.interval_s(one.upstream) for one in candidates]
     if free and is_slower(max(intervals_s), min(intervals_s)):
-        limit_s = placed.longest_events * min(intervals_s) * _SHORT_SHARE
+        limit_s = short_time_s(placed.longest_events, intervals_s)
         return _place_by_length(free, loads, speeds, placed, limit_s, now)
     with_prompt = next(
         (one for one in free if one.upstream == placed.prompt_upstream), None
@@ -104,6 +104,22 @@
     )
 
 
+def short_time_s(
+    longest_events: float, intervals_s: Collection[float]
+) -> float:
+    """Return below which time an item is short, in seconds.
+
+    Parameters
+    ----------
+    longest_events
+        Expected number of events that the item of the step lacks which lacks
+        the most.
+    intervals_s
+        Event intervals of the engines of the step, in seconds.
+    """
+    return longest_events * min(intervals_s, default=0) * _SHORT_SHARE
+
+
 def _place_by_length(
     free: Sequence[Upstream],
     loads: Loads,
--- a/bergamotdoor/platform/manifest.py
+++ b/bergamotdoor/platform/manifest.py
@@ -53,6 +53,7 @@
     max_wait_s: float | None = None
     single_version: bool = False
     public: bool = False
+    priority: int = 0
 
 
 class _Engine(msgspec.Struct, frozen=True):
@@ -69,6 +70,7 @@
 class _Tenant(msgspec.Struct, frozen=True):
     name: AccountId
     api_keys: tuple[str, ...] = ()
+    priority: int | None = None
 
 
 class _Limits(msgspec.Struct, frozen=True):
@@ -109,7 +111,11 @@
             },
             _build_limits(decoded.limits),
             Accounts(
-                AccountKeys(tenant.name, tuple(map(digest_of, tenant.api_keys)))
+                AccountKeys(
+                    tenant.name,
+                    tuple(map(digest_of, tenant.api_keys)),
+                    tenant.priority,
+                )
                 for tenant in decoded.tenants
             ),
         )
@@ -130,6 +136,7 @@
         abandon_after=_optional_seconds(decoded.max_wait_s),
         single_version=decoded.single_version,
         public=decoded.public,
+        priority=decoded.priority,
     )
 
 
--- a/bergamotdoor/steps/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -18,6 +18,7 @@
     choose_moves,
     free_slots,
     place_item,
+    short_time_s,
 )
 from bergamotdoor.observe.events import Counted
 from bergamotdoor.steps.item_request import ItemRun
@@ -26,6 +27,7 @@
 from bergamotdoor.steps.job_run import RunningItem, RunState
 
 if TYPE_CHECKING:
+    import datetime as dt
     from collections.abc import Callable, Iterator
 
     from bergamotdoor.calls.manifest import Route
@@ -121,11 +123,7 @@
         ]
         for progress in progresses:
             self._context.speeds.add_intervals(progress)
-        free_by_engine: dict[UpstreamId, int] = {}
-        for upstream in self._eligible_engines(run, route):
-            free = free_slots(upstream, self._context.loads, now)
-            if free > 0:
-                free_by_engine[upstream.upstream] = free
+        upstreams = self._eligible_engines(run, route)
         loads = self._context.loads
         loading = {
             one.upstream
@@ -138,10 +136,35 @@
             if not loads.of(one.upstream).is_resuming(now)
         )
         for move in choose_moves(
-            movable, free_by_engine, self._context.speeds, now, loading
+            movable,
+            self._free_by_engine(upstreams, now),
+            self._context.speeds,
+            now,
+            loading,
+            self._short_time_s(run, route, upstreams),
         ):
             self._move_item(run, move)
 
+    def _free_by_engine(
+        self, upstreams: tuple[Upstream, ...], now: dt.timedelta
+    ) -> dict[UpstreamId, int]:
+        """Return the number of free slots of each engine that has one."""
+        free = {
+            one.upstream: free_slots(one, self._context.loads, now)
+            for one in upstreams
+        }
+        return {name: count for name, count in free.items() if count > 0}
+
+    def _short_time_s(
+        self, run: JobRun, route: Route, upstreams: tuple[Upstream, ...]
+    ) -> float:
+        """Return below which time an item of a job is short, in seconds."""
+        speeds = self._context.speeds
+        return short_time_s(
+            self._item_lengths(run, route).longest_events,
+            [speeds.interval_s(one.upstream) for one in upstreams],
+        )
+
     def _eligible_engines(
         self, run: JobRun, route: Route
     ) -> tuple[Upstream, ...]:
--- /dev/null
+++ b/features/forwarding_waiting.feature
@@ -0,0 +1,67 @@
+Feature: calls wait for room at an entry
+
+  Background:
+    Given a site with a service of 4 slots that takes 0.2 s for a call
+
+  Scenario: calls beyond the slots of a service wait, and all are answered
+    If all are sent at once, the service refuses those that have no slot.
+
+    When 12 callers post at once
+    Then the 12 callers get 200, and the service never ran over 4 calls
+    And the metrics count 8 calls that waited, and the state showed them
+
+  Scenario: a call that cannot be answered in time is refused at once
+    Its caller learns at once that the call did not run, and when to retry.
+
+    When 12 callers post at once, and then one that waits for 300 ms
+    Then the last gets 503 within 20 ms, and a delay of its forecast wait
+    And the service never got its call
+
+  Scenario: the call of a caller that has left is not sent
+    A call for nobody takes a slot from another caller.
+
+    When 12 callers post at once, and the last 3 leave after 0.1 s
+    Then the service got the calls of 9 callers, and no other
+
+  Scenario Outline: a call that is no longer admitted when it leaves the queue
+    When 7 callers and one more post, and its <admission> ends while it waits
+    Then the 7 callers get 200 and the last <status>
+    And the service never got its call
+
+    Examples:
+      | admission | status |
+      | key       | 401    |
+      | route     | 404    |
+
+  Scenario: waiting calls are sent by priority
+    When calls of priorities 5, 3 and 0 wait, the lowest for longest
+    Then they are sent by priority, and an account has its own before its route
+
+  Scenario: a call that an upstream refuses waits until the upstream has room
+    The known load is wrong. A call that has time is not refused for that.
+
+    When a caller posts while the service refuses calls for 0.2 s
+    Then the caller gets 200 as soon as the backoff ends
+
+  Scenario: a call that may have run is never refused as not run
+    It breaks at one upstream, and its time ends while it waits for another.
+    With 503 the caller would send it again.
+
+    When a call breaks at a service and finds no room at another in time
+    Then the caller gets 504 after it waited
+
+  Scenario: no call is hedged while others wait
+    The services are slow since they are full. Hedges would take more slots.
+
+    When 24 callers post at once to two services
+    Then the 24 callers get 200, and each call ran once
+
+  Scenario: a stream uses its slot until it ends
+    Its response begins at once, and its upstream is full for long after that.
+
+    When 5 streams of 0.4 s are requested from an engine of 4 slots
+    Then the last begins after another has ended
+
+  Scenario: an entry that stops answers or refuses what waits
+    When an entry stops while 20 callers of a long route wait
+    Then the 20 callers get 200, or 503 and did not run
