Tell other entries the load of busy upstreams

Cause: an entry hears of an upstream every few seconds, and knows nothing of a burst at another entry. Change: an entry tells up to 8 entries of its zone what it has in flight at upstreams that are at least half full (`LoadTold`); figures expire after 2 s and name the incarnation. `select_upstream` prefers upstreams with a free slot as far as is known. Counters, a histogram of age, state dump and `ctl status` show the figures.

--- a/bergamotdoor/cli/ctl.py
+++ b/bergamotdoor/cli/ctl.py
@@ -33,6 +33,7 @@
 _REQUEST_TIMEOUT: Final = dt.timedelta(seconds=2)
 #: The state contains every upstream and job that an entry knows.
 _MAX_STATE_BYTES: Final = 16_777_216
+_USUAL_PERCENT: Final = 100
 _STATUS: Final = 'status'
 _DUMP: Final = 'dump'
 _ENTRIES: Final = 'entries'
@@ -171,6 +172,7 @@
     ]
     if any(view.draining for view in known):
         parts.append('leaving')
+    parts.extend(_load_parts(known))
     parts.extend(
         f'{model} {version}'
         for model, version in sorted(known[0].versions.items())
@@ -178,6 +180,23 @@
     return ', '.join(parts)
 
 
+def _load_parts(known: list[UpstreamState]) -> Iterator[str]:
+    """Describe the pace, and what entries told each other, if anything."""
+    slowest = max(view.steady_pace_percent for view in known)
+    if slowest != _USUAL_PERCENT:
+        yield f'takes {slowest} % of the usual time'
+    told = max(view.told for view in known)
+    if told:
+        yield f'up to {told} told by other entries'
+    ages = [view.figure_age_s for view in known]
+    current = [age for age in ages if age is not None]
+    if current:
+        yield (
+            f'load known at {len(current)} entries, '
+            f'up to {max(current):.1f} s old'
+        )
+
+
 def _job_lines(entries: list[GatewayState]) -> Iterator[str]:
     jobs = [job for entry in entries for job in entry.jobs if not job.ended]
     yield f'jobs in progress: {len(jobs)}'
--- a/bergamotdoor/entry/context.py
+++ b/bergamotdoor/entry/context.py
@@ -17,6 +17,7 @@
 from bergamotdoor.objects.client import ObjectClient
 from bergamotdoor.observe.metrics import Metrics
 from bergamotdoor.peers.directory import EntryRecord
+from bergamotdoor.peers.load_sharing import LoadSharing
 from bergamotdoor.peers.strike_sharing import StrikeSharing
 from bergamotdoor.settings.document import Address
 from bergamotdoor.settings.node import NodeSettings
@@ -41,6 +42,8 @@
     quarantine: Quarantine
     #: Sends the strikes that this process records to the other entries.
     strikes: StrikeSharing
+    #: Tells the other entries of requests in flight, and takes theirs.
+    load_sharing: LoadSharing
     metrics: Metrics
     startup: StartupGate
 
@@ -68,13 +71,15 @@
         loads = Loads()
         speeds = Speeds()
         quarantine = Quarantine()
+        metrics = Metrics()
+        fleet = Fleet((loads.forget, speeds.forget))
         return cls(
             settings,
             clock,
             access.rng,
             client,
             access.store,
-            Fleet((loads.forget, speeds.forget)),
+            fleet,
             loads,
             speeds,
             quarantine,
@@ -86,7 +91,8 @@
                 settings.node,
                 clock,
             ),
-            Metrics(),
+            LoadSharing(fleet, loads, metrics, access, settings, clock),
+            metrics,
             StartupGate(),
         )
 
--- a/bergamotdoor/fleet/choice.py
+++ b/bergamotdoor/fleet/choice.py
@@ -35,8 +35,9 @@
 ) -> Upstream | None:
     """Return the upstream that is expected to answer first.
 
-    Candidates that are neither in `avoid` nor in backoff are preferred, then
-    those that are in backoff, then those in `avoid`.
+    Candidates that are neither in `avoid` nor in backoff are preferred, among
+    them those with a free slot, then those that are in backoff, then those in
+    `avoid`.
 
     Parameters
     ----------
@@ -65,7 +66,18 @@
         for one in preferred
         if not loads.of(one.upstream).is_in_backoff(now)
     ]
-    return next(iter(available or preferred or ranked), None)
+    with_room = [one for one in available if _has_room(one, loads, now)]
+    return next(iter(with_room or available or preferred or ranked), None)
+
+
+def _has_room(upstream: Upstream, loads: Loads, now: dt.timedelta) -> bool:
+    """Return whether an upstream has a free slot as far as is known.
+
+    Failure: the fastest upstream is full, and its expected latency is still
+    the lowest. Symptom: calls are sent there and refused, each on a
+    connection of its own.
+    """
+    return loads.of(upstream.upstream).estimated_requests(now) < upstream.slots
 
 
 def _cost(
--- a/bergamotdoor/fleet/loads.py
+++ b/bergamotdoor/fleet/loads.py
@@ -1,10 +1,9 @@
 """Load and health of each upstream, as far as one process knows them.
 
 Load pattern: bursts of batch items and a trickle of calls, sent by several
-processes that do not tell each other what they send. Each process counts its
-own requests and adds those of the others, which the upstream reported a
-moment ago. After a refusal or a failure it avoids the upstream for a backoff
-period.
+processes. Each process counts its own requests and adds those of the others,
+which the upstream reported or the others told a moment ago. After a refusal
+or a failure it avoids the upstream for a backoff period.
 """
 
 from __future__ import annotations
@@ -15,8 +14,10 @@
 from bergamotdoor.fleet.known_load import KnownLoad
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from bergamotdoor.fleet.known_load import ReportedLoad
-    from bergamotdoor.types import UpstreamId
+    from bergamotdoor.types import NodeId, UpstreamId
 
 #: Backoff after a refusal. The upstream is full or loads weights, which takes
 #: about a second; more frequent retries cost connections and gain nothing.
@@ -36,10 +37,21 @@
 _ZERO: Final = dt.timedelta()
 
 
+def _ignore_change() -> None:
+    """Do nothing about a change of the requests in flight."""
+
+
 class UpstreamLoad:
-    """Load, latency and backoff of one upstream."""
+    """Load, latency and backoff of one upstream.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    on_change
+        Called after each change of the number of requests in flight.
+    """
+
+    def __init__(self, on_change: Callable[[], None] = _ignore_change) -> None:
+        self._on_change = on_change
         #: Requests of this process that are in flight.
         self.in_flight = 0
         #: Slots that are reserved for items that move to this upstream.
@@ -58,10 +70,12 @@
     def begin_request(self) -> None:
         """Count a request as in flight; called before it is sent."""
         self.in_flight += 1
+        self._on_change()
 
     def end_request(self) -> None:
         """Stop counting a request as in flight, whatever its outcome."""
         self.in_flight -= 1
+        self._on_change()
 
     def record_report(self, report: ReportedLoad, now: dt.timedelta) -> None:
         """Record a load report of the upstream.
@@ -160,11 +174,25 @@
 
     def __init__(self) -> None:
         self._loads: dict[UpstreamId, UpstreamLoad] = {}
+        #: Called after each change of the requests in flight at any upstream.
+        self.on_change: Callable[[], None] = _ignore_change
 
     def of(self, upstream: UpstreamId) -> UpstreamLoad:
         """Return the load of an upstream; a new one if it is unknown."""
-        return self._loads.setdefault(upstream, UpstreamLoad())
+        load = self._loads.get(upstream)
+        if load is None:
+            load = UpstreamLoad(self._notify_change)
+            self._loads[upstream] = load
+        return load
 
     def forget(self, upstream: UpstreamId) -> None:
         """Drop the load of an upstream that was removed."""
         self._loads.pop(upstream, None)
+
+    def forget_sender(self, sender: NodeId) -> None:
+        """Drop what another entry has told about any upstream."""
+        for load in self._loads.values():
+            load.known.forget_sender(sender)
+
+    def _notify_change(self) -> None:
+        self.on_change()
--- a/bergamotdoor/forwarding/attempt.py
+++ b/bergamotdoor/forwarding/attempt.py
@@ -13,6 +13,7 @@
 from bergamotdoor.http.messages import ClientFailure
 from bergamotdoor.http.sending import send
 from bergamotdoor.observe.events import Counted
+from bergamotdoor.observe.metrics import Stage
 from bergamotdoor.platform import headers as names
 from bergamotdoor.verdict import Verdict
 
@@ -45,6 +46,10 @@
         The time that the upstream has to respond.
     """
     began_at = context.clock.elapsed()
+    known = context.loads.of(upstream.upstream).known
+    figure_age = known.figure_age(began_at)
+    if figure_age is not None:
+        context.metrics.record(Stage.LOAD_AGE, figure_age)
     strikes_before = strikes_of(context, call)
     attempt = await _send(context, call, upstream, left)
     latency = context.clock.elapsed() - began_at
--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -201,6 +201,7 @@
         self._tasks.start(directory.register(self._context.own_entry))
         self._tasks.start(directory.run())
         self._context.strikes.start(self._tasks)
+        self._tasks.start(self._context.load_sharing.run(self._tasks))
         if self._components.usage is not None:
             self._tasks.start(self._components.usage.run())
 
--- a/bergamotdoor/gateway/inspection.py
+++ b/bergamotdoor/gateway/inspection.py
@@ -17,8 +17,11 @@
 from bergamotdoor.types import Fingerprint, Generation, JobId, UpstreamId
 
 if TYPE_CHECKING:
+    import datetime as dt
+
     from bergamotdoor.entry.context import Context
     from bergamotdoor.entry.views import ManifestView
+    from bergamotdoor.fleet.upstreams import Upstream
     from bergamotdoor.http.messages import HttpRequest
     from bergamotdoor.observe.call_counts import CallCounts
     from bergamotdoor.reporting.usage_duty import UsageDuty
@@ -26,6 +29,7 @@
 
 METRICS_PATH: Final = '/metrics'
 STATE_PATH: Final = '/state'
+_USUAL_PERCENT: Final = 100
 
 
 class UpstreamState(msgspec.Struct, frozen=True):
@@ -46,6 +50,14 @@
     resting: bool
     event_interval_s: float
     versions: dict[str, int]
+    #: Time that work takes on its VM now and over the last seconds, in
+    #: percent of the usual time.
+    pace_percent: int = _USUAL_PERCENT
+    steady_pace_percent: int = _USUAL_PERCENT
+    #: Number of requests that other entries have told of.
+    told: int = 0
+    #: Age of the newest load figure in seconds; ``None`` if none is in use.
+    figure_age_s: float | None = None
 
 
 class JobState(msgspec.Struct, frozen=True):
@@ -176,26 +188,35 @@
 
     def _collect_upstreams(self) -> list[UpstreamState]:
         now = self._context.clock.elapsed()
-        states = []
-        for upstream in self._context.fleet:
-            name = upstream.upstream
-            load = self._context.loads.of(name)
-            states.append(
-                UpstreamState(
-                    name,
-                    upstream.service,
-                    upstream.draining,
-                    load.in_flight,
-                    load.estimated_requests(now),
-                    load.is_in_backoff(now),
-                    self._context.speeds.interval_s(name),
-                    {
-                        model: self._context.fleet.version(name, model)
-                        for model in upstream.versions
-                    },
-                )
-            )
-        return states
+        return [
+            self._upstream_state(upstream, now)
+            for upstream in self._context.fleet
+        ]
+
+    def _upstream_state(
+        self, upstream: Upstream, now: dt.timedelta
+    ) -> UpstreamState:
+        name = upstream.upstream
+        load = self._context.loads.of(name)
+        pace = load.known.pace
+        age = load.known.figure_age(now)
+        return UpstreamState(
+            name,
+            upstream.service,
+            upstream.draining,
+            load.in_flight,
+            load.estimated_requests(now),
+            load.is_in_backoff(now),
+            self._context.speeds.interval_s(name),
+            {
+                model: self._context.fleet.version(name, model)
+                for model in upstream.versions
+            },
+            round(pace.fast * _USUAL_PERCENT),
+            round(pace.steady(now) * _USUAL_PERCENT),
+            load.known.told_requests(now),
+            None if age is None else age.total_seconds(),
+        )
 
     def _collect_jobs(self) -> list[JobState]:
         return [
--- a/bergamotdoor/gateway/wiring.py
+++ b/bergamotdoor/gateway/wiring.py
@@ -74,6 +74,9 @@
             access.direct,
             self.news_source,
         )
+        self.peer_service.register(
+            context.load_sharing.message_type, context.load_sharing.take
+        )
         #: ``None`` if this entry does not report usage.
         self.usage: UsageDuty | None = None
         if context.settings.duties is not None:
--- a/bergamotdoor/observe/events.py
+++ b/bergamotdoor/observe/events.py
@@ -33,3 +33,7 @@
     JOB_TAKEN_OVER = 'jobs_taken_over'
     JOB_ENDED = 'jobs_ended'
     RESULTS_LISTED = 'results_listed'
+    #: Messages to other entries about requests in flight, one per receiver.
+    LOAD_TOLD = 'loads_told'
+    #: Such messages from other entries.
+    LOAD_HEARD = 'loads_heard'
--- a/bergamotdoor/observe/metrics.py
+++ b/bergamotdoor/observe/metrics.py
@@ -39,6 +39,8 @@
     UPSTREAM = 'upstream'
     #: From the claim of a job by its owner to the job's end.
     STEP = 'step'
+    #: The age of the newest load figure of the upstream chosen for a call.
+    LOAD_AGE = 'load_age'
 
 
 class _SeriesKey(NamedTuple):
--- a/bergamotdoor/peers/messages.py
+++ b/bergamotdoor/peers/messages.py
@@ -10,6 +10,7 @@
 from bergamotdoor.jobs.messages import ItemResult, JobRecord, JobSpec
 from bergamotdoor.jobs.transcript import SavedTranscript
 from bergamotdoor.peers.duty_messages import DutyHeld, UsageTold
+from bergamotdoor.peers.load_messages import LoadTold
 from bergamotdoor.peers.news_messages import (
     HistoryGone,
     KindChanges,
@@ -119,6 +120,7 @@
     | StoreCall
     | UsageTold
     | DutyHeld
+    | LoadTold
     | WatchKind
 )
 
--- a/features/cli_main.feature
+++ b/features/cli_main.feature
@@ -40,7 +40,7 @@
       manifest: known to be current 7.5 s ago everywhere
       usage: reported by entry-1, token 4, decided below window 90, 1 open
       upstreams: 1
-        i-1 (lm): 5 in flight, resting at 1 of 2 entries, leaving, m 4
+        i-1 (lm): 5 in flight, resting at 1 of 2 entries, leaving, takes 150 % of the usual time, up to 4 told by other entries, load known at 1 entries, up to 0.5 s old, m 4
       jobs in progress: 1
         j-1: 3 of 8 results listed
       """
--- a/features/fleet_loads.feature
+++ b/features/fleet_loads.feature
@@ -50,3 +50,12 @@
 
   Scenario: no sequence of reports makes an average leave its range
     Then the averages of any paces stay within the range of the paces
+
+  Scenario: a fast upstream that is known to be full is not chosen
+    Guards against calls that are refused at an upstream which other entries
+    have filled, since it would still be the fastest.
+
+    Given two upstreams of which the first takes a third of the time
+    When another entry tells of 4 requests at the first one
+    Then the second one is chosen
+    And the first one is chosen once both are full
--- a/features/steps/cli_main_steps.py
+++ b/features/steps/cli_main_steps.py
@@ -80,6 +80,9 @@
         'resting': resting,
         'event_interval_s': 0.04,
         'versions': {'m': 4},
+        'steady_pace_percent': 150 if resting else 100,
+        'told': 4 if resting else 0,
+        'figure_age_s': 0.5 if resting else None,
     }
     duty = {
         'holder': 'entry-1',
--- a/features/steps/fleet_loads_steps.py
+++ b/features/steps/fleet_loads_steps.py
@@ -13,6 +13,7 @@
 from bergamotdoor.fleet.loads import Loads
 from bergamotdoor.fleet.pace import Pace
 from bergamotdoor.platform.headers import parse_load
+from bergamotdoor.types import NodeId
 from features.fleet_scenes import ZONE, upstreams
 from features.steps.gateway_calls_steps import set_up_site
 
@@ -140,3 +141,25 @@
                 assert min(paces) - 1e-9 <= average <= max(paces) + 1e-9
 
     check()
+
+
+@given('two upstreams of which the first takes a third of the time')
+def fast_upstream(context: Any) -> None:
+    context.now_ms = 0
+    context.loads = Loads()
+    context.upstreams = upstreams(2)
+    for one, latency_ms in zip(context.upstreams, (30, 90), strict=True):
+        context.loads.of(one.upstream).record_response(ms(latency_ms))
+    assert chosen(context) == 'e0'
+
+
+@when('another entry tells of 4 requests at the first one')
+def first_full(context: Any) -> None:
+    load = context.loads.of(context.upstreams[0].upstream)
+    load.known.record_told(NodeId('entry-1'), 4, ms(0))
+
+
+@then('the first one is chosen once both are full')
+def both_full(context: Any) -> None:
+    context.loads.of(context.upstreams[1].upstream).in_flight = 4
+    assert chosen(context) == 'e0'
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -31,6 +31,8 @@
 _USAGE: Final = 'reporting_usage'
 _NEWS: Final = 'peers_news'
 _CRASHES: Final = 'gateway_crashes'
+_LOADS: Final = 'fleet_loads'
+_LOAD_SHARING: Final = 'peers_load_sharing'
 
 
 class Mutation(msgspec.Struct, frozen=True):
@@ -528,6 +530,126 @@
         '        if False:\n',
         'steps_crashes',
     ),
+    Mutation(
+        'a load header may state the pace',
+        'platform/headers.py',
+        '_LOAD_FIELD_COUNTS: Final = (3, 4)',
+        '_LOAD_FIELD_COUNTS: Final = (3,)',
+        _LOADS,
+    ),
+    Mutation(
+        'one sample of the pace does not count for the time before it',
+        'fleet/pace.py',
+        'agreed = sorted((self.newest, bounded, self._slow))[1]',
+        'agreed = bounded',
+        _LOADS,
+    ),
+    Mutation(
+        'a moment of another pace does not change the choice',
+        'fleet/pace.py',
+        '_LEAST_FACTOR: Final = 1.2',
+        '_LEAST_FACTOR: Final = 1.01',
+        _LOADS,
+    ),
+    Mutation(
+        'a latency is converted to the usual pace',
+        'fleet/loads.py',
+        'latency.total_seconds() / self.known.pace.newest',
+        'latency.total_seconds()',
+        _LOADS,
+    ),
+    Mutation(
+        'a pace of which nothing was heard for long counts as usual',
+        'fleet/pace.py',
+        'kept = 1 - _weight(silent, _SLOW_S)',
+        'kept = 1',
+        _LOADS,
+    ),
+    Mutation(
+        'a call is not sent to an upstream that is known to be full',
+        'fleet/choice.py',
+        'iter(with_room or available or',
+        'iter(available or',
+        _LOADS,
+    ),
+    Mutation(
+        'figures about a load expire',
+        'fleet/known_load.py',
+        'return now - known_at < MAX_FIGURE_AGE',
+        'return now >= known_at',
+        _LOAD_SHARING,
+    ),
+    Mutation(
+        'figures of an earlier start of an upstream are dropped',
+        'peers/load_sharing.py',
+        'if told.upstream not in registered:',
+        'if not registered:',
+        _LOAD_SHARING,
+    ),
+    Mutation(
+        'a message replaces the earlier figures of its sender',
+        'peers/load_sharing.py',
+        '        self._loads.forget_sender(message.sender)\n',
+        '',
+        _LOAD_SHARING,
+    ),
+    Mutation(
+        'a told report does not replace a newer one',
+        'fleet/known_load.py',
+        'reported_at > self.reported_at',
+        'reported_at < now',
+        _LOAD_SHARING,
+    ),
+    Mutation(
+        'told figures are never negative',
+        'fleet/known_load.py',
+        '_ToldCount(max(in_flight, 0), now)',
+        '_ToldCount(in_flight, now)',
+        _LOAD_SHARING,
+    ),
+    Mutation(
+        'the first message about a burst has all of its requests',
+        'peers/load_sharing.py',
+        '            await self._clock.sleep(_BATCH_DELAY)\n',
+        '',
+        _LOAD_SHARING,
+    ),
+    Mutation(
+        'loads are told at most once in 100 ms',
+        'fleet/load_telling.py',
+        '        if self._is_within(TELL_INTERVAL, now):\n'
+        '            return None\n',
+        '',
+        _LOAD_SHARING,
+    ),
+    Mutation(
+        'loads are told of busy upstreams only',
+        'fleet/load_telling.py',
+        'return requests * _LEAST_FULL >= upstream.slots',
+        'return requests > 0',
+        _LOAD_SHARING,
+    ),
+    Mutation(
+        'the end of requests that were told is told',
+        'fleet/load_telling.py',
+        'if known.get(one.upstream) or _is_busy(one, loads, now)',
+        'if _is_busy(one, loads, now)',
+        _LOAD_SHARING,
+    ),
+    Mutation(
+        'loads are told to a bounded number of entries',
+        'peers/load_receivers.py',
+        'order[:MAX_RECEIVERS]',
+        'order',
+        _LOAD_SHARING,
+    ),
+    Mutation(
+        'loads are not told again and again to an entry that rejects them',
+        'peers/load_receivers.py',
+        'return pause is not None and now < pause.until',
+        'return False',
+        _LOAD_SHARING,
+    ),
 )
 
 
