Merge the shared load of upstreams of calls

Cause: state, status and context are changed by queue and load sharing. Change: both are kept; only upstreams of calls are told of, since engines report their load with each item; the planner compares models after 8 s, two steps of a trainer.

--- a/bergamotdoor/calls/manifest.py
+++ b/bergamotdoor/calls/manifest.py
@@ -95,8 +95,6 @@
 class ServiceRules(msgspec.Struct, frozen=True):
     """Rules of the operator for one service."""
 
-    max_connections: int = 0
-    health_path: str = ''
     #: Number of tokens in one event of an engine's stream. It converts the
     #: token counts of items to events.
     tokens_per_event: float = DEFAULT_TOKENS_PER_EVENT
--- a/bergamotdoor/cli/ctl.py
+++ b/bergamotdoor/cli/ctl.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import datetime as dt
-from collections import defaultdict
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -14,12 +13,12 @@
 from bergamotdoor.cli.command import Command, Invocation, Option, UsageError
 from bergamotdoor.cli.plan_status import plan_lines
 from bergamotdoor.cli.queue_status import queue_lines
+from bergamotdoor.cli.upstream_status import upstream_lines
 from bergamotdoor.clock import LoopClock
 from bergamotdoor.gateway.inspection import (
     STATE_PATH,
     GatewayState,
     JobState,
-    UpstreamState,
 )
 from bergamotdoor.http.client import HttpClient
 from bergamotdoor.http.messages import (
@@ -126,7 +125,7 @@
     for lines in (
         _proof_lines,
         _duty_lines,
-        _upstream_lines,
+        upstream_lines,
         queue_lines,
         plan_lines,
         _job_lines,
@@ -160,32 +159,6 @@
         )
 
 
-def _upstream_lines(entries: list[GatewayState]) -> Iterator[str]:
-    views: defaultdict[str, list[UpstreamState]] = defaultdict(list)
-    for entry in entries:
-        for upstream in entry.upstreams:
-            views[upstream.upstream].append(upstream)
-    yield f'upstreams: {len(views)}'
-    for name, known in sorted(views.items()):
-        yield f'  {name} ({known[0].service}): {_describe_upstream(known)}'
-
-
-def _describe_upstream(known: list[UpstreamState]) -> str:
-    load = sum(view.in_flight for view in known)
-    resting = sum(1 for view in known if view.resting)
-    parts = [
-        f'{load} in flight',
-        f'resting at {resting} of {len(known)} entries',
-    ]
-    if any(view.draining for view in known):
-        parts.append('leaving')
-    parts.extend(
-        f'{model} {version}'
-        for model, version in sorted(known[0].versions.items())
-    )
-    return ', '.join(parts)
-
-
 def _job_lines(entries: list[GatewayState]) -> Iterator[str]:
     jobs = [job for entry in entries for job in entry.jobs if not job.ended]
     yield f'jobs in progress: {len(jobs)}'
--- a/bergamotdoor/cli/queue_status.py
+++ b/bergamotdoor/cli/queue_status.py
@@ -9,7 +9,7 @@
     from collections.abc import Iterable, Iterator
 
     from bergamotdoor.gateway.inspection import GatewayState
-    from bergamotdoor.gateway.queue_state import QueueState
+    from bergamotdoor.gateway.upstream_state import QueueState
 
 _SHOWN_ACCOUNTS: Final = 5
 
--- a/bergamotdoor/entry/context.py
+++ b/bergamotdoor/entry/context.py
@@ -16,8 +16,7 @@
 from bergamotdoor.jobs.progress import Speeds
 from bergamotdoor.objects.client import ObjectClient
 from bergamotdoor.observe.metrics import Metrics
-from bergamotdoor.peers.directory import EntryRecord
-from bergamotdoor.peers.strike_sharing import StrikeSharing
+from bergamotdoor.peers import EntryRecord, LoadSharing, StrikeSharing
 from bergamotdoor.queueing.service_calls import CallQueueing
 from bergamotdoor.settings.document import Address
 from bergamotdoor.settings.node import NodeSettings
@@ -42,6 +41,8 @@
     quarantine: Quarantine
     #: Sends the strikes that this process records to the other entries.
     strikes: StrikeSharing
+    #: Tells the other entries of requests in flight, and takes theirs.
+    load_sharing: LoadSharing
     metrics: Metrics
     startup: StartupGate
     #: Limits and queues of calls.
@@ -72,13 +73,15 @@
         speeds = Speeds()
         quarantine = Quarantine()
         queueing = CallQueueing(loads)
+        metrics = Metrics()
+        fleet = Fleet((loads.forget, speeds.forget, queueing.limits.forget))
         return cls(
             settings,
             clock,
             access.rng,
             client,
             access.store,
-            Fleet((loads.forget, speeds.forget, queueing.limits.forget)),
+            fleet,
             loads,
             speeds,
             quarantine,
@@ -90,7 +93,8 @@
                 settings.node,
                 clock,
             ),
-            Metrics(),
+            LoadSharing(fleet, loads, metrics, access, settings, clock),
+            metrics,
             StartupGate(),
             queueing,
         )
--- a/bergamotdoor/fleet/demand.py
+++ b/bergamotdoor/fleet/demand.py
@@ -24,6 +24,10 @@
 #: two steps of a trainer that is behind schedule.
 _STEP_WINDOW_S: Final = 15
 STEP_WINDOW: Final = dt.timedelta(seconds=_STEP_WINDOW_S)
+#: How long a planner hears demands before it compares the models: two steps of
+#: a trainer.
+_SETTLING_TIME_S: Final = 8
+SETTLING_TIME: Final = dt.timedelta(seconds=_SETTLING_TIME_S)
 #: A model without a step for this time has no demand.
 _DEMAND_LIFETIME_S: Final = 30
 DEMAND_LIFETIME: Final = dt.timedelta(seconds=_DEMAND_LIFETIME_S)
@@ -152,7 +156,8 @@
         Symptom: engines change their models because of a single step that
         was larger than usual.
         """
-        return bool(self._told) and now - self._heard_since >= STEP_WINDOW
+        heard_for = now - self._heard_since
+        return bool(self._told) and heard_for >= SETTLING_TIME
 
     def unknown_models(
         self, models: Iterable[ModelId], now: dt.timedelta
--- a/bergamotdoor/gateway/inspection.py
+++ b/bergamotdoor/gateway/inspection.py
@@ -8,15 +8,20 @@
 import msgspec
 
 from bergamotdoor.fleet.quarantine import CALL_STRIKE_LIMIT
-from bergamotdoor.gateway.queue_state import QueueState, collect_queues
 from bergamotdoor.gateway.responses import text_response
+from bergamotdoor.gateway.upstream_state import (
+    QueueState,
+    UpstreamState,
+    collect_queues,
+    collect_upstreams,
+)
 from bergamotdoor.http.messages import Headers, HttpRequest, HttpResponse
 from bergamotdoor.observe.call_counts import CallCounts, StoreCalls
 from bergamotdoor.observe.dump import DumpRegistry
 from bergamotdoor.observe.exposition import exposition
 from bergamotdoor.reporting.usage_duty import DutyState
 from bergamotdoor.steps.planned_service import PlanState
-from bergamotdoor.types import Fingerprint, Generation, JobId, UpstreamId
+from bergamotdoor.types import Fingerprint, Generation, JobId
 
 if TYPE_CHECKING:
     from bergamotdoor.entry.context import Context
@@ -30,26 +35,6 @@
 STATE_PATH: Final = '/state'
 
 
-class UpstreamState(msgspec.Struct, frozen=True):
-    """State of one upstream as an entry sees it.
-
-    ``in_flight`` counts the requests that this entry has sent there, and
-    ``busy`` estimates all requests that the upstream has. A ``resting``
-    upstream gets no requests for a while, since it refused or failed some.
-    ``event_interval_s`` is the time between two events of an item, in
-    seconds, and ``versions`` holds the weight version of each model.
-    """
-
-    upstream: UpstreamId
-    service: str
-    draining: bool
-    in_flight: int
-    busy: int
-    resting: bool
-    event_interval_s: float
-    versions: dict[str, int]
-
-
 class JobState(msgspec.Struct, frozen=True):
     """Progress of a job that this entry owns.
 
@@ -161,7 +146,7 @@
         manifest = self._manifests.manifest
         return GatewayState(
             None if manifest is None else manifest.generation,
-            tuple(self._collect_upstreams()),
+            tuple(collect_upstreams(self._context)),
             tuple(self._collect_jobs()),
             tuple(self._store_calls),
             tuple(self._collect_quarantined()),
@@ -192,29 +177,6 @@
         ]
         return sorted(states, key=lambda state: state.rest_s, reverse=True)
 
-    def _collect_upstreams(self) -> list[UpstreamState]:
-        now = self._context.clock.elapsed()
-        states = []
-        for upstream in self._context.fleet:
-            name = upstream.upstream
-            load = self._context.loads.of(name)
-            states.append(
-                UpstreamState(
-                    name,
-                    upstream.service,
-                    upstream.draining,
-                    load.in_flight,
-                    load.estimated_requests(now),
-                    load.is_in_backoff(now),
-                    self._context.speeds.interval_s(name),
-                    {
-                        model: self._context.fleet.version(name, model)
-                        for model in upstream.versions
-                    },
-                )
-            )
-        return states
-
     def _collect_jobs(self) -> list[JobState]:
         return [self._job_state(run) for run in self._owner.runs()]
 
--- a/bergamotdoor/jobs/moves.py
+++ b/bergamotdoor/jobs/moves.py
@@ -97,15 +97,19 @@
         if name not in stalled_upstreams
         for _ in range(free)
     )
+    movable = [
+        one
+        for one in movable
+        if _reason_to_move(one, now, loading) is not MoveReason.SLOW
+        or not _is_short(one, speeds, short_s)
+    ]
     for progress in sorted(movable, key=_remaining_events, reverse=True):
         if not slots_by_speed:
             return
         interval_s, fastest = slots_by_speed[0]
         reason = _reason_to_move(progress, now, loading)
-        gained = _time_gained(progress, speeds, interval_s, reason)
-        if reason is MoveReason.SLOW and _is_short(progress, speeds, short_s):
-            continue
-        if fastest != progress.upstream and gained > LEAST_GAIN:
+        gains = _time_gained(progress, speeds, interval_s, reason) > LEAST_GAIN
+        if gains and fastest != progress.upstream:
             slots_by_speed.pop(0)
             yield Move(progress.item, reason, fastest)
 
--- a/bergamotdoor/observe/events.py
+++ b/bergamotdoor/observe/events.py
@@ -50,3 +50,7 @@
     GROUP_DEFERRED = 'groups_deferred'
     #: Jobs whose target was expected to be complete after the due time.
     STEP_FORECAST_LATE = 'steps_forecast_late'
+    #: Messages to other entries about requests in flight, one per receiver.
+    LOAD_TOLD = 'loads_told'
+    #: Such messages from other entries.
+    LOAD_HEARD = 'loads_heard'
--- a/bergamotdoor/peers/__init__.py
+++ b/bergamotdoor/peers/__init__.py
@@ -4,6 +4,16 @@
 
 from bergamotdoor.peers.access import StoreAccess
 from bergamotdoor.peers.client import PeerClient, serve_peer
-from bergamotdoor.peers.directory import Directory
+from bergamotdoor.peers.directory import Directory, EntryRecord
+from bergamotdoor.peers.load_sharing import LoadSharing
+from bergamotdoor.peers.strike_sharing import StrikeSharing
 
-__all__ = ('Directory', 'PeerClient', 'StoreAccess', 'serve_peer')
+__all__ = (
+    'Directory',
+    'EntryRecord',
+    'LoadSharing',
+    'PeerClient',
+    'StoreAccess',
+    'StrikeSharing',
+    'serve_peer',
+)
--- a/bergamotdoor/peers/messages.py
+++ b/bergamotdoor/peers/messages.py
@@ -11,6 +11,7 @@
 from bergamotdoor.jobs.transcript import SavedTranscript
 from bergamotdoor.peers.demand_messages import DemandTold, PacesKnown
 from bergamotdoor.peers.duty_messages import DutyHeld, UsageTold
+from bergamotdoor.peers.load_messages import LoadTold
 from bergamotdoor.peers.news_messages import (
     HistoryGone,
     KindChanges,
@@ -122,6 +123,7 @@
     | StoreCall
     | UsageTold
     | DutyHeld
+    | LoadTold
     | WatchKind
     | DemandTold
 )
--- a/bergamotdoor/platform/manifest.py
+++ b/bergamotdoor/platform/manifest.py
@@ -62,8 +62,6 @@
 
 class _Service(msgspec.Struct, frozen=True):
     name: ServiceId
-    max_conns: int = 0
-    health_path: str = ''
     engine: _Engine | None = None
 
 
@@ -102,11 +100,7 @@
             decoded.version,
             [_build_route(route) for route in decoded.routes],
             {
-                service.name: ServiceRules(
-                    service.max_conns,
-                    service.health_path,
-                    (service.engine or _Engine()).stride,
-                )
+                service.name: ServiceRules((service.engine or _Engine()).stride)
                 for service in decoded.services
             },
             _build_limits(decoded.limits),
--- a/bergamotdoor/steps/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -27,7 +27,6 @@
 from bergamotdoor.steps.job_run import RunningItem, RunState
 
 if TYPE_CHECKING:
-    import datetime as dt
     from collections.abc import Callable, Iterator
 
     from bergamotdoor.calls.manifest import Route
@@ -137,7 +136,7 @@
         )
         for move in choose_moves(
             movable,
-            self._free_by_engine(upstreams, now),
+            self._free_by_engine(upstreams),
             self._context.speeds,
             now,
             loading,
@@ -146,9 +145,10 @@
             self._move_item(run, move)
 
     def _free_by_engine(
-        self, upstreams: tuple[Upstream, ...], now: dt.timedelta
+        self, upstreams: tuple[Upstream, ...]
     ) -> dict[UpstreamId, int]:
         """Return the number of free slots of each engine that has one."""
+        now = self._context.clock.elapsed()
         free = {
             one.upstream: free_slots(one, self._context.loads, now)
             for one in upstreams
--- a/features/fleet_capacity_plan.feature
+++ b/features/fleet_capacity_plan.feature
@@ -114,7 +114,7 @@
   Scenario: told intervals and demands expire
     Given the owner of a model tells a demand of 5 and an interval of 40 ms
     Then the owner of another model hears of it for 15 s, and its own does not
-    And the demand is settled after 15 s
+    And the demand is settled after 8 s
     And the model has a demand for 30 s
     And other models are unknown for 30 s from the first demand on
     And figures that are not positive are ignored
--- a/features/steps/queueing_service_calls_steps.py
+++ b/features/steps/queueing_service_calls_steps.py
@@ -177,7 +177,8 @@
     one = context.upstream
     found = []
     for reported in (5, 20):
-        context.loads.of(one.upstream).record_report(reported, NOW)
+        report = ReportedLoad(reported, 0, one.slots)
+        context.loads.of(one.upstream).record_report(report, NOW)
         context.limits.of(one.upstream).record_report()
         found.append(context.limits.limit(one, NOW))
     assert found == [3, 1], found
