--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,7 @@
 	$(BIN)/flake8
 	$(BIN)/mypy
 	$(BIN)/lint-imports
+	$(BIN)/python -m tools.check_docs
 
 soak: .venv/.ready
 	$(BIN)/python -m lab soak $(ARGS)
