Mend what a review of order and placement has found

Cause: an absurd length hint or a stride of 0 ended the owner's task; an engine that refuses orders stayed closed by repeated announcements; results of jobs without a target, or that wait for scores, were held; a load counted as whole until its end. Change: one bounded conversion of tokens, one announcement a load, no hold in these cases, the time left of a load counts.

--- a/bergamotdoor/agent/weights.py
+++ b/bergamotdoor/agent/weights.py
@@ -149,6 +149,10 @@
         if report is None or not self._is_behind(report, model):
             return
         await self._wait_for_turn(model, report)
+        if self._assignment.current.is_shared:
+            # Announced once: each announcement closes the engine for a while,
+            # and an engine that refuses its orders would stay closed.
+            await self._announce(model, self._published[model])
         next_order_at = self._clock.elapsed()
         ordered_start_at = self._engine_started_at
         while report is None or self._is_behind(report, model):
@@ -213,8 +217,6 @@
     async def _send_order(self, model: ModelId, report: EngineReport) -> None:
         if report.loading:
             return
-        if self._assignment.current.is_shared:
-            await self._announce(model, self._published[model])
         order = LoadOrder(
             model=model,
             version=self._published[model],
--- a/bergamotdoor/fleet/loads.py
+++ b/bergamotdoor/fleet/loads.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.fleet.known_load import KnownLoad
+from bergamotdoor.fleet.model_assignment import LOAD_TIME
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -155,9 +156,14 @@
         """
         return _ZERO <= now - self._closed_until < RESUME_TIME
 
-    def is_closed(self, now: dt.timedelta) -> bool:
-        """Return whether the upstream is closed, as it loads weights."""
-        return now < self._closed_until
+    def load_time_left(self, now: dt.timedelta) -> dt.timedelta | None:
+        """Return how much longer an announced weight load takes.
+
+        It is ``None`` if the upstream is not closed for a load.
+        """
+        if now >= self._closed_until:
+            return None
+        return max(self._closed_at + LOAD_TIME - now, _ZERO)
 
     def record_failure(self, now: dt.timedelta) -> None:
         """Record a broken or failed request, and begin a backoff.
--- a/bergamotdoor/jobs/__init__.py
+++ b/bergamotdoor/jobs/__init__.py
@@ -18,6 +18,7 @@
 from bergamotdoor.jobs.placement import (
     ItemToPlace,
     free_slots,
+    has_faster,
     place_item,
     short_time_s,
 )
@@ -46,6 +47,7 @@
     'Speeds',
     'Transcript',
     'free_slots',
+    'has_faster',
     'choose_moves',
     'place_item',
     'short_time_s',
--- a/bergamotdoor/jobs/item_lengths.py
+++ b/bergamotdoor/jobs/item_lengths.py
@@ -5,6 +5,7 @@
 import functools
 from typing import TYPE_CHECKING
 
+from bergamotdoor.jobs.open_work import events_of
 from bergamotdoor.jobs.progress import Progress, remaining_events
 
 if TYPE_CHECKING:
@@ -28,8 +29,7 @@
 
     def __init__(self, items: OpenItems, tokens_per_event: float) -> None:
         self._items = items
-        # An event has a token; a manifest may state 0 for a plain service.
-        self._tokens_per_event = max(tokens_per_event, 1)
+        self._tokens_per_event = tokens_per_event
 
     def start_progress(
         self, spec: ItemSpec, upstream: UpstreamId, now: dt.timedelta
@@ -49,9 +49,9 @@
             spec.item,
             upstream,
             now,
-            spec.expected_tokens / self._tokens_per_event,
+            events_of(spec.expected_tokens, self._tokens_per_event),
             self._items.event_count(spec.item),
-            spec.most_tokens / self._tokens_per_event,
+            events_of(spec.most_tokens, self._tokens_per_event),
         )
 
     def remaining_events(self, spec: ItemSpec) -> float:
@@ -62,8 +62,8 @@
         if not spec.expected_tokens:
             return 0
         return remaining_events(
-            spec.expected_tokens / self._tokens_per_event,
-            spec.most_tokens / self._tokens_per_event,
+            events_of(spec.expected_tokens, self._tokens_per_event),
+            events_of(spec.most_tokens, self._tokens_per_event),
             self._items.event_count(spec.item),
         )
 
--- a/bergamotdoor/jobs/item_queue.py
+++ b/bergamotdoor/jobs/item_queue.py
@@ -144,9 +144,11 @@
         """
         moved = {name for order, name in self._waiting if order < 0}
         for item, rank in ranks.items():
-            if item not in moved:
-                self._items[item].order = rank
-        orders = {name: queued.order for name, queued in self._items.items()}
+            self._items[item].order = rank
+        orders = {
+            name: _MOVED_ITEM_ORDER if name in moved else queued.order
+            for name, queued in self._items.items()
+        }
         self._waiting = [(orders[name], name) for _, name in self._waiting]
         heapq.heapify(self._waiting)
         self._delayed = [
@@ -240,9 +242,8 @@
             heapq.heappush(self._delayed, (ready_at, queued.order, item))
         else:
             # A slot is reserved for an item that moves, so it starts first.
-            if end is RunEnd.MOVED:
-                queued.order = _MOVED_ITEM_ORDER
-            heapq.heappush(self._waiting, (queued.order, item))
+            order = _MOVED_ITEM_ORDER if end is RunEnd.MOVED else queued.order
+            heapq.heappush(self._waiting, (order, item))
 
     def unfinished(self) -> Iterator[QueuedItem]:
         """Return the items without a result, in the order of the job."""
--- a/bergamotdoor/jobs/kept_groups.py
+++ b/bergamotdoor/jobs/kept_groups.py
@@ -66,11 +66,11 @@
     Failure: engines work on groups that cannot be complete on time. Symptom:
     beyond capacity, all steps end late together. Groups that cannot be
     complete on time, since their longest item takes too long or their step is
-    overdue, are kept only if all others fit behind them: their trainers wait
-    for them. If the others do not all fit by themselves, the groups beyond
-    the targets are deferred, those with the longest items before others,
-    until the rest fits. If the rest still does not fit, the largest number of
-    groups that does is kept (Moore's algorithm).
+    overdue, are kept only if there are others that all fit behind them: their
+    trainers wait for them. If the others do not all fit by themselves, the
+    groups beyond the targets are deferred, those with the longest items
+    before others, until the rest fits. If the rest still does not fit, the
+    largest number of groups that does is kept (Moore's algorithm).
 
     Parameters
     ----------
@@ -94,7 +94,8 @@
         }
         for job in pool.jobs
     }
-    if _fits(pool, possible, _late_work(pool, works, possible)):
+    late_work = _late_work(pool, works, possible)
+    if any(possible.values()) and _fits(pool, possible, late_work):
         return {
             (job.job, one.group) for job in pool.jobs for one in works[job.job]
         }
--- a/bergamotdoor/jobs/listing.py
+++ b/bergamotdoor/jobs/listing.py
@@ -75,6 +75,8 @@
         Time until the target is expected to be complete; ``None`` if there
         is no forecast.
     """
-    if target.is_reached or due_in <= _ZERO or held_for >= LONGEST_HOLD:
+    if not target.groups or target.is_reached:
+        return False
+    if due_in <= _ZERO or held_for >= LONGEST_HOLD:
         return False
     return target.is_near if target_in is None else target_in < LONGEST_HOLD
--- a/bergamotdoor/jobs/moves.py
+++ b/bergamotdoor/jobs/moves.py
@@ -11,16 +11,17 @@
 
 import datetime as dt
 import enum
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 
-from bergamotdoor.fleet.model_assignment import LOAD_TIME
 from bergamotdoor.jobs.progress import is_slower
 from bergamotdoor.types import ItemId, UpstreamId
 
 if TYPE_CHECKING:
-    from collections.abc import Container, Iterable, Iterator, Mapping
+    from collections.abc import Container, Iterable, Iterator
 
     from bergamotdoor.jobs.progress import Progress, Speeds
 
@@ -32,6 +33,10 @@
 #: Minimum time between two moves of an item.
 _LEAST_STAY_MS: Final = 500
 LEAST_STAY: Final = dt.timedelta(milliseconds=_LEAST_STAY_MS)
+_ZERO: Final = dt.timedelta()
+#: A stalled item moves wherever there is room.
+_STALLED_GAIN: Final = dt.timedelta(days=1)
+_NO_LOADS: Final[Mapping[UpstreamId, dt.timedelta]] = MappingProxyType({})
 
 
 class MoveReason(enum.Enum):
@@ -59,7 +64,7 @@
     free_slots: Mapping[UpstreamId, int],
     speeds: Speeds,
     now: dt.timedelta,
-    loading: Container[UpstreamId] = (),
+    loading: Mapping[UpstreamId, dt.timedelta] = _NO_LOADS,
     short_s: float = 0,
 ) -> Iterator[Move]:
     """Yield the items that should move, those with most events left first.
@@ -83,20 +88,15 @@
     now
         The monotonic time.
     loading
-        Engines that are about to load weights. Their items are treated as
-        stalled for the time of the load, and move if they gain from that.
+        Engines that load weights or are about to, and how much longer that
+        takes. Their items are treated as stalled for that time, and move if
+        they gain from that.
     short_s
         An item that still takes less time than this where it runs, in
         seconds, does not move for speed alone.
     """
     movable = [one for one in running if now - one.started_at > LEAST_STAY]
-    stalled_upstreams = {one.upstream for one in movable if one.is_stalled(now)}
-    slots_by_speed = sorted(
-        (speeds.interval_s(name), name)
-        for name, free in free_slots.items()
-        if name not in stalled_upstreams
-        for _ in range(free)
-    )
+    slots_by_speed = _slots_by_speed(movable, free_slots, speeds, now)
     movable = [
         one
         for one in movable
@@ -108,12 +108,29 @@
             return
         interval_s, fastest = slots_by_speed[0]
         reason = _reason_to_move(progress, now, loading)
-        gains = _time_gained(progress, speeds, interval_s, reason) > LEAST_GAIN
-        if gains and fastest != progress.upstream:
+        gained = _time_gained(progress, speeds, interval_s, reason)
+        gained += loading.get(progress.upstream, _ZERO)
+        if gained > LEAST_GAIN and fastest != progress.upstream:
             slots_by_speed.pop(0)
             yield Move(progress.item, reason, fastest)
 
 
+def _slots_by_speed(
+    running: Iterable[Progress],
+    free_slots: Mapping[UpstreamId, int],
+    speeds: Speeds,
+    now: dt.timedelta,
+) -> list[tuple[float, UpstreamId]]:
+    """Return free slots of engines without a stalled item, fastest first."""
+    stalled = {one.upstream for one in running if one.is_stalled(now)}
+    return sorted(
+        (speeds.interval_s(name), name)
+        for name, free in free_slots.items()
+        if name not in stalled
+        for _ in range(free)
+    )
+
+
 def _reason_to_move(
     progress: Progress, now: dt.timedelta, loading: Container[UpstreamId]
 ) -> MoveReason:
@@ -138,19 +155,20 @@
 ) -> dt.timedelta:
     """Return how much sooner an item ends at an engine of this interval.
 
-    A stalled item gains any time. The result is zero if the own engine is not
-    slower by ``_LEAST_RATIO``, and neither about to load weights.
+    The pause of a weight load is not included. A stalled item gains any time.
+    The result is zero if the own engine is not slower by ``_LEAST_RATIO``, and
+    neither about to load weights.
 
     Failure: a long item leaves a fast engine that loads weights for a slow
     one. Symptom: it ends later than if it had waited for the end of the load.
     What the item loses at a slower engine is therefore subtracted.
     """
     if reason is MoveReason.STALLED:
-        return dt.timedelta.max
+        return _STALLED_GAIN
     own_s = speeds.interval_s(progress.upstream)
     gained = dt.timedelta(
         seconds=progress.remaining_events * (own_s - interval_s)
     )
-    if reason is MoveReason.LOAD:
-        return LOAD_TIME + gained
-    return gained if is_slower(own_s, interval_s) else dt.timedelta()
+    if reason is MoveReason.LOAD or is_slower(own_s, interval_s):
+        return gained
+    return _ZERO
--- a/bergamotdoor/jobs/open_work.py
+++ b/bergamotdoor/jobs/open_work.py
@@ -24,6 +24,9 @@
 #: How many more events an item is expected to have once it has outgrown its
 #: length hint, as a share of its events so far.
 _OVERRUN_SHARE: Final = 0.5
+#: The most events that an item is expected to have; at the usual interval
+#: they take half a day.
+_MAX_EVENTS: Final = 1_000_000
 #: Lower bound of an event interval. No engine generates a thousand events of
 #: an item in a second.
 _LEAST_INTERVAL_S: Final = 0.001
@@ -139,9 +142,29 @@
     return sum(slots for slots, _ in known) / events_s if events_s else 0
 
 
+def events_of(tokens: int, tokens_per_event: float) -> float:
+    """Return the number of events of a number of tokens, within bounds.
+
+    Failure: a trainer sends an absurd length hint, or a manifest states no
+    tokens for an event. Symptom: the forecast overflows or divides by zero,
+    the owner's task ends, and all jobs of the entry stop.
+
+    Parameters
+    ----------
+    tokens
+        Number of tokens.
+    tokens_per_event
+        Number of tokens in one event; at least one is assumed.
+    """
+    return min(tokens / max(tokens_per_event, 1), _MAX_EVENTS)
+
+
 def estimate_remaining(expected: float, events: int, most: float) -> float:
     """Return the expected number of events that an item still lacks.
 
+    This is the best estimate. ``progress.remaining_events``, by which items
+    move, never expects less than half of the events so far.
+
     Parameters
     ----------
     expected
--- a/bergamotdoor/jobs/placement.py
+++ b/bergamotdoor/jobs/placement.py
@@ -87,7 +87,7 @@
         if free_slots(one, loads, now) > 0
     ]
     intervals_s = [speeds.interval_s(one.upstream) for one in candidates]
-    if free and is_slower(max(intervals_s), min(intervals_s)):
+    if free and has_faster(intervals_s):
         limit_s = short_time_s(placed.longest_events, intervals_s)
         return _place_by_length(free, loads, speeds, placed, limit_s, now)
     with_prompt = next(
@@ -104,6 +104,11 @@
     )
 
 
+def has_faster(intervals_s: Collection[float]) -> bool:
+    """Return whether engines of these event intervals differ in speed."""
+    return bool(intervals_s) and is_slower(max(intervals_s), min(intervals_s))
+
+
 def short_time_s(
     longest_events: float, intervals_s: Collection[float]
 ) -> float:
--- a/bergamotdoor/steps/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -17,6 +17,7 @@
     RunEnd,
     choose_moves,
     free_slots,
+    has_faster,
     place_item,
     short_time_s,
 )
@@ -125,9 +126,9 @@
         upstreams = self._eligible_engines(run, route)
         loads = self._context.loads
         loading = {
-            one.upstream
+            one.upstream: left
             for one in progresses
-            if loads.of(one.upstream).is_closed(now)
+            if (left := loads.of(one.upstream).load_time_left(now)) is not None
         }
         movable = (
             one
@@ -159,11 +160,13 @@
         self, run: JobRun, route: Route, upstreams: tuple[Upstream, ...]
     ) -> float:
         """Return below which time an item of a job is short, in seconds."""
-        speeds = self._context.speeds
-        return short_time_s(
-            self._item_lengths(run, route).longest_events,
-            [speeds.interval_s(one.upstream) for one in upstreams],
-        )
+        intervals_s = [
+            self._context.speeds.interval_s(one.upstream) for one in upstreams
+        ]
+        if not has_faster(intervals_s):
+            return 0
+        lengths = self._item_lengths(run, route)
+        return short_time_s(lengths.longest_events, intervals_s)
 
     def _eligible_engines(
         self, run: JobRun, route: Route
--- a/bergamotdoor/steps/result_writer.py
+++ b/bergamotdoor/steps/result_writer.py
@@ -103,14 +103,15 @@
     def _target_in(self) -> dt.timedelta | None:
         """Time until the target is complete; ``None`` if it is not known.
 
-        Without any length hint, the forecast is a guess. Results would be
-        held for a second at each step.
+        Without any length hint, the forecast is a guess, and it does not know
+        how long texts wait for their scores. Results would be held for a
+        second again and again.
         """
         spec = self._run.spec
-        has_hints = any(item.expected_tokens for item in spec.items)
-        if self._planner is None or not has_hints:
+        if self._planner is None or self._run.items.score_queue:
             return None
-        return self._planner.target_in(spec.job)
+        has_hints = any(item.expected_tokens for item in spec.items)
+        return self._planner.target_in(spec.job) if has_hints else None
 
     def _log_listed(self, started_at: dt.timedelta) -> None:
         run = self._run
--- a/bergamotdoor/steps/step_planner.py
+++ b/bergamotdoor/steps/step_planner.py
@@ -13,6 +13,7 @@
     OpenItem,
     OpenJob,
     estimate_remaining,
+    events_of,
     mean_hint,
     usual_interval_s,
 )
@@ -36,13 +37,12 @@
     from bergamotdoor.types import GroupId, JobId
 
 #: Changes of items and engines within this time lead to one new plan, since a
-#: plan for a thousand items takes milliseconds of a processor. The owner asks
-#: for a plan at least every 0.1 s, so no plan becomes older than 0.25 s.
+#: plan for a thousand items takes some ten milliseconds of a processor. The
+#: owner asks for a plan at least every 0.1 s, so no plan becomes older than
+#: 0.25 s.
 _PLAN_INTERVAL_MS: Final = 150
 _PLAN_INTERVAL: Final = dt.timedelta(milliseconds=_PLAN_INTERVAL_MS)
 _NO_GROUPS: Final[frozenset[GroupId]] = frozenset()
-
-
 #: A job, and an iterator that starts its items one at a time.
 JobStarts: TypeAlias = 'tuple[JobRun, Iterator[None]]'
 
@@ -235,7 +235,8 @@
     run: JobRun, tokens_per_event: float, intervals_s: dict[UpstreamId, float]
 ) -> Iterator[OpenItem]:
     mean_events = mean_hint(
-        one.expected_tokens / tokens_per_event for one in run.spec.items
+        events_of(one.expected_tokens, tokens_per_event)
+        for one in run.spec.items
     )
     fast_interval_s = min(intervals_s.values(), default=0)
     for queued in run.items.item_queue.unfinished():
@@ -259,7 +260,7 @@
     if queued.is_generated:
         return 0
     return estimate_remaining(
-        queued.spec.expected_tokens / tokens_per_event or mean_events,
+        events_of(queued.spec.expected_tokens, tokens_per_event) or mean_events,
         run.items.event_count(queued.spec.item),
-        queued.spec.most_tokens / tokens_per_event,
+        events_of(queued.spec.most_tokens, tokens_per_event),
     )
--- a/features/steps/steps_engine_loads_steps.py
+++ b/features/steps/steps_engine_loads_steps.py
@@ -15,6 +15,7 @@
 from hypothesis import strategies as st
 
 from bergamotdoor.fleet.loads import UpstreamLoad
+from bergamotdoor.fleet.model_assignment import LOAD_TIME
 from bergamotdoor.jobs import Progress, choose_moves
 from bergamotdoor.peers import codec
 from bergamotdoor.peers.client import serve_peer
@@ -276,7 +277,7 @@
         free,
         context.speeds,
         ms(1000),
-        {UpstreamId('e0')},
+        {UpstreamId('e0'): LOAD_TIME},
     )
     return [move.destination for move in found]
 
@@ -328,7 +329,7 @@
                 open_slots,
                 measured_speeds(intervals_ms),
                 ms(1000),
-                {UpstreamId(name) for name in loading},
+                dict.fromkeys(map(UpstreamId, loading), LOAD_TIME),
             )
         )
         arrived = Counter(move.destination for move in found)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -555,7 +555,7 @@
     Mutation(
         'engines of equal speed are chosen by load',
         'jobs/placement.py',
-        'if free and is_slower(max(intervals_s), min(intervals_s)):',
+        'if free and has_faster(intervals_s):',
         'if free:',
         _PLACEMENT,
     ),
@@ -625,8 +625,9 @@
     Mutation(
         'an item stays if it loses more at a slower engine',
         'jobs/moves.py',
-        'return LOAD_TIME + gained',
-        'return LOAD_TIME',
+        'if reason is MoveReason.LOAD or is_slower(own_s, interval_s):\n'
+        '        return gained',
+        'if reason is MoveReason.LOAD:\n        return _ZERO',
         _LOADS,
     ),
     Mutation(
@@ -646,8 +647,8 @@
     Mutation(
         'a moved item starts first, whatever the order of the items',
         'jobs/item_queue.py',
-        'if item not in moved:',
-        'if item:',
+        '_MOVED_ITEM_ORDER if name in moved else queued.order',
+        'queued.order',
         _FORECAST,
     ),
     Mutation(
@@ -737,8 +738,8 @@
     Mutation(
         'without a length hint, results are not held by the forecast',
         'steps/result_writer.py',
-        'if self._planner is None or not has_hints:',
-        'if self._planner is None:',
+        'return self._planner.target_in(spec.job) if has_hints else None',
+        'return self._planner.target_in(spec.job)',
         'gateway_jobs',
     ),
     Mutation(
