--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -199,8 +199,8 @@
     Mutation(
         'items are not moved to stalled engines',
         'jobs/moves.py',
-        'if name not in stalled_upstreams',
-        'if name is not stalled_upstreams',
+        'if name not in stalled\n',
+        'if name is not stalled\n',
         'jobs_progress',
     ),
     Mutation(
