Move short items for speed while no item waits for a slot

Cause: an item whose hint is too low stays at a slow engine although fast slots are free, and its step waits for it. Change: short items stay only while items of their job wait.

--- a/bergamotdoor/steps/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -145,6 +145,11 @@
         ):
             self._move_item(run, move)
 
+    def _is_short_of_slots(self, run: JobRun) -> bool:
+        """Return whether an item of a job waits for a slot."""
+        now = self._context.clock.elapsed()
+        return run.items.item_queue.next_item(now) is not None
+
     def _free_by_engine(
         self, upstreams: tuple[Upstream, ...]
     ) -> dict[UpstreamId, int]:
@@ -159,11 +164,15 @@
     def _short_time_s(
         self, run: JobRun, route: Route, upstreams: tuple[Upstream, ...]
     ) -> float:
-        """Return below which time an item of a job is short, in seconds."""
+        """Return below which time an item of a job is short, in seconds.
+
+        While no item waits for a slot it is 0, so that all items move that
+        gain: hints are often too low, and the step waits for those items.
+        """
         intervals_s = [
             self._context.speeds.interval_s(one.upstream) for one in upstreams
         ]
-        if not has_faster(intervals_s):
+        if not has_faster(intervals_s) or not self._is_short_of_slots(run):
             return 0
         lengths = self._item_lengths(run, route)
         return short_time_s(lengths.longest_events, intervals_s)
