Move items before a load only to engines that have loaded

Cause: two engines load at the same time, and items of the first moved to the second, which refused them: long items lost up to 1.7 s in a step, and steps of trainers at their limit ended late. Change: before a load, items leave only for engines that have the newest announced weights; others wait for the load or move when they stall, as before.

--- a/bergamotdoor/fleet/fleet.py
+++ b/bergamotdoor/fleet/fleet.py
@@ -49,6 +49,8 @@
         #: Incarnations whose address is used by another upstream now.
         self._replaced: dict[RegistrationId, UpstreamId] = {}
         self._versions: dict[tuple[UpstreamId, ModelId], WeightVersion] = {}
+        #: The newest version of each model that an engine was about to load.
+        self.announced_versions: dict[ModelId, WeightVersion] = {}
 
     def put(self, upstream: Upstream) -> None:
         """Add an upstream, or update it from a changed registration.
--- a/bergamotdoor/jobs/__init__.py
+++ b/bergamotdoor/jobs/__init__.py
@@ -14,7 +14,12 @@
 from bergamotdoor.jobs.item_queue import ItemQueue, QueuedItem, RunEnd
 from bergamotdoor.jobs.ledger import Ledger
 from bergamotdoor.jobs.messages import ItemResult, ItemState, JobSpec
-from bergamotdoor.jobs.moves import Move, MoveReason, choose_moves
+from bergamotdoor.jobs.moves import (
+    Move,
+    MoveReason,
+    PendingLoads,
+    choose_moves,
+)
 from bergamotdoor.jobs.placement import (
     ItemToPlace,
     free_slots,
@@ -38,6 +43,7 @@
     'Ledger',
     'Move',
     'MoveReason',
+    'PendingLoads',
     'Progress',
     'Reservations',
     'RunEnd',
--- a/bergamotdoor/jobs/moves.py
+++ b/bergamotdoor/jobs/moves.py
@@ -11,9 +11,7 @@
 
 import datetime as dt
 import enum
-from collections.abc import Mapping
-from types import MappingProxyType
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, TypeAlias
 
 import msgspec
 
@@ -21,7 +19,7 @@
 from bergamotdoor.types import ItemId, UpstreamId
 
 if TYPE_CHECKING:
-    from collections.abc import Container, Iterable, Iterator
+    from collections.abc import Iterable, Iterator, Mapping
 
     from bergamotdoor.jobs.progress import Progress, Speeds
 
@@ -36,7 +34,8 @@
 _ZERO: Final = dt.timedelta()
 #: A stalled item moves wherever there is room.
 _STALLED_GAIN: Final = dt.timedelta(days=1)
-_NO_LOADS: Final[Mapping[UpstreamId, dt.timedelta]] = MappingProxyType({})
+#: Event interval of an engine, in seconds, and the engine.
+_Slot: TypeAlias = tuple[float, UpstreamId]
 
 
 class MoveReason(enum.Enum):
@@ -59,12 +58,24 @@
     destination: UpstreamId
 
 
+class PendingLoads(msgspec.Struct, frozen=True):
+    """Weight loads that are announced or in progress."""
+
+    #: How much longer the load of each engine takes.
+    time_left: dict[UpstreamId, dt.timedelta] = {}
+    #: Engines that have the newest announced weights of the items' model.
+    settled: frozenset[UpstreamId] = frozenset()
+
+
+_NO_LOADS: Final = PendingLoads()
+
+
 def choose_moves(
     running: Iterable[Progress],
     free_slots: Mapping[UpstreamId, int],
     speeds: Speeds,
     now: dt.timedelta,
-    loading: Mapping[UpstreamId, dt.timedelta] = _NO_LOADS,
+    loads: PendingLoads = _NO_LOADS,
     short_s: float = 0,
 ) -> Iterator[Move]:
     """Yield the items that should move, those with most events left first.
@@ -87,10 +98,9 @@
         Event intervals of the engines.
     now
         The monotonic time.
-    loading
-        Engines that load weights or are about to, and how much longer that
-        takes. Their items are treated as stalled for that time, and move if
-        they gain from that.
+    loads
+        Weight loads. The items of an engine that loads are treated as stalled
+        for the time left, and move if they gain from that.
     short_s
         An item that still takes less time than this where it runs, in
         seconds, does not move for speed alone.
@@ -100,19 +110,19 @@
     movable = [
         one
         for one in movable
-        if _reason_to_move(one, now, loading) is not MoveReason.SLOW
+        if _reason_to_move(one, now, loads) is not MoveReason.SLOW
         or not _is_short(one, speeds, short_s)
     ]
     for progress in sorted(movable, key=_remaining_events, reverse=True):
-        if not slots_by_speed:
-            return
-        interval_s, fastest = slots_by_speed[0]
-        reason = _reason_to_move(progress, now, loading)
-        gained = _time_gained(progress, speeds, interval_s, reason)
-        gained += loading.get(progress.upstream, _ZERO)
-        if gained > LEAST_GAIN and fastest != progress.upstream:
-            slots_by_speed.pop(0)
-            yield Move(progress.item, reason, fastest)
+        reason = _reason_to_move(progress, now, loads)
+        slot = _first_slot(slots_by_speed, reason, loads)
+        if slot is None:
+            continue
+        gained = _time_gained(progress, speeds, slot[0], reason)
+        gained += loads.time_left.get(progress.upstream, _ZERO)
+        if gained > LEAST_GAIN and slot[1] != progress.upstream:
+            slots_by_speed.remove(slot)
+            yield Move(progress.item, reason, slot[1])
 
 
 def _slots_by_speed(
@@ -120,7 +130,7 @@
     free_slots: Mapping[UpstreamId, int],
     speeds: Speeds,
     now: dt.timedelta,
-) -> list[tuple[float, UpstreamId]]:
+) -> list[_Slot]:
     """Return free slots of engines without a stalled item, fastest first."""
     stalled = {one.upstream for one in running if one.is_stalled(now)}
     return sorted(
@@ -131,11 +141,31 @@
     )
 
 
+def _first_slot(
+    slots_by_speed: list[_Slot], reason: MoveReason, loads: PendingLoads
+) -> _Slot | None:
+    """Return the free slot at which an item would continue.
+
+    Failure: two engines load at the same time, and items of the first move to
+    the second one. Symptom: it refuses them, and a long item loses more time
+    than the load takes. An item therefore leaves before a load only for an
+    engine that has the newest weights, and so does not load soon.
+    """
+    return next(
+        (
+            slot
+            for slot in slots_by_speed
+            if reason is not MoveReason.LOAD or slot[1] in loads.settled
+        ),
+        None,
+    )
+
+
 def _reason_to_move(
-    progress: Progress, now: dt.timedelta, loading: Container[UpstreamId]
+    progress: Progress, now: dt.timedelta, loads: PendingLoads
 ) -> MoveReason:
     """Return why an item moves, if it gains from a move."""
-    if progress.upstream in loading:
+    if progress.upstream in loads.time_left:
         return MoveReason.LOAD
     stalled = progress.is_stalled(now)
     return MoveReason.STALLED if stalled else MoveReason.SLOW
--- a/bergamotdoor/steps/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -13,6 +13,7 @@
     ItemResult,
     ItemToPlace,
     MoveReason,
+    PendingLoads,
     Reservations,
     RunEnd,
     choose_moves,
@@ -124,27 +125,43 @@
         for progress in progresses:
             self._context.speeds.add_intervals(progress)
         upstreams = self._eligible_engines(run, route)
-        loads = self._context.loads
-        loading = {
-            one.upstream: left
-            for one in progresses
-            if (left := loads.of(one.upstream).load_time_left(now)) is not None
-        }
         movable = (
             one
             for one in progresses
-            if not loads.of(one.upstream).is_resuming(now)
+            if not self._context.loads.of(one.upstream).is_resuming(now)
         )
         for move in choose_moves(
             movable,
             self._free_by_engine(upstreams),
             self._context.speeds,
             now,
-            loading,
+            self._pending_loads(run, upstreams),
             self._short_time_s(run, route, upstreams),
         ):
             self._move_item(run, move)
 
+    def _pending_loads(
+        self, run: JobRun, upstreams: tuple[Upstream, ...]
+    ) -> PendingLoads:
+        """Return the weight loads of the engines that run items of a job."""
+        now = self._context.clock.elapsed()
+        fleet, model = self._context.fleet, run.spec.model
+        announced = fleet.announced_versions.get(model, 0)
+        engines = {one.progress.upstream for one in run.running.values()}
+        return PendingLoads(
+            {
+                name: left
+                for name in engines
+                if (left := self._context.loads.of(name).load_time_left(now))
+                is not None
+            },
+            frozenset(
+                one.upstream
+                for one in upstreams
+                if fleet.version(one.upstream, model) >= announced
+            ),
+        )
+
     def _is_short_of_slots(self, run: JobRun) -> bool:
         """Return whether an item of a job waits for a slot."""
         now = self._context.clock.elapsed()
--- a/bergamotdoor/steps/engine_loads.py
+++ b/bergamotdoor/steps/engine_loads.py
@@ -124,6 +124,9 @@
         An entry that forwards an announcement to itself has it twice.
         """
         until = now + _CLOSED_TIME
+        announced = self._context.fleet.announced_versions
+        newest = announced.get(message.model, message.version)
+        announced[message.model] = max(newest, message.version)
         is_known = upstream in self._announced
         self._announced[upstream] = _Announcement(message, until)
         load = self._context.loads.of(upstream)
--- a/features/steps/steps_engine_loads_steps.py
+++ b/features/steps/steps_engine_loads_steps.py
@@ -16,7 +16,7 @@
 
 from bergamotdoor.fleet.loads import UpstreamLoad
 from bergamotdoor.fleet.model_assignment import LOAD_TIME
-from bergamotdoor.jobs import Progress, choose_moves
+from bergamotdoor.jobs import PendingLoads, Progress, choose_moves
 from bergamotdoor.peers import codec
 from bergamotdoor.peers.client import serve_peer
 from bergamotdoor.peers.messages import AdoptJob, EngineLoaded, JobOwned
@@ -277,7 +277,7 @@
         free,
         context.speeds,
         ms(1000),
-        {UpstreamId('e0'): LOAD_TIME},
+        PendingLoads({UpstreamId('e0'): LOAD_TIME}, frozenset(free)),
     )
     return [move.destination for move in found]
 
@@ -329,7 +329,10 @@
                 open_slots,
                 measured_speeds(intervals_ms),
                 ms(1000),
-                dict.fromkeys(map(UpstreamId, loading), LOAD_TIME),
+                PendingLoads(
+                    dict.fromkeys(map(UpstreamId, loading), LOAD_TIME),
+                    frozenset(open_slots),
+                ),
             )
         )
         arrived = Counter(move.destination for move in found)
--- a/lab/crashes.py
+++ b/lab/crashes.py
@@ -3,18 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, Protocol
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from lab.upstreams import Upstream
-
 #: How long a crashed upstream is down, unless a test or fault sets another
 #: time.
 _DEFAULT_DOWNTIME_S: Final = 2
 
 
+class Restartable(Protocol):
+    """Upstream that can crash."""
+
+    async def restart(self, down_s: float) -> None:
+        """Stop at once, and start again after `down_s` seconds."""
+
+
 class Crashes:
     """Requests that crash an upstream, which ends all its other requests."""
 
@@ -34,7 +39,7 @@
         """Return whether a request crashes the upstream."""
         return target in self.targets or body in self.bodies
 
-    def begin(self, upstream: Upstream) -> None:
+    def begin(self, upstream: Restartable) -> None:
         """Crash the upstream: it notifies nobody and stops listening."""
         if self._restart_task is not None and not self._restart_task.done():
             # Another request has just crashed it.
@@ -44,7 +49,7 @@
             self.ended()
         self._restart_task = asyncio.create_task(self._restart(upstream))
 
-    async def _restart(self, upstream: Upstream) -> None:
+    async def _restart(self, upstream: Restartable) -> None:
         await upstream.restart(self.down_s)
         if self.started_again is not None:
             self.started_again()
