Pause between checks of a hedge, and keep its budget for busy services

A route without a target latency has a hedge delay of 0. While no hedge could be sent, the call was checked without a pause until its attempt ended. The checks are now at least 20 ms apart.

A process with fewer than ten calls in ten seconds could never hedge while its service was over half full, and hedges sent below that used up the budget. One hedge is always allowed now, and hedges below half load are not charged. The test that expected no hedge without calls now expects one, and that a second one is denied.

--- a/bergamotdoor/calls/attempts.py
+++ b/bergamotdoor/calls/attempts.py
@@ -44,6 +44,12 @@
 #: Maximum number of times that a call is sent, refusals included.
 _MAX_TRIES: Final = 6
 _NO_TIME: Final = dt.timedelta()
+#: Least time between two checks whether a hedge may be sent after all. The
+#: hedge delay of a route without a target latency is 0.
+_HEDGE_CHECK_INTERVAL_MS: Final = 20
+_HEDGE_CHECK_INTERVAL: Final = dt.timedelta(
+    milliseconds=_HEDGE_CHECK_INTERVAL_MS
+)
 
 
 class CallRules(msgspec.Struct, frozen=True):
@@ -183,18 +189,31 @@
             return False
         return self.possible_runs + self.in_flight < rules.max_attempts
 
-    def wait_time(self, now: dt.timedelta) -> dt.timedelta:
+    def wait_time(
+        self, now: dt.timedelta, *, after_send: bool = True
+    ) -> dt.timedelta:
         """Return how long to wait for the attempts in flight.
 
         This is the hedge delay if another attempt may begin, but never longer
         than the time left.
+
+        Failure: a hedge is due, but no upstream may get it. Symptom: with a
+        hedge delay of 0, the process checks without a pause until an attempt
+        ends. The checks are therefore some milliseconds apart.
+
+        Parameters
+        ----------
+        now
+            The monotonic time.
+        after_send
+            Whether the call has just been sent; otherwise no attempt could
+            begin.
         """
         left = max(self.time_left(now), _NO_TIME)
-        return (
-            min(left, self._rules.hedge_delay)
-            if self.may_begin_attempt(now)
-            else left
-        )
+        if not self.may_begin_attempt(now):
+            return left
+        least = _NO_TIME if after_send else _HEDGE_CHECK_INTERVAL
+        return min(left, max(self._rules.hedge_delay, least))
 
     def time_left(self, now: dt.timedelta) -> dt.timedelta:
         """Return the time that is left for an upstream to answer."""
--- a/bergamotdoor/forwarding/forwarded_call.py
+++ b/bergamotdoor/forwarding/forwarded_call.py
@@ -72,13 +72,15 @@
         return msgspec.structs.replace(outcome, failures=self._failures)
 
     async def _run_attempts(self) -> Attempt:
-        while await self._next_attempt() or self._in_flight:
-            for attempt in await self._wait_for_attempts():
+        is_sent = await self._next_attempt()
+        while self._in_flight:
+            for attempt in await self._wait_for_attempts(after_send=is_sent):
                 if not attempt.failed:
                     return attempt
                 self._record_attempt(attempt)
             if self._attempts.is_out_of_time(self._now()):
                 return Attempt(self._attempts.verdict, 'out of time')
+            is_sent = await self._next_attempt()
         return self._final_attempt()
 
     async def _next_attempt(self) -> bool:
@@ -91,7 +93,7 @@
         if not self._candidates(now):
             return False
         if self._in_flight:
-            return self._hedge(now)
+            return self._service_calls.send_hedge(self._begin_attempt, now)
         if not self._service_calls.queue:
             if self._begin_attempt() is RoomUse.SENT:
                 self._place.record_first_send()
@@ -106,14 +108,6 @@
         fleet = self._context.fleet
         return self._attempts.untried(fleet.of_service(self._service))
 
-    def _hedge(self, now: dt.timedelta) -> bool:
-        if not self._service_calls.may_hedge(now):
-            return False
-        is_sent = self._begin_attempt() is RoomUse.SENT
-        if is_sent:
-            self._service_calls.hedges.record_hedge(now)
-        return is_sent
-
     def _begin_attempt(self) -> RoomUse:
         """Send the call to one more upstream that has room."""
         now = self._now()
@@ -158,9 +152,9 @@
             fingerprint, CALL_STRIKE_LIMIT, self._now()
         )
 
-    async def _wait_for_attempts(self) -> list[Attempt]:
+    async def _wait_for_attempts(self, *, after_send: bool) -> list[Attempt]:
         """Return the attempts that ended; empty after a timeout."""
-        wait_time = self._attempts.wait_time(self._now())
+        wait_time = self._attempts.wait_time(self._now(), after_send=after_send)
         done, _ = await asyncio.wait(
             self._in_flight,
             timeout=wait_time.total_seconds(),
--- a/bergamotdoor/queueing/hedges.py
+++ b/bergamotdoor/queueing/hedges.py
@@ -30,13 +30,17 @@
         _add(self._calls, now)
 
     def record_hedge(self, now: dt.timedelta) -> None:
-        """Count a request that is sent beside another one of its call."""
+        """Count a hedge that is sent while the service is over half full."""
         _add(self._hedges, now)
 
     def has_left(self, now: dt.timedelta) -> bool:
-        """Return whether one more hedge is within one in ten calls."""
-        hedges = _sum_recent(self._hedges, now) + 1
-        return hedges * _CALLS_PER_HEDGE <= _sum_recent(self._calls, now)
+        """Return whether one more hedge is within one in ten calls.
+
+        One hedge is always allowed: a process that sends fewer than ten calls
+        would otherwise never hedge a slow one.
+        """
+        allowed = max(_sum_recent(self._calls, now) // _CALLS_PER_HEDGE, 1)
+        return _sum_recent(self._hedges, now) < allowed
 
 
 def _add(counts: Counter[int], now: dt.timedelta) -> None:
--- a/bergamotdoor/queueing/service_calls.py
+++ b/bergamotdoor/queueing/service_calls.py
@@ -21,7 +21,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from bergamotdoor.fleet.fleet import Fleet
     from bergamotdoor.fleet.loads import Loads
@@ -106,11 +106,26 @@
         """Return the candidates that may get one more call now."""
         return self._queueing.limits.with_room(candidates, now)
 
-    def may_hedge(self, now: dt.timedelta) -> bool:
-        """Return whether a slow call may be sent to another upstream too.
+    def send_hedge(
+        self, send: Callable[[], RoomUse], now: dt.timedelta
+    ) -> bool:
+        """Send a slow call to another upstream too, if it may be hedged.
 
         Hedges use slots that waiting calls need, so there are none while
-        calls wait, and few while the service is over half full.
+        calls wait, and few while the service is over half full. Those that
+        are sent below that do not use up the budget.
+
+        Parameters
+        ----------
+        send
+            Sends the call if an upstream has room.
+        now
+            The monotonic time.
+
+        Returns
+        -------
+        bool
+            Whether the call was sent.
         """
         if len(self.queue):
             return False
@@ -120,7 +135,13 @@
         requests = sum(
             loads.of(one.upstream).estimated_requests(now) for one in upstreams
         )
-        return requests * _HALF <= slots or self.hedges.has_left(now)
+        is_busy = requests * _HALF > slots
+        if is_busy and not self.hedges.has_left(now):
+            return False
+        is_sent = send() is RoomUse.SENT
+        if is_sent and is_busy:
+            self.hedges.record_hedge(now)
+        return is_sent
 
     def enter(
         self, ticket: Ticket, answer_by: dt.timedelta, now: dt.timedelta
--- a/features/forwarding_waiting.feature
+++ b/features/forwarding_waiting.feature
@@ -56,6 +56,18 @@
     When 24 callers post at once to two services
     Then the 24 callers get 200, and each call ran once
 
+  Scenario: a call that may not be hedged is not checked without a pause
+    Its route has no target latency, so that a hedge is due at once.
+
+    When a caller posts on a route without a target latency
+    Then its call gets 200 after 4 to 20 checks, and used up no hedge
+
+  Scenario: a hedge of a service with room is not charged to the budget
+    Otherwise none is left when the service is busy.
+
+    When a caller posts without a target latency to two services
+    Then its call gets 200 after 1 to 20 checks, and used up no hedge
+
   Scenario: a stream uses its slot until it ends
     Its response begins at once, and its upstream is full for long after that.
 
--- a/features/queueing_service_calls.feature
+++ b/features/queueing_service_calls.feature
@@ -35,7 +35,7 @@
     And reports of 5 and 20 requests of others reduce the limit to 3 and 1
 
   Scenario: hedges do not multiply the calls of a service that is slow
-    Then 50 calls in ten seconds allow 5 hedges, and none 10 s later
+    Then 50 calls in ten seconds allow 5 hedges, and 9 or none allow 1
     And none is sent while calls wait, nor over the budget above half load
 
   Scenario: calls do not wait for a service that has lost its last upstream
--- a/features/steps/forwarding_waiting_steps.py
+++ b/features/steps/forwarding_waiting_steps.py
@@ -5,10 +5,12 @@
 import asyncio
 import datetime as dt
 from typing import TYPE_CHECKING, Any
+from unittest import mock
 
 from behave import given, then, when
 
 from bergamotdoor import utils
+from bergamotdoor.calls.attempts import CallAttempts
 from bergamotdoor.cli.ctl import Seen, status_lines
 from lab.client import Call
 from lab.site import Site, at, play
@@ -319,6 +321,52 @@
     assert len(context.ran) == len(set(context.ran)) == count, context.ran
 
 
+def post_without_target(context: Any, services: int) -> None:
+    context.checks = 0
+    wait_time = CallAttempts.wait_time
+
+    def counted(*arguments: Any, **options: Any) -> dt.timedelta:
+        context.checks += 1
+        assert context.checks < 1000, 'no pause between checks'
+        return wait_time(*arguments, **options)
+
+    async def act(site: Site) -> None:
+        for number in range(1, services):
+            await site.add_service(f'desk-{number}')
+        site.routes.append(plain_route('/other/', 'safe', 2))
+        site.routes[-1].pop('goal_ms', None)
+        site.put_manifest()
+        await asyncio.sleep(0.5)
+        with mock.patch.object(CallAttempts, 'wait_time', counted):
+            context.crowd.replies = [
+                await context.crowd.post('last', '/other/')
+            ]
+        state = site.entries['entry-0']._context
+        now = state.clock.elapsed()
+        context.has_left = state.queueing.services()[0].hedges.has_left(now)
+
+    context.crowd.play(act)
+
+
+@when('a caller posts on a route without a target latency')
+def post_to_one_without_target(context: Any) -> None:
+    post_without_target(context, 1)
+
+
+@when('a caller posts without a target latency to two services')
+def post_to_two_without_target(context: Any) -> None:
+    post_without_target(context, 2)
+
+
+@then(
+    'its call gets 200 after {least:d} to {most:d} checks, and used up no hedge'
+)
+def few_checks(context: Any, least: int, most: int) -> None:
+    assert context.crowd.statuses == [200]
+    assert least <= context.checks <= most, context.checks
+    assert context.has_left
+
+
 @when('an entry stops while {count:d} callers of a long route wait')
 def stop_while_waiting(context: Any, count: int) -> None:
     async def act(site: Site) -> None:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -919,8 +919,8 @@
     Mutation(
         'hedges of a busy service have a budget',
         _SERVICE_CALLS,
-        'return requests * _HALF <= slots or self.hedges.has_left(now)',
-        'return requests >= 0',
+        'if is_busy and not self.hedges.has_left(now):',
+        'if slots < 0:',
         _QUEUEING,
     ),
     Mutation(
