Send calls with little time to an idle service that refused once

A refusal closes an upstream for 300 ms. With all upstreams closed, a call with less time than that was refused at once, although the service was idle. Such a call is now sent to the upstream that opens first, one at a time, while under half of the slots are known to be in use. An acceptance of a call that was sent after the refusal ends the backoff.

With some upstreams in backoff after a refusal and others after a failure, calls went to the broken ones, and the forecast had no wait. Calls now wait for those that refused. A waiting call that may use fewer upstreams than others is offered the ones that it may still use, whether or not fresh calls have room.

The scenario of three callers with 290 ms fails without the change: they get 503 in place of 200.

--- a/bergamotdoor/forwarding/attempt.py
+++ b/bergamotdoor/forwarding/attempt.py
@@ -108,6 +108,9 @@
             calls = context.queueing.limits.of(upstream.upstream)
             calls.record_refusal(upstream.slots, now)
     else:
+        calls = context.queueing.limits.of(upstream.upstream)
+        if calls.record_acceptance(now - latency):
+            load.record_acceptance(now)
         load.record_response(latency)
 
 
--- a/bergamotdoor/forwarding/forwarded_call.py
+++ b/bergamotdoor/forwarding/forwarded_call.py
@@ -115,7 +115,9 @@
         if not candidates:
             return RoomUse.ENDED
         upstream = self._attempts.begin_attempt(
-            self._service_calls.with_room(candidates, now),
+            self._service_calls.with_room(
+                candidates, now, now + self._attempts.time_left(now)
+            ),
             self._context.loads,
             now,
         )
--- a/bergamotdoor/queueing/forecast.py
+++ b/bergamotdoor/queueing/forecast.py
@@ -39,11 +39,16 @@
     service_time: dt.timedelta
     #: Time until the first upstream takes calls.
     closed_for: dt.timedelta = _NO_TIME
+    #: Whether calls that have less time are sent one at a time meanwhile.
+    has_probes: bool = False
 
     def wait(self, calls_ahead: int) -> dt.timedelta:
         """Return the forecast wait of a call behind others."""
         busy_for = self.service_time * calls_ahead / max(self.slots, 1)
-        return self.closed_for + busy_for
+        wait = self.closed_for + busy_for
+        if self.has_probes:
+            return min(wait, self.service_time * (calls_ahead + 1))
+        return wait
 
 
 def measure_capacity(
@@ -72,12 +77,18 @@
     if available:
         slots = sum(limits.limit(one, now) for one in available)
         return Capacity(slots, service_time)
+    refused = limits.refused(upstreams, now)
     opens_at = min(
-        (limits.of(one.upstream).closed_until for one in upstreams),
+        (limits.of(one.upstream).closed_until for one in refused),
         default=now + REFUSAL_BACKOFF,
     )
     slots = sum(limits.limit(one, now) for one in upstreams)
-    return Capacity(slots, service_time, max(opens_at - now, _NO_TIME))
+    return Capacity(
+        slots,
+        service_time,
+        max(opens_at - now, _NO_TIME),
+        bool(refused) and limits.is_idle(upstreams, now),
+    )
 
 
 def usual_latency(upstreams: Iterable[Upstream], loads: Loads) -> dt.timedelta:
--- a/bergamotdoor/queueing/limits.py
+++ b/bergamotdoor/queueing/limits.py
@@ -13,7 +13,7 @@
 from bergamotdoor.fleet.loads import REFUSAL_BACKOFF
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
     from bergamotdoor.fleet.loads import Loads
     from bergamotdoor.fleet.upstreams import Upstream
@@ -23,6 +23,8 @@
 _SHARE_AFTER_REFUSAL: Final = 0.75
 #: Time without a refusal after which a limit grows by one.
 _GROWTH_INTERVAL: Final = dt.timedelta(seconds=1)
+#: A service is idle if its requests times this are below its slots.
+_HALF: Final = 2
 _LONG_AGO: Final = dt.timedelta(days=-1)
 
 
@@ -36,6 +38,8 @@
         #: upstream reported its load.
         self._reduced_limit: int | None = None
         self._refused_at = _LONG_AGO
+        #: Monotonic time at which the backoff of the last refusal ends.
+        self.closed_until = _LONG_AGO
 
     def begin(self) -> None:
         """Count a call as in flight."""
@@ -63,15 +67,25 @@
             reduced = int(self.learned_limit(slots, now) * _SHARE_AFTER_REFUSAL)
             self._reduced_limit = max(reduced, 1)
         self._refused_at = now
+        self.closed_until = now + REFUSAL_BACKOFF
 
     def has_refused(self, now: dt.timedelta) -> bool:
         """Return whether the last refusal is within its backoff."""
         return now < self.closed_until
 
-    @property
-    def closed_until(self) -> dt.timedelta:
-        """Monotonic time at which the backoff of the last refusal ends."""
-        return self._refused_at + REFUSAL_BACKOFF
+    def record_acceptance(self, sent_at: dt.timedelta) -> bool:
+        """Record that the upstream accepted a call.
+
+        Returns
+        -------
+        bool
+            Whether the call was sent after the last refusal, within its
+            backoff. The upstream then takes calls again.
+        """
+        is_open = self._refused_at <= sent_at < self.closed_until
+        if is_open:
+            self.closed_until = sent_at
+        return is_open
 
     def learned_limit(self, slots: int, now: dt.timedelta) -> int:
         """Return the limit that refusals have shown, at most `slots`."""
@@ -130,9 +144,13 @@
     ) -> list[Upstream]:
         """Return the candidates that take calls, full ones included.
 
-        These are the ones that are not in backoff. If all are in backoff,
-        they are the ones whose backoff follows a failure: a call that is sent
-        shows whether they work again, and waiting for them gains nothing.
+        These are the ones that are not in backoff. If all are in backoff and
+        none has refused, they are all of them: a call that is sent shows
+        whether they work again, and waiting for them gains nothing.
+
+        Failure: one upstream refuses while the others are broken. Symptom:
+        calls are sent to the broken ones and fail, although the backoff of
+        the one that works ends within 300 ms.
         """
         known = list(candidates)
         available = [
@@ -140,6 +158,58 @@
             for one in known
             if not self._loads.of(one.upstream).is_in_backoff(now)
         ]
-        return available or [
-            one for one in known if not self.of(one.upstream).has_refused(now)
+        if available or self.refused(known, now):
+            return available
+        return known
+
+    def refused(
+        self, candidates: Iterable[Upstream], now: dt.timedelta
+    ) -> list[Upstream]:
+        """Return the candidates that are in backoff after a refusal."""
+        return [
+            one for one in candidates if self.of(one.upstream).has_refused(now)
         ]
+
+    def for_probe(
+        self, candidates: Iterable[Upstream], now: dt.timedelta
+    ) -> list[Upstream]:
+        """Return the one that may get a call although all have refused.
+
+        Failure: one refusal closes an upstream for 300 ms, and it has room
+        again a moment later. Symptom: calls that have less time are refused
+        although the service is idle. The upstream that opens first may get
+        one call at a time while fewer than half of the slots are known to be
+        in use.
+
+        Parameters
+        ----------
+        candidates
+            Upstreams that may get the call.
+        now
+            The monotonic time.
+        """
+        known = list(candidates)
+        if self.open_upstreams(known, now) or not self.is_idle(known, now):
+            return []
+        if any(self.of(one.upstream).in_flight for one in known):
+            return []
+        return sorted(
+            self.refused(known, now),
+            key=lambda one: self.of(one.upstream).closed_until,
+        )[:1]
+
+    def take_calls(
+        self, upstreams: Sequence[Upstream], now: dt.timedelta
+    ) -> bool:
+        """Return whether an upstream may get a call, at least as a probe."""
+        return bool(
+            self.with_room(upstreams, now) or self.for_probe(upstreams, now)
+        )
+
+    def is_idle(self, upstreams: Iterable[Upstream], now: dt.timedelta) -> bool:
+        """Return whether under half of the slots are known to be in use."""
+        spare = 0
+        for one in upstreams:
+            requests = self._loads.of(one.upstream).estimated_requests(now)
+            spare += one.slots - requests * _HALF
+        return spare > 0
--- a/bergamotdoor/queueing/service_calls.py
+++ b/bergamotdoor/queueing/service_calls.py
@@ -21,7 +21,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Sequence
 
     from bergamotdoor.fleet.fleet import Fleet
     from bergamotdoor.fleet.loads import Loads
@@ -101,10 +101,32 @@
             self._service_s = seconds
 
     def with_room(
-        self, candidates: Iterable[Upstream], now: dt.timedelta
+        self,
+        candidates: Sequence[Upstream],
+        now: dt.timedelta,
+        answer_by: dt.timedelta = dt.timedelta.max,
     ) -> list[Upstream]:
-        """Return the candidates that may get one more call now."""
-        return self._queueing.limits.with_room(candidates, now)
+        """Return the candidates that may get one more call now.
+
+        If all are closed after refusals for longer than the call has time,
+        it may be sent as a probe.
+
+        Parameters
+        ----------
+        candidates
+            Upstreams that may get the call.
+        now
+            The monotonic time.
+        answer_by
+            Monotonic time by which an upstream must answer the call.
+        """
+        limits = self._queueing.limits
+        with_room = limits.with_room(candidates, now)
+        send_by = answer_by - self._usual_latency()
+        capacity = measure_capacity(candidates, limits, _NO_TIME, now)
+        if with_room or now + capacity.closed_for <= send_by:
+            return with_room
+        return limits.for_probe(candidates, now)
 
     def send_hedge(
         self, send: Callable[[], RoomUse], now: dt.timedelta
@@ -166,13 +188,16 @@
 
     def serve(self, now: dt.timedelta) -> None:
         """Send the waiting calls for which there is room, in their order."""
-        if not self.queue or not self.with_room(self._upstreams(), now):
+        if not self.queue:
             return
+        limits, upstreams = self._queueing.limits, self._upstreams()
+        has_room = limits.take_calls(upstreams, now)
         for ticket in self.queue.in_order():
-            use = self._offer_room(ticket, now)
-            if use is RoomUse.NO_ROOM and ticket.is_fresh:
-                # It may be sent to any upstream, so there is no more room.
-                return
+            # A call that was sent before may have room where others have none:
+            # where an upstream that it can't use any more is closed.
+            is_offered = has_room or not ticket.is_fresh
+            if is_offered and self._offer_room(ticket, now) is RoomUse.SENT:
+                has_room = limits.take_calls(upstreams, now)
 
     def refuse_late(self, now: dt.timedelta) -> None:
         """Refuse the calls whose time is no longer enough.
--- a/features/forwarding_waiting.feature
+++ b/features/forwarding_waiting.feature
@@ -43,6 +43,13 @@
     When a caller posts while the service refuses calls for 0.2 s
     Then the caller gets 200 as soon as the backoff ends
 
+  Scenario: a call with little time is sent as a probe after a refusal
+    The service is idle again after a moment, and its backoff lasts longer. The
+    other calls follow when the first has been accepted.
+
+    When 3 callers that wait for 290 ms post after a refusal
+    Then the 3 callers get 200, and the service never ran over 2 calls
+
   Scenario: a call that may have run is never refused as not run
     It breaks at one upstream, and its time ends while it waits for another.
     With 503 the caller would send it again.
--- a/features/queueing_scenes.py
+++ b/features/queueing_scenes.py
@@ -123,7 +123,7 @@
 
     def _send(self, call: ReplayedCall) -> RoomUse:
         with_room = self.service_calls.with_room(
-            self.fleet.of_service(_SERVICE), self.now
+            list(self.fleet.of_service(_SERVICE)), self.now
         )
         if not with_room:
             return RoomUse.NO_ROOM
--- a/features/queueing_service_calls.feature
+++ b/features/queueing_service_calls.feature
@@ -42,6 +42,18 @@
     When 60 calls come to a service that loses its upstreams after 10 ms
     Then 42 calls are refused within 20 ms of the loss
 
+  Scenario: an idle service that refused once gets calls with little time
+    They could not outlast the backoff of 300 ms and would be refused.
+
+    Given two idle upstreams of 4 slots that refused a call
+    Then a call of 200 ms is sent to the one that opens first, alone
+    And a call of 900 ms is not, nor any while the service is half full
+
+  Scenario: calls wait for an upstream that refused, not for broken ones
+    Given an upstream that refused a call, and one that broke
+    Then calls wait for the first, whose backoff is the forecast
+    And a call that may use only the second is sent there from the queue
+
   Scenario: whatever the load is, a call is sent, refused or left, and once
     Hypothesis generates calls with little time, upstreams that refuse and
     callers that leave. No call is sent late, and all counts return to zero.
--- a/features/steps/forwarding_waiting_steps.py
+++ b/features/steps/forwarding_waiting_steps.py
@@ -118,10 +118,13 @@
     crowd.play(act)
 
 
-@then('the {count:d} callers get 200, and the service never ran over 4 calls')
-def all_served(context: Any, count: int) -> None:
+@then(
+    'the {count:d} callers get 200, and the service never ran over {most:d} '
+    'calls'
+)
+def all_served(context: Any, count: int, most: int) -> None:
     assert context.crowd.statuses.count(200) == count, context.crowd.statuses
-    assert context.crowd.highest == 4, context.crowd.highest
+    assert context.crowd.highest == most, context.crowd.highest
 
 
 @then('the metrics count 8 calls that waited, and the state showed them')
@@ -274,6 +277,22 @@
     assert context.crowd.took_ms in range(500, 530), context.crowd.took_ms
 
 
+@when('3 callers that wait for 290 ms post after a refusal')
+def post_after_refusal(context: Any) -> None:
+    async def act(site: Site) -> None:
+        crowd = context.crowd
+        crowd.service.work_s = 0.05
+        await asyncio.gather(*(crowd.post(f'fast-{n}') for n in range(20)))
+        crowd.highest = 0
+        crowd.service.mode = UpstreamMode.FULL
+        crowd.replies = [await crowd.post('refused', ms=30)]
+        assert crowd.statuses == [503], crowd.statuses
+        crowd.service.mode = UpstreamMode.GOOD
+        crowd.replies = await asyncio.gather(*crowd.start(3, ms=290))
+
+    context.crowd.play(act)
+
+
 @when('a call breaks at a service and finds no room at another in time')
 def break_and_wait(context: Any) -> None:
     async def act(site: Site) -> None:
--- a/features/steps/queueing_service_calls_steps.py
+++ b/features/steps/queueing_service_calls_steps.py
@@ -229,6 +229,76 @@
     assert found == [True, False, True, False], found
 
 
+def refuse(replay: Replay, number: int, at: dt.timedelta) -> Any:
+    one = tuple(replay.fleet)[number]
+    replay.loads.of(one.upstream).record_refusal(at)
+    replay.queueing.limits.of(one.upstream).record_refusal(one.slots, at)
+    return one
+
+
+def has_room(replay: Replay, ms: int) -> list[Any]:
+    answer_by = NOW + dt.timedelta(milliseconds=ms)
+    everything = list(replay.fleet)
+    return replay.service_calls.with_room(everything, NOW, answer_by)
+
+
+@given('two idle upstreams of 4 slots that refused a call')
+def two_refused(context: Any) -> None:
+    context.replay = Replay(count=2, slots=4)
+    refuse(context.replay, 0, NOW)
+    context.first = refuse(context.replay, 1, NOW - dt.timedelta(0, 0, 9000))
+
+
+@then('a call of {ms:d} ms is sent to the one that opens first, alone')
+def sent_as_probe(context: Any, ms: int) -> None:
+    assert has_room(context.replay, ms) == [context.first]
+    calls = context.replay.queueing.limits.of(context.first.upstream)
+    calls.begin()
+    assert not has_room(context.replay, ms)
+    calls.end()
+
+
+@then('a call of {ms:d} ms is not, nor any while the service is half full')
+def not_sent(context: Any, ms: int) -> None:
+    assert not has_room(context.replay, ms)
+    for one in context.replay.fleet:
+        report = ReportedLoad(2, 0, 4)
+        context.replay.loads.of(one.upstream).record_report(report, NOW)
+    assert not has_room(context.replay, 200)
+
+
+@given('an upstream that refused a call, and one that broke')
+def refused_and_broken(context: Any) -> None:
+    context.replay = Replay(count=2, slots=4)
+    context.refused = refuse(context.replay, 0, NOW)
+    context.broken = tuple(context.replay.fleet)[1]
+    context.replay.loads.of(context.broken.upstream).record_failure(NOW)
+
+
+@then('calls wait for the first, whose backoff is the forecast')
+def wait_for_first(context: Any) -> None:
+    assert not has_room(context.replay, 900)
+    closed_for = context.replay.service_calls.capacity(NOW).closed_for
+    assert closed_for == dt.timedelta(milliseconds=300), closed_for
+
+
+@then('a call that may use only the second is sent there from the queue')
+def sent_from_queue(context: Any) -> None:
+    calls = context.replay.service_calls
+    sent = []
+
+    def use_second() -> RoomUse:
+        sent.extend(calls.with_room([context.broken], NOW))
+        return RoomUse.SENT if sent else RoomUse.NO_ROOM
+
+    calls.queue.add(
+        Ticket(AccountId('a'), 0, use_second, print, is_fresh=False)
+    )
+    calls.serve(NOW)
+    assert sent == [context.broken], sent
+    assert not calls.queue
+
+
 @when('60 calls come to a service that loses its upstreams after 10 ms')
 def lose_upstreams(context: Any) -> None:
     context.replay = Replay()
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -982,8 +982,8 @@
     Mutation(
         'upstreams that failed get calls if there are no others',
         'queueing/limits.py',
-        '        return available or [\n',
-        '        return available\n        return [\n',
+        '        return known\n',
+        '        return available\n',
         _CRASHES,
     ),
     Mutation(
