Count streams without a gap, and free calls when they end

The count of a stream's attempt ended before the stream counted itself, and a waiting call was sent to the full upstream in between. The stream now counts from the creation of its body, and until the body is no longer referenced at the latest.

A call, its place in the queue and its second admission referred to each other, so its body was kept until the cyclic collector ran. The place drops its callbacks when the call ends, and the second admission gets the account, the kind and the id only.

An exception of the second admission ended the check of all waiting calls, which was not scheduled again. It now ends that call only.

--- a/bergamotdoor/forwarding/counted.py
+++ b/bergamotdoor/forwarding/counted.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import weakref
 from typing import TYPE_CHECKING, TypeVar
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine, Iterator
+    from collections.abc import AsyncIterator, Coroutine
 
     from bergamotdoor.entry.context import Context
     from bergamotdoor.fleet.loads import UpstreamLoad
@@ -104,18 +104,40 @@
     return task
 
 
-@contextlib.contextmanager
-def counted_stream(context: Context, upstream: Upstream) -> Iterator[None]:
-    """Count a stream as a call in flight while it is relayed.
+class CountedStream:
+    """A stream that counts as a call in flight until it is closed.
 
     Failure: a stream uses a slot of its upstream for seconds after its
-    response began. Symptom: calls are sent to an upstream that is full.
+    response began. Symptom: calls are sent to an upstream that is full. The
+    count begins before the one of the attempt ends, since waiting calls are
+    sent at that moment.
+
+    Parameters
+    ----------
+    context
+        Services of the process.
+    upstream
+        The upstream.
     """
-    load = context.loads.of(upstream.upstream)
-    load.begin_request()
-    counted = CountedCall(context, upstream)
-    try:
-        yield
-    finally:
-        load.end_request()
-        counted.end(is_served=True)
+
+    def __init__(self, context: Context, upstream: Upstream) -> None:
+        self._load = context.loads.of(upstream.upstream)
+        self._load.begin_request()
+        self._counted: CountedCall | None = CountedCall(context, upstream)
+
+    def close(self) -> None:
+        """Stop counting, if that has not happened yet."""
+        counted = self._counted
+        self._counted = None
+        if counted is not None:
+            self._load.end_request()
+            counted.end(is_served=True)
+
+    def close_with(self, body: AsyncIterator[bytes]) -> None:
+        """Stop counting at the latest when a body is no longer referenced.
+
+        Failure: a caller leaves before the first piece of its response is
+        read, so the code of the generator never runs. Symptom: the stream
+        counts as in flight for ever.
+        """
+        weakref.finalize(body, self.close).atexit = False
--- a/bergamotdoor/forwarding/forwarded_call.py
+++ b/bergamotdoor/forwarding/forwarded_call.py
@@ -66,6 +66,7 @@
         try:
             outcome = await self._run_attempts()
         finally:
+            self._place.release()
             for task, sent_at in self._in_flight.items():
                 task.cancel()
                 self._record_run(sent_at)
--- a/bergamotdoor/forwarding/relayed_stream.py
+++ b/bergamotdoor/forwarding/relayed_stream.py
@@ -12,7 +12,7 @@
 from bergamotdoor.fleet.choice import select_upstream
 from bergamotdoor.fleet.quarantine import CALL_STRIKE_LIMIT
 from bergamotdoor.forwarding.call_request import call_request
-from bergamotdoor.forwarding.counted import counted_stream
+from bergamotdoor.forwarding.counted import CountedStream
 from bergamotdoor.forwarding.upstream_end import note_end, strikes_of
 from bergamotdoor.http import close_body
 from bergamotdoor.http.messages import BodyBrokenError, ClientResponse
@@ -30,12 +30,13 @@
 _log = logging.getLogger('bergamotdoor.gateway')
 
 
-async def relayed_stream(
+def relayed_stream(
     context: Context, call: Call, upstream: Upstream, response: ClientResponse
 ) -> AsyncIterator[bytes]:
-    """Yield the body of a response while it arrives.
+    """Return the body of a response, which is passed on while it arrives.
 
-    A stream that may be resumed is yielded in complete events.
+    A stream that may be resumed is passed on in complete events. The stream
+    counts as a call in flight from now on.
 
     Parameters
     ----------
@@ -55,10 +56,20 @@
         connection must be cut then, so that the caller does not mistake the
         incomplete response for a complete one.
     """
+    counted = CountedStream(context, upstream)
     if call.route.resumable:
-        pieces = _ResumableStream(context, call, upstream, response).events()
+        stream = _ResumableStream(context, call, upstream, response)
+        pieces = stream.events(counted)
     else:
-        pieces = _relay_unresumable(context, call, upstream, response)
+        pieces = _relay_unresumable(context, call, upstream, response, counted)
+    body = _relay(context, call, pieces)
+    counted.close_with(body)
+    return body
+
+
+async def _relay(
+    context: Context, call: Call, pieces: AsyncGenerator[bytes, None]
+) -> AsyncIterator[bytes]:
     # Closing this generator closes the pieces too, so that the upstream stops
     # when the caller disconnects.
     async with contextlib.aclosing(pieces) as relayed:
@@ -68,12 +79,16 @@
 
 
 async def _relay_unresumable(
-    context: Context, call: Call, upstream: Upstream, response: ClientResponse
+    context: Context,
+    call: Call,
+    upstream: Upstream,
+    response: ClientResponse,
+    counted: CountedStream,
 ) -> AsyncGenerator[bytes, None]:
     """Yield the pieces of a response that no other upstream can resume."""
     strikes_before = strikes_of(context, call)
     try:
-        with counted_stream(context, upstream):
+        with contextlib.closing(counted):
             async for piece in response.body:
                 yield piece
     except BodyBrokenError:
@@ -104,17 +119,26 @@
         #: Why the present response broke off; ``None`` if it did not.
         self._error: Exception | None = None
 
-    async def events(self) -> AsyncGenerator[bytes, None]:
-        """Yield complete events up to the end of the stream."""
+    async def events(
+        self, counted: CountedStream
+    ) -> AsyncGenerator[bytes, None]:
+        """Yield complete events up to the end of the stream.
+
+        Parameters
+        ----------
+        counted
+            The count of the stream at the first upstream.
+        """
         is_complete = False
         while not is_complete:
-            with counted_stream(self._context, self._upstreams[-1]):
+            with contextlib.closing(counted):
                 async for event in self._events_until_break():
                     yield event
             if self._error is None:
                 is_complete = True
             else:
                 await self._resume(self._error)
+                counted = CountedStream(self._context, self._upstreams[-1])
 
     async def _events_until_break(self) -> AsyncIterator[bytes]:
         """Yield the complete events of the present response."""
--- a/bergamotdoor/forwarding/waiting.py
+++ b/bergamotdoor/forwarding/waiting.py
@@ -65,9 +65,21 @@
             call.account, call.priority, self._use_room, self._refuse
         )
         self._left = asyncio.Event()
+        #: Why the call could not be sent, if that failed.
+        self._error: Exception | None = None
         #: The refusal if the call was refused or is not admitted any more.
         self.refusal: Attempt | None = None
 
+    def release(self) -> None:
+        """Drop the references to the call, after its last wait.
+
+        Failure: a call and its place refer to each other. Symptom: the body
+        of each call is kept in memory until the cyclic collector runs.
+        """
+        self._send = _end_call
+        self._ticket.on_room = _end_call
+        self._ticket.on_refusal = _ignore_refusal
+
     def record_first_send(self) -> None:
         """Record that the call was sent without waiting."""
         self._service_calls.queue.charge(self._ticket)
@@ -82,6 +94,7 @@
             Monotonic time by which an upstream must answer the call.
         """
         self._left.clear()
+        self._error = None
         began_at = self._now()
         try:
             self._service_calls.enter(self._ticket, answer_by, began_at)
@@ -90,6 +103,8 @@
             # Failure: a caller leaves while its call waits. Symptom: the call
             # is sent for nobody and takes a slot from another.
             self._service_calls.queue.remove(self._ticket)
+        if self._error is not None:
+            raise self._error
 
     async def _wait_in_queue(self, began_at: dt.timedelta) -> None:
         if self._left.is_set():
@@ -102,18 +117,30 @@
         metrics.record(Stage.QUEUED, self._now() - began_at, service)
 
     def _use_room(self) -> RoomUse:
+        """Send the call; an exception ends this call only.
+
+        Failure: one call that waits cannot be sent. Symptom: the exception
+        ends the check of all waiting calls, and none of them is sent.
+        """
+        try:
+            use = self._send_admitted()
+        except Exception as error:  # noqa: BLE001 `wait` raises it
+            self._error = error
+            use = RoomUse.ENDED
+        if use is not RoomUse.NO_ROOM:
+            self._left.set()
+        return use
+
+    def _send_admitted(self) -> RoomUse:
         response = self._call.readmit(self._service_calls.service)
         if response is not None:
             self.refusal = Attempt(
                 Verdict.NOT_RUN, 'not admitted after its wait', answer=response
             )
-            self._left.set()
             return RoomUse.ENDED
         use = self._send()
         if use is RoomUse.SENT:
             self._record_send()
-        if use is not RoomUse.NO_ROOM:
-            self._left.set()
         return use
 
     def _record_send(self) -> None:
@@ -167,6 +194,17 @@
 def _check(context: Context, service_calls: ServiceCalls) -> None:
     service_calls.check_scheduled = False
     now = context.clock.elapsed()
-    service_calls.serve(now)
-    service_calls.refuse_late(now)
-    schedule_check(context, service_calls)
+    try:
+        service_calls.serve(now)
+        service_calls.refuse_late(now)
+    finally:
+        schedule_check(context, service_calls)
+
+
+def _end_call() -> RoomUse:
+    """Send no call."""
+    return RoomUse.ENDED
+
+
+def _ignore_refusal(_: QueueRefusal) -> None:
+    """Do nothing about the refusal of a call that has ended."""
--- a/bergamotdoor/gateway/readmission.py
+++ b/bergamotdoor/gateway/readmission.py
@@ -4,7 +4,7 @@
 
 import logging
 from http import HTTPStatus
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from bergamotdoor.gateway.responses import refusal_response, text_response
 from bergamotdoor.http.messages import HttpResponse
@@ -13,17 +13,28 @@
 from bergamotdoor.verdict import Verdict
 
 if TYPE_CHECKING:
-    from bergamotdoor.calls.manifest import Manifest
+    from bergamotdoor.calls.manifest import Manifest, RouteKind
     from bergamotdoor.entry.context import Context
     from bergamotdoor.entry.views import ManifestView
-    from bergamotdoor.forwarding import Call
     from bergamotdoor.gateway.admission import Admission
     from bergamotdoor.http.messages import HttpRequest
-    from bergamotdoor.types import ServiceId
+    from bergamotdoor.types import AccountId, ServiceId
 
 _log = logging.getLogger('bergamotdoor.gateway')
 
 
+class AdmittedCall(NamedTuple):
+    """What an admission has decided about a call.
+
+    It does not refer to the call, which refers to its second admission: the
+    cycle would keep the body in memory until the cyclic collector runs.
+    """
+
+    account: AccountId
+    kind: RouteKind
+    request_id: str
+
+
 class Readmission:
     """Second admission of calls, after they waited.
 
@@ -48,7 +59,7 @@
         self._admission = admission
 
     def check(
-        self, request: HttpRequest, call: Call, service: ServiceId
+        self, request: HttpRequest, admitted: AdmittedCall, service: ServiceId
     ) -> HttpResponse | None:
         """Return the response if a call may not be sent any more.
 
@@ -56,7 +67,7 @@
         ----------
         request
             The request of the caller.
-        call
+        admitted
             The call as it was admitted.
         service
             The service to which it would be sent.
@@ -70,10 +81,12 @@
         account = self._admission.admit_run(request, manifest, route)
         if isinstance(account, HttpResponse):
             return account
-        if account == call.account and route.leads_to(service, call.route.kind):
+        if account == admitted.account and route.leads_to(
+            service, admitted.kind
+        ):
             return None
         return refusal_response(
-            Verdict.NOT_RUN, 'the manifest has changed', call.request_id
+            Verdict.NOT_RUN, 'the manifest has changed', admitted.request_id
         )
 
 
--- a/bergamotdoor/gateway/request_router.py
+++ b/bergamotdoor/gateway/request_router.py
@@ -9,6 +9,7 @@
 from bergamotdoor.gateway.call_handler import build_call
 from bergamotdoor.gateway.credentials import build_upstream_headers
 from bergamotdoor.gateway.readmission import (
+    AdmittedCall,
     Readmission,
     refuse_without_route,
 )
@@ -105,5 +106,9 @@
         call = build_call(request, headers, body, route, began)
         call.account = account
         call.priority = newest_manifest.priority_of(route, account)
-        call.readmit = functools.partial(self._readmission.check, request, call)
+        call.readmit = functools.partial(
+            self._readmission.check,
+            request,
+            AdmittedCall(account, route.kind, call.request_id),
+        )
         return await self._calls.answer(call, account)
--- a/features/forwarding_waiting.feature
+++ b/features/forwarding_waiting.feature
@@ -81,6 +81,25 @@
     When 5 streams of 0.4 s are requested from an engine of 4 slots
     Then the last begins after another has ended
 
+  Scenario: a call that waits is not sent when the response of a stream begins
+    The count of its attempt ends then, and the stream still uses the slot.
+
+    When 5 streams are requested at once from an engine of 4 slots
+    Then the last begins after another has ended
+    And no count of a stream is left over
+
+  Scenario: a call that cannot be sent does not hold up the others
+    An exception in the check of the waiting calls leaves them without a timer.
+
+    When 12 callers post at once, and the second admission of one fails
+    Then 11 callers get 200 and one 500
+
+  Scenario: the body of a call is freed when the call ends
+    Cycles of references keep it in memory until the cyclic collector runs.
+
+    When 12 callers post at once without a cyclic collector
+    Then the 12 callers get 200, and none of their calls is in memory
+
   Scenario: an entry that stops answers or refuses what waits
     When an entry stops while 20 callers of a long route wait
     Then the 20 callers get 200, or 503 and did not run
--- a/features/steps/forwarding_waiting_steps.py
+++ b/features/steps/forwarding_waiting_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import datetime as dt
+import gc
 from typing import TYPE_CHECKING, Any
 from unittest import mock
 
@@ -12,6 +13,10 @@
 from bergamotdoor import utils
 from bergamotdoor.calls.attempts import CallAttempts
 from bergamotdoor.cli.ctl import Seen, status_lines
+from bergamotdoor.forwarding.call import Call as ForwardedRequest
+from bergamotdoor.forwarding.forwarded_call import ForwardedCall
+from bergamotdoor.gateway.readmission import Readmission
+from bergamotdoor.types import ServiceId
 from lab.client import Call
 from lab.site import Site, at, play
 from lab.site_routes import plain_route
@@ -410,8 +415,67 @@
     assert len(context.crowd.got) == statuses.count(200), context.crowd.got
 
 
+@when('12 callers post at once, and the second admission of one fails')
+def fail_admission(context: Any) -> None:
+    check = Readmission.check
+
+    def failing(self: Any, request: Any, *arguments: Any) -> Any:
+        if request.target.endswith('call-6'):
+            raise RuntimeError(request.target)
+        return check(self, request, *arguments)
+
+    async def act(_: Site) -> None:
+        with mock.patch.object(Readmission, 'check', failing):
+            context.crowd.replies = await asyncio.gather(
+                *context.crowd.start(12)
+            )
+
+    context.crowd.play(act)
+
+
+@then('11 callers get 200 and one 500')
+def one_failed(context: Any) -> None:
+    statuses = context.crowd.statuses
+    assert statuses.count(200) == 11, statuses
+    assert statuses[6] == 500, statuses
+
+
+@when('12 callers post at once without a cyclic collector')
+def post_without_collector(context: Any) -> None:
+    async def act(_: Site) -> None:
+        gc.collect()
+        gc.disable()
+        try:
+            context.crowd.replies = await asyncio.gather(
+                *context.crowd.start(12)
+            )
+            kinds = (ForwardedCall, ForwardedRequest)
+            context.kept = sum(
+                isinstance(one, kinds) for one in gc.get_objects()
+            )
+        finally:
+            gc.enable()
+
+    context.crowd.play(act)
+
+
+@then('the 12 callers get 200, and none of their calls is in memory')
+def none_in_memory(context: Any) -> None:
+    assert context.crowd.statuses.count(200) == 12, context.crowd.statuses
+    assert not context.kept, context.kept
+
+
 @when('5 streams of 0.4 s are requested from an engine of 4 slots')
-def request_streams(context: Any) -> None:
+def request_streams_in_turn(context: Any) -> None:
+    request_streams(context, 0.02)
+
+
+@when('5 streams are requested at once from an engine of 4 slots')
+def request_streams_at_once(context: Any) -> None:
+    request_streams(context, 0)
+
+
+def request_streams(context: Any, interval_s: float) -> None:
     async def act(site: Site) -> None:
         site.routes.append(route(HOST, '/flow/', 'stream', ENGINES))
         site.put_manifest()
@@ -427,13 +491,25 @@
                 Request_Id=f's{number}',
             )
             tasks.append(asyncio.create_task(post))
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(interval_s)
         context.crowd.replies = await asyncio.gather(*tasks)
         context.begun_s = [seen.at_s for seen in engine.seen]
+        state = site.entries['entry-0']._context
+        found = next(state.fleet.of_service(ServiceId(ENGINES)))
+        calls = state.queueing.limits.of(found.upstream)
+        context.leftover = (
+            calls.in_flight,
+            state.loads.of(found.upstream).in_flight,
+        )
 
     context.crowd.play(act)
 
 
+@then('no count of a stream is left over')
+def no_count_left(context: Any) -> None:
+    assert context.leftover == (0, 0), context.leftover
+
+
 @then('the last begins after another has ended')
 def last_begins_later(context: Any) -> None:
     assert context.crowd.statuses.count(200) == 5, context.crowd.statuses
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -968,8 +968,9 @@
     Mutation(
         'a stream counts as in flight until it ends',
         'forwarding/relayed_stream.py',
-        'with counted_stream(context, upstream):',
-        'with contextlib.nullcontext():',
+        '    counted = CountedStream(context, upstream)\n    if',
+        '    counted = CountedStream(context, upstream)\n'
+        '    counted.close()\n    if',
         _WAITING,
     ),
     Mutation(
