Refuse a call that a service has refused three times

A call to a service whose upstreams refuse every time was held until shortly before its deadline: with 1500 ms, it got 503 after 1200 ms. It is now refused after three refusals in a row, unless the service has accepted a call meanwhile, with a Retry-After of the forecast wait. In the new scenario this takes at most 660 ms.

The learned limit of an upstream shrank by a quarter although a load report came with the refusal, and limits the calls by itself. Only the time of the refusal is recorded then.

--- a/bergamotdoor/calls/attempts.py
+++ b/bergamotdoor/calls/attempts.py
@@ -43,6 +43,9 @@
 _ANSWER_MARGIN: Final = dt.timedelta(milliseconds=_ANSWER_MARGIN_MS)
 #: Maximum number of times that a call is sent, refusals included.
 _MAX_TRIES: Final = 6
+#: Number of refusals in a row after which a call waits no longer, if the
+#: service accepted no other call meanwhile.
+_MAX_REFUSALS: Final = 3
 _NO_TIME: Final = dt.timedelta()
 #: Least time between two checks whether a hedge may be sent after all. The
 #: hedge delay of a route without a target latency is 0.
@@ -117,6 +120,10 @@
         self._tried: set[UpstreamId] = set()
         #: How often the call was sent.
         self._send_count = 0
+        #: Refusals since the service last accepted a call, and how many calls
+        #: it had accepted by then.
+        self._refusals = 0
+        self._accepted_count = 0
         #: Number of upstreams that crashed in a chain while they ran the
         #: call, or an earlier request with the same fingerprint.
         self.strike_count = 0
@@ -159,7 +166,10 @@
         return [one for one in upstreams if one.upstream not in self._tried]
 
     def end_attempt(
-        self, verdict: Verdict, refused_by: UpstreamId | None = None
+        self,
+        verdict: Verdict,
+        refused_by: UpstreamId | None = None,
+        accepted_count: int = 0,
     ) -> None:
         """Record the outcome of an attempt that has ended.
 
@@ -170,18 +180,28 @@
         refused_by
             The upstream that stated that it did not run the call, if one
             did. It may get the call again.
+        accepted_count
+            How many calls the service has accepted so far.
         """
         self.in_flight -= 1
         if verdict is not Verdict.NOT_RUN:
             self.possible_runs += 1
         elif refused_by is not None:
             self._tried.discard(refused_by)
+            if accepted_count != self._accepted_count:
+                self._refusals = 0
+            self._accepted_count = accepted_count
+            self._refusals += 1
 
     def may_begin_attempt(self, now: dt.timedelta) -> bool:
         """Return whether another attempt may begin."""
         rules = self._rules
         if self._send_count >= _MAX_TRIES or self.is_out_of_time(now):
             return False
+        if self._refusals >= _MAX_REFUSALS:
+            # Failure: all upstreams refuse every call. Symptom: each call is
+            # held until shortly before its deadline.
+            return False
         if self.in_flight and (self.strike_count or not rules.idempotent):
             # A call that may crash upstreams runs at one of them at a time.
             return False
--- a/bergamotdoor/forwarding/attempt.py
+++ b/bergamotdoor/forwarding/attempt.py
@@ -100,15 +100,18 @@
     """Record an attempt in the load of its upstream."""
     load = context.loads.of(upstream.upstream)
     now = context.clock.elapsed()
+    calls = context.queueing.limits.of(upstream.upstream)
+    service_calls = context.queueing.of(upstream.service, context.fleet)
+    service_calls.accepted_count += attempt.verdict is not Verdict.NOT_RUN
     if attempt.replaced:
         context.fleet.remove_replaced(upstream.upstream)
     elif attempt.failed:
         _record_failure(load, attempt, now)
         if attempt.refused:
-            calls = context.queueing.limits.of(upstream.upstream)
-            calls.record_refusal(upstream.slots, now)
+            known = load.known
+            has_report = known.is_direct and known.reported_at >= now - latency
+            calls.record_refusal(upstream.slots, now, has_report=has_report)
     else:
-        calls = context.queueing.limits.of(upstream.upstream)
         if calls.record_acceptance(now - latency):
             load.record_acceptance(now)
         load.record_response(latency)
--- a/bergamotdoor/forwarding/forwarded_call.py
+++ b/bergamotdoor/forwarding/forwarded_call.py
@@ -173,7 +173,9 @@
 
     def _record_attempt(self, attempt: Attempt) -> None:
         refused_by = UpstreamId(attempt.upstream) if attempt.refused else None
-        self._attempts.end_attempt(attempt.verdict, refused_by)
+        self._attempts.end_attempt(
+            attempt.verdict, refused_by, self._service_calls.accepted_count
+        )
         self._failures += attempt.failures
         if attempt.answer is not None or self._last_attempt.answer is None:
             self._last_attempt = attempt
@@ -202,4 +204,8 @@
                 self._last_attempt.detail,
                 self._last_attempt.upstream,
             )
+        if self._last_attempt.refused:
+            return msgspec.structs.replace(
+                self._last_attempt, retry_after=self._place.retry_delay()
+            )
         return self._last_attempt
--- a/bergamotdoor/forwarding/waiting.py
+++ b/bergamotdoor/forwarding/waiting.py
@@ -106,6 +106,12 @@
         if self._error is not None:
             raise self._error
 
+    def retry_delay(self) -> dt.timedelta:
+        """Return the delay after which the caller of a refused call retries."""
+        capacity = self._service_calls.capacity(self._now())
+        wait = capacity.wait(len(self._service_calls.queue))
+        return retry_delay(wait, self._context.rng.random())
+
     async def _wait_in_queue(self, began_at: dt.timedelta) -> None:
         if self._left.is_set():
             return
--- a/bergamotdoor/queueing/limits.py
+++ b/bergamotdoor/queueing/limits.py
@@ -56,14 +56,26 @@
         """
         self._reduced_limit = None
 
-    def record_refusal(self, slots: int, now: dt.timedelta) -> None:
+    def record_refusal(
+        self, slots: int, now: dt.timedelta, *, has_report: bool = False
+    ) -> None:
         """Record that the upstream refused a call.
 
         Calls that were sent together are refused together, so the limit
         shrinks once within a backoff. Otherwise one burst would reduce it
-        to a single call.
+        to a single call. It does not shrink if the upstream has reported its
+        load meanwhile, which limits the calls by itself.
+
+        Parameters
+        ----------
+        slots
+            The registered slots of the upstream.
+        now
+            The monotonic time.
+        has_report
+            Whether the upstream has reported its load since the call was sent.
         """
-        if not self.has_refused(now):
+        if not (self.has_refused(now) or has_report):
             reduced = int(self.learned_limit(slots, now) * _SHARE_AFTER_REFUSAL)
             self._reduced_limit = max(reduced, 1)
         self._refused_at = now
--- a/bergamotdoor/queueing/service_calls.py
+++ b/bergamotdoor/queueing/service_calls.py
@@ -85,6 +85,8 @@
         self.service = service
         self.queue = CallQueue()
         self.hedges = HedgeBudget()
+        #: How many calls the upstreams have accepted.
+        self.accepted_count = 0
         #: Whether a check of the waiting calls is scheduled.
         self.check_scheduled = False
         self._fleet = fleet
--- a/features/forwarding_waiting.feature
+++ b/features/forwarding_waiting.feature
@@ -43,6 +43,14 @@
     When a caller posts while the service refuses calls for 0.2 s
     Then the caller gets 200 as soon as the backoff ends
 
+  Scenario: a call is not held at a service that refuses every time
+    When a caller that waits for 1500 ms posts while the service refuses
+    Then the last gets 503 within 660 ms, and a delay
+
+  Scenario: a refusal with a load report does not reduce the learned limit
+    When a caller posts once to a service that refuses and reports its load
+    Then the limit that refusals have shown is still 4
+
   Scenario: a call with little time is sent as a probe after a refusal
     The service is idle again after a moment, and its backoff lasts longer. The
     other calls follow when the first has been accepted.
--- a/features/steps/forwarding_waiting_steps.py
+++ b/features/steps/forwarding_waiting_steps.py
@@ -13,9 +13,11 @@
 from bergamotdoor import utils
 from bergamotdoor.calls.attempts import CallAttempts
 from bergamotdoor.cli.ctl import Seen, status_lines
+from bergamotdoor.fleet.known_load import ReportedLoad
 from bergamotdoor.forwarding.call import Call as ForwardedRequest
 from bergamotdoor.forwarding.forwarded_call import ForwardedCall
 from bergamotdoor.gateway.readmission import Readmission
+from bergamotdoor.platform import headers
 from bergamotdoor.types import ServiceId
 from lab.client import Call
 from lab.site import Site, at, play
@@ -282,6 +284,44 @@
     assert context.crowd.took_ms in range(500, 530), context.crowd.took_ms
 
 
+@when('a caller that waits for 1500 ms posts while the service refuses')
+def post_to_refusing(context: Any) -> None:
+    async def act(_: Site) -> None:
+        context.crowd.service.mode = UpstreamMode.FULL
+        context.crowd.replies = [await context.crowd.post('last', ms=1500)]
+
+    context.crowd.play(act)
+
+
+@then('the last gets 503 within {ms:d} ms, and a delay')
+def not_held(context: Any, ms: int) -> None:
+    assert context.crowd.statuses == [503]
+    assert context.crowd.took_ms <= ms, context.crowd.took_ms
+    delay = float(context.crowd.replies[0].headers.first('retry-after'))
+    assert round(delay * 1000) in range(100, 750), delay
+
+
+@when('a caller posts once to a service that refuses and reports its load')
+def post_to_reporting(context: Any) -> None:
+    async def act(site: Site) -> None:
+        context.crowd.service.mode = UpstreamMode.FULL
+        report = ReportedLoad(4, 0, 4)
+        with mock.patch.object(headers, 'parse_load', return_value=report):
+            context.crowd.replies = [await context.crowd.post('last', ms=100)]
+        state = site.entries['entry-0']._context
+        upstream = next(iter(state.fleet)).upstream
+        now = state.clock.elapsed()
+        calls = state.queueing.limits.of(upstream)
+        context.learned = (calls.has_refused(now), calls.learned_limit(4, now))
+
+    context.crowd.play(act)
+
+
+@then('the limit that refusals have shown is still {limit:d}')
+def not_reduced(context: Any, limit: int) -> None:
+    assert context.learned == (True, limit), context.learned
+
+
 @when('3 callers that wait for 290 ms post after a refusal')
 def post_after_refusal(context: Any) -> None:
     async def act(site: Site) -> None:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -884,8 +884,8 @@
     Mutation(
         'refusals of one moment reduce a limit once',
         'queueing/limits.py',
-        '        if not self.has_refused(now):\n',
-        '        if slots:\n',
+        'if not (self.has_refused(now) or has_report):',
+        'if not has_report:',
         _QUEUEING,
     ),
     Mutation(
