Read manifests with null fields, and forget senders that are gone

`priority: null`, `engine.stride: null` and an engine that is no table made the whole manifest unreadable; these fields were not decoded before. They now count as unset.

A route whose weights are all 0 sends its calls to its last service, but a call that had waited was refused, since the route led to no service. Both follow the same rule now.

The figure of an entry that has ended was kept for as long as the upstream was registered. Expired figures are dropped when another one is recorded.

The three new checks fail without the change.

--- a/bergamotdoor/calls/manifest.py
+++ b/bergamotdoor/calls/manifest.py
@@ -78,6 +78,9 @@
     def leads_to(self, service: ServiceId, kind: RouteKind) -> bool:
         """Return whether a service gets requests of a kind by this route."""
         services = {share.service for share in self.shares if share.weight}
+        if not services:
+            # `pick_service` chooses the last one then.
+            services = {share.service for share in self.shares[-1:]}
         return self.kind is kind and service in services
 
 
--- a/bergamotdoor/fleet/known_load.py
+++ b/bergamotdoor/fleet/known_load.py
@@ -101,7 +101,17 @@
     def record_told(
         self, sender: NodeId, in_flight: int, now: dt.timedelta
     ) -> None:
-        """Record how many requests another entry has in flight here."""
+        """Record how many requests another entry has in flight here.
+
+        Failure: an entry that ended never tells anything again. Symptom: its
+        figure is kept for as long as the upstream is registered. Figures
+        that have expired are therefore dropped.
+        """
+        self._told = {
+            other: told
+            for other, told in self._told.items()
+            if _is_fresh(told.told_at, now)
+        }
         self._told[sender] = _ToldCount(max(in_flight, 0), now)
 
     def forget_sender(self, sender: NodeId) -> None:
--- a/bergamotdoor/platform/manifest.py
+++ b/bergamotdoor/platform/manifest.py
@@ -53,16 +53,12 @@
     max_wait_s: float | None = None
     single_version: bool = False
     public: bool = False
-    priority: int = 0
-
-
-class _Engine(msgspec.Struct, frozen=True):
-    stride: float = DEFAULT_TOKENS_PER_EVENT
+    priority: int | None = 0
 
 
 class _Service(msgspec.Struct, frozen=True):
     name: ServiceId
-    engine: _Engine | None = None
+    engine: object = None
 
 
 class _Tenant(msgspec.Struct, frozen=True):
@@ -100,7 +96,7 @@
             decoded.version,
             [_build_route(route) for route in decoded.routes],
             {
-                service.name: ServiceRules((service.engine or _Engine()).stride)
+                service.name: ServiceRules(_stride_of(service.engine))
                 for service in decoded.services
             },
             _build_limits(decoded.limits),
@@ -130,10 +126,16 @@
         abandon_after=_optional_seconds(decoded.max_wait_s),
         single_version=decoded.single_version,
         public=decoded.public,
-        priority=decoded.priority,
+        priority=decoded.priority or 0,
     )
 
 
+def _stride_of(engine: object) -> float:
+    stride = engine.get('stride') if isinstance(engine, dict) else None
+    is_number = isinstance(stride, int | float)
+    return stride if is_number and stride else DEFAULT_TOKENS_PER_EVENT
+
+
 def _optional_seconds(number: float | None) -> dt.timedelta | None:
     return None if number is None else dt.timedelta(seconds=number)
 
--- a/features/peers_load_sharing.feature
+++ b/features/peers_load_sharing.feature
@@ -8,6 +8,7 @@
     Then its estimate is 6 requests for 2 s, and 0 from then on
     And a message with other upstreams drops the figure at once
     And it is told of no more requests once it starts again
+    And only the last of 50 entries that come and go is remembered
 
   Scenario: a report that another entry has told is used if it is the newest
     Given an upstream that reported 3 requests 500 ms ago
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -9,6 +9,17 @@
     Then its routes have kinds, shares, bounds and limits with their units
     And its split is drawn by weight
 
+  Scenario: fields without a usable value do not make a manifest unreadable
+    Otherwise an entry that is upgraded serves no route of the manifest.
+
+    Given a manifest whose priority and strides are null or no table
+    Then its route has priority 0, and its services have 58 tokens per event
+
+  Scenario: a route whose weights are all 0 leads where its calls are sent
+    Otherwise each of its calls that waited is refused as not admitted.
+
+    Then a route to s1 and s2 with weights of 0 leads to s2 only
+
   Scenario: an older manifest that arrives late is ignored
     A listing is delayed and arrives after a newer one. Requests of callers
     have already used the newer routes.
--- a/features/steps/peers_load_sharing_steps.py
+++ b/features/steps/peers_load_sharing_steps.py
@@ -107,6 +107,14 @@
     assert 'e0' not in context.kept, context.kept
 
 
+@then('only the last of {count:d} entries that come and go is remembered')
+def forgotten(_: Any, count: int) -> None:
+    known = KnownLoad()
+    for number in range(count):
+        known.record_told(NodeId(f'entry-{number}'), 1, NOW + ms(2000 * number))
+    assert list(known._told) == [f'entry-{count - 1}'], known._told
+
+
 @given('an upstream that reported 3 requests 500 ms ago')
 def reported(context: Any) -> None:
     context.known = KnownLoad()
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -35,7 +35,7 @@
 )
 from bergamotdoor.settings.problems import SettingsError
 from bergamotdoor.stored import Listing, StoredObject, UnreadableError
-from bergamotdoor.types import JobId, Revision, ServiceId
+from bergamotdoor.types import AccountId, JobId, Revision, ServiceId
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -143,6 +143,45 @@
     assert manifest.limits.idle_timeout.total_seconds() == 4
 
 
+@given('a manifest whose priority and strides are null or no table')
+def decode_null_fields(context: Any) -> None:
+    fields = json.loads(manifest_body(1))
+    for one in fields['routes']:
+        one['priority'] = None
+    fields['tenants'] = [{'name': 'a', 'priority': None}]
+    fields['services'] = [
+        {'name': f's{number}', 'engine': engine}
+        for number, engine in enumerate(({'stride': None}, 'x', 5, [], {}))
+    ]
+    body = json.dumps(fields).encode()
+    context.manifest = parse_manifest(stored_object(body))
+
+
+@then('its route has priority 0, and its services have 58 tokens per event')
+def check_defaults(context: Any) -> None:
+    route = context.manifest.match('a.example', '/p/x')
+    assert context.manifest.priority_of(route, AccountId('a')) == 0
+    for number in range(5):
+        rules = context.manifest.service_rules(ServiceId(f's{number}'))
+        assert rules.tokens_per_event == 58, rules
+
+
+@then('a route to s1 and s2 with weights of 0 leads to s2 only')
+def check_zero_weights(_: Any) -> None:
+    fields = json.loads(manifest_body(1))
+    fields['routes'][1]['split'] = [
+        {'service': name, 'weight': 0} for name in ('s1', 's2')
+    ]
+    manifest = parse_manifest(stored_object(json.dumps(fields).encode()))
+    route = manifest.match('a.example', '/p/q/x')
+    assert route is not None
+    assert pick_service(route, 0) == 's2'
+    found = [
+        route.leads_to(ServiceId(name), route.kind) for name in ('s1', 's2')
+    ]
+    assert found == [False, True], found
+
+
 @then('its split is drawn by weight')
 def check_split(context: Any) -> None:
     calls = context.manifest.match('a.example', '/p/q/x')
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -569,8 +569,8 @@
     Mutation(
         'lengths are converted by the tokens that the manifest states',
         'platform/manifest.py',
-        '(service.engine or _Engine()).stride',
-        '_Engine().stride',
+        '_stride_of(service.engine)',
+        '_stride_of(None)',
         'platform_adapter',
     ),
     Mutation(
