--- a/features/forwarding_waiting.feature
+++ b/features/forwarding_waiting.feature
@@ -96,6 +96,11 @@
     Then the last begins after another has ended
     And no count of a stream is left over
 
+  Scenario: a stream whose caller leaves before it begins does not stay counted
+    No code of its body runs then, and the upstream would seem full for ever.
+
+    Then a stream of which nothing is read counts until its body is dropped
+
   Scenario: a call that cannot be sent does not hold up the others
     An exception in the check of the waiting calls leaves them without a timer.
 
--- a/features/steps/forwarding_waiting_steps.py
+++ b/features/steps/forwarding_waiting_steps.py
@@ -5,6 +5,7 @@
 import asyncio
 import datetime as dt
 import gc
+from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
 from unittest import mock
 
@@ -13,12 +14,17 @@
 from bergamotdoor import utils
 from bergamotdoor.calls.attempts import CallAttempts
 from bergamotdoor.cli.ctl import Seen, status_lines
+from bergamotdoor.fleet.fleet import Fleet
 from bergamotdoor.fleet.known_load import ReportedLoad
+from bergamotdoor.fleet.loads import Loads
 from bergamotdoor.forwarding.call import Call as ForwardedRequest
 from bergamotdoor.forwarding.forwarded_call import ForwardedCall
+from bergamotdoor.forwarding.relayed_stream import relayed_stream
 from bergamotdoor.gateway.readmission import Readmission
 from bergamotdoor.platform import headers
+from bergamotdoor.queueing.service_calls import CallQueueing
 from bergamotdoor.types import ServiceId
+from features.fleet_scenes import upstream
 from lab.client import Call
 from lab.site import Site, at, play
 from lab.site_routes import plain_route
@@ -505,6 +511,24 @@
     assert not context.kept, context.kept
 
 
+@then('a stream of which nothing is read counts until its body is dropped')
+def stream_dropped(_: Any) -> None:
+    one = upstream(0)
+    loads = Loads()
+    state: Any = SimpleNamespace(
+        loads=loads,
+        queueing=CallQueueing(loads),
+        fleet=Fleet(),
+        clock=SimpleNamespace(elapsed=dt.timedelta),
+    )
+    call: Any = SimpleNamespace(route=SimpleNamespace(resumable=False))
+    body = relayed_stream(state, call, one, mock.Mock())
+    counts = [loads.of(one.upstream), state.queueing.limits.of(one.upstream)]
+    assert [count.in_flight for count in counts] == [1, 1]
+    del body
+    assert [count.in_flight for count in counts] == [0, 0]
+
+
 @when('5 streams of 0.4 s are requested from an engine of 4 slots')
 def request_streams_in_turn(context: Any) -> None:
     request_streams(context, 0.02)
