--- a/features/peers_load_sharing.feature
+++ b/features/peers_load_sharing.feature
@@ -27,6 +27,7 @@
 
   Scenario: no estimate is negative or beyond what was told and reported
     Then estimates stay within what was told and reported
+    And a told figure of -3 requests counts as none
 
   Scenario: an entry of the previous release gets hardly any messages
     It answers status 400 to a message that it cannot decode. Guards against a
--- a/features/steps/peers_load_sharing_steps.py
+++ b/features/steps/peers_load_sharing_steps.py
@@ -203,6 +203,13 @@
     check()
 
 
+@then('a told figure of {told:d} requests counts as none')
+def negative_figure(_: Any, told: int) -> None:
+    known = KnownLoad()
+    known.record_told(SENDER, told, NOW)
+    assert known.other_requests(NOW) == 0
+
+
 @given('an entry of the previous release, and one that accepts messages')
 def two_receivers(context: Any) -> None:
     context.got = {SENDER: 0, OLD: 0}
