--- a/bergamotdoor/forwarding/forwarded_call.py
+++ b/bergamotdoor/forwarding/forwarded_call.py
@@ -66,19 +66,22 @@
         try:
             outcome = await self._run_attempts()
         finally:
+            self._place.release()
             for task, sent_at in self._in_flight.items():
                 task.cancel()
                 self._record_run(sent_at)
         return msgspec.structs.replace(outcome, failures=self._failures)
 
     async def _run_attempts(self) -> Attempt:
-        while await self._next_attempt() or self._in_flight:
-            for attempt in await self._wait_for_attempts():
+        is_sent = await self._next_attempt()
+        while self._in_flight:
+            for attempt in await self._wait_for_attempts(after_send=is_sent):
                 if not attempt.failed:
                     return attempt
                 self._record_attempt(attempt)
             if self._attempts.is_out_of_time(self._now()):
                 return Attempt(self._attempts.verdict, 'out of time')
+            is_sent = await self._next_attempt()
         return self._final_attempt()
 
     async def _next_attempt(self) -> bool:
@@ -91,7 +94,7 @@
         if not self._candidates(now):
             return False
         if self._in_flight:
-            return self._hedge(now)
+            return self._service_calls.send_hedge(self._begin_attempt, now)
         if not self._service_calls.queue:
             if self._begin_attempt() is RoomUse.SENT:
                 self._place.record_first_send()
@@ -106,14 +109,6 @@
         fleet = self._context.fleet
         return self._attempts.untried(fleet.of_service(self._service))
 
-    def _hedge(self, now: dt.timedelta) -> bool:
-        if not self._service_calls.may_hedge(now):
-            return False
-        is_sent = self._begin_attempt() is RoomUse.SENT
-        if is_sent:
-            self._service_calls.hedges.record_hedge(now)
-        return is_sent
-
     def _begin_attempt(self) -> RoomUse:
         """Send the call to one more upstream that has room."""
         now = self._now()
@@ -121,7 +116,9 @@
         if not candidates:
             return RoomUse.ENDED
         upstream = self._attempts.begin_attempt(
-            self._service_calls.with_room(candidates, now),
+            self._service_calls.with_room(
+                candidates, now, now + self._attempts.time_left(now)
+            ),
             self._context.loads,
             now,
         )
@@ -158,9 +155,9 @@
             fingerprint, CALL_STRIKE_LIMIT, self._now()
         )
 
-    async def _wait_for_attempts(self) -> list[Attempt]:
+    async def _wait_for_attempts(self, *, after_send: bool) -> list[Attempt]:
         """Return the attempts that ended; empty after a timeout."""
-        wait_time = self._attempts.wait_time(self._now())
+        wait_time = self._attempts.wait_time(self._now(), after_send=after_send)
         done, _ = await asyncio.wait(
             self._in_flight,
             timeout=wait_time.total_seconds(),
@@ -176,7 +173,9 @@
 
     def _record_attempt(self, attempt: Attempt) -> None:
         refused_by = UpstreamId(attempt.upstream) if attempt.refused else None
-        self._attempts.end_attempt(attempt.verdict, refused_by)
+        self._attempts.end_attempt(
+            attempt.verdict, refused_by, self._service_calls.accepted_count
+        )
         self._failures += attempt.failures
         if attempt.answer is not None or self._last_attempt.answer is None:
             self._last_attempt = attempt
@@ -205,4 +204,8 @@
                 self._last_attempt.detail,
                 self._last_attempt.upstream,
             )
+        if self._last_attempt.refused:
+            return msgspec.structs.replace(
+                self._last_attempt, retry_after=self._place.retry_delay()
+            )
         return self._last_attempt
--- a/features/peers_load_sharing.feature
+++ b/features/peers_load_sharing.feature
@@ -8,6 +8,7 @@
     Then its estimate is 6 requests for 2 s, and 0 from then on
     And a message with other upstreams drops the figure at once
     And it is told of no more requests once it starts again
+    And only the last of 50 entries that come and go is remembered
 
   Scenario: a report that another entry has told is used if it is the newest
     Given an upstream that reported 3 requests 500 ms ago
@@ -26,6 +27,7 @@
 
   Scenario: no estimate is negative or beyond what was told and reported
     Then estimates stay within what was told and reported
+    And a told figure of -3 requests counts as none
 
   Scenario: an entry of the previous release gets hardly any messages
     It answers status 400 to a message that it cannot decode. Guards against a
--- a/features/steps/forwarding_waiting_steps.py
+++ b/features/steps/forwarding_waiting_steps.py
@@ -4,12 +4,27 @@
 
 import asyncio
 import datetime as dt
+import gc
+from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any
+from unittest import mock
 
 from behave import given, then, when
 
 from bergamotdoor import utils
+from bergamotdoor.calls.attempts import CallAttempts
 from bergamotdoor.cli.ctl import Seen, status_lines
+from bergamotdoor.fleet.fleet import Fleet
+from bergamotdoor.fleet.known_load import ReportedLoad
+from bergamotdoor.fleet.loads import Loads
+from bergamotdoor.forwarding.call import Call as ForwardedRequest
+from bergamotdoor.forwarding.forwarded_call import ForwardedCall
+from bergamotdoor.forwarding.relayed_stream import relayed_stream
+from bergamotdoor.gateway.readmission import Readmission
+from bergamotdoor.platform import headers
+from bergamotdoor.queueing.service_calls import CallQueueing
+from bergamotdoor.types import ServiceId
+from features.fleet_scenes import upstream
 from lab.client import Call
 from lab.site import Site, at, play
 from lab.site_routes import plain_route
@@ -116,10 +131,13 @@
     crowd.play(act)
 
 
-@then('the {count:d} callers get 200, and the service never ran over 4 calls')
-def all_served(context: Any, count: int) -> None:
+@then(
+    'the {count:d} callers get 200, and the service never ran over {most:d} '
+    'calls'
+)
+def all_served(context: Any, count: int, most: int) -> None:
     assert context.crowd.statuses.count(200) == count, context.crowd.statuses
-    assert context.crowd.highest == 4, context.crowd.highest
+    assert context.crowd.highest == most, context.crowd.highest
 
 
 @then('the metrics count 8 calls that waited, and the state showed them')
@@ -170,8 +188,10 @@
         await asyncio.sleep(0.1)
         for task in tasks[-3:]:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.sleep(0.01)
         state = site.entries['entry-0']._context
+        context.waiting = len(state.queueing.services()[0].queue)
+        await asyncio.gather(*tasks, return_exceptions=True)
         upstream = next(iter(state.fleet)).upstream
         context.leftover = (
             len(state.queueing.services()[0].queue),
@@ -186,6 +206,8 @@
 def got_calls(context: Any, count: int) -> None:
     expected = {f'call-{number}' for number in range(count)}
     assert set(context.crowd.got) == expected, context.crowd.got
+    # 9 calls less the 4 that are in flight: no place is kept for the others.
+    assert context.waiting == 5, context.waiting
     assert context.leftover == (0, 0, 0), context.leftover
 
 
@@ -272,6 +294,60 @@
     assert context.crowd.took_ms in range(500, 530), context.crowd.took_ms
 
 
+@when('a caller that waits for 1500 ms posts while the service refuses')
+def post_to_refusing(context: Any) -> None:
+    async def act(_: Site) -> None:
+        context.crowd.service.mode = UpstreamMode.FULL
+        context.crowd.replies = [await context.crowd.post('last', ms=1500)]
+
+    context.crowd.play(act)
+
+
+@then('the last gets 503 within {ms:d} ms, and a delay')
+def not_held(context: Any, ms: int) -> None:
+    assert context.crowd.statuses == [503]
+    assert context.crowd.took_ms <= ms, context.crowd.took_ms
+    delay = float(context.crowd.replies[0].headers.first('retry-after'))
+    assert round(delay * 1000) in range(100, 750), delay
+
+
+@when('a caller posts once to a service that refuses and reports its load')
+def post_to_reporting(context: Any) -> None:
+    async def act(site: Site) -> None:
+        context.crowd.service.mode = UpstreamMode.FULL
+        report = ReportedLoad(4, 0, 4)
+        with mock.patch.object(headers, 'parse_load', return_value=report):
+            context.crowd.replies = [await context.crowd.post('last', ms=100)]
+        state = site.entries['entry-0']._context
+        upstream = next(iter(state.fleet)).upstream
+        now = state.clock.elapsed()
+        calls = state.queueing.limits.of(upstream)
+        context.learned = (calls.has_refused(now), calls.learned_limit(4, now))
+
+    context.crowd.play(act)
+
+
+@then('the limit that refusals have shown is still {limit:d}')
+def not_reduced(context: Any, limit: int) -> None:
+    assert context.learned == (True, limit), context.learned
+
+
+@when('3 callers that wait for 290 ms post after a refusal')
+def post_after_refusal(context: Any) -> None:
+    async def act(site: Site) -> None:
+        crowd = context.crowd
+        crowd.service.work_s = 0.05
+        await asyncio.gather(*(crowd.post(f'fast-{n}') for n in range(20)))
+        crowd.highest = 0
+        crowd.service.mode = UpstreamMode.FULL
+        crowd.replies = [await crowd.post('refused', ms=30)]
+        assert crowd.statuses == [503], crowd.statuses
+        crowd.service.mode = UpstreamMode.GOOD
+        crowd.replies = await asyncio.gather(*crowd.start(3, ms=290))
+
+    context.crowd.play(act)
+
+
 @when('a call breaks at a service and finds no room at another in time')
 def break_and_wait(context: Any) -> None:
     async def act(site: Site) -> None:
@@ -319,6 +395,52 @@
     assert len(context.ran) == len(set(context.ran)) == count, context.ran
 
 
+def post_without_target(context: Any, services: int) -> None:
+    context.checks = 0
+    wait_time = CallAttempts.wait_time
+
+    def counted(*arguments: Any, **options: Any) -> dt.timedelta:
+        context.checks += 1
+        assert context.checks < 1000, 'no pause between checks'
+        return wait_time(*arguments, **options)
+
+    async def act(site: Site) -> None:
+        for number in range(1, services):
+            await site.add_service(f'desk-{number}')
+        site.routes.append(plain_route('/other/', 'safe', 2))
+        site.routes[-1].pop('goal_ms', None)
+        site.put_manifest()
+        await asyncio.sleep(0.5)
+        with mock.patch.object(CallAttempts, 'wait_time', counted):
+            context.crowd.replies = [
+                await context.crowd.post('last', '/other/')
+            ]
+        state = site.entries['entry-0']._context
+        now = state.clock.elapsed()
+        context.has_left = state.queueing.services()[0].hedges.has_left(now)
+
+    context.crowd.play(act)
+
+
+@when('a caller posts on a route without a target latency')
+def post_to_one_without_target(context: Any) -> None:
+    post_without_target(context, 1)
+
+
+@when('a caller posts without a target latency to two services')
+def post_to_two_without_target(context: Any) -> None:
+    post_without_target(context, 2)
+
+
+@then(
+    'its call gets 200 after {least:d} to {most:d} checks, and used up no hedge'
+)
+def few_checks(context: Any, least: int, most: int) -> None:
+    assert context.crowd.statuses == [200]
+    assert least <= context.checks <= most, context.checks
+    assert context.has_left
+
+
 @when('an entry stops while {count:d} callers of a long route wait')
 def stop_while_waiting(context: Any, count: int) -> None:
     async def act(site: Site) -> None:
@@ -343,8 +465,85 @@
     assert len(context.crowd.got) == statuses.count(200), context.crowd.got
 
 
+@when('12 callers post at once, and the second admission of one fails')
+def fail_admission(context: Any) -> None:
+    check = Readmission.check
+
+    def failing(self: Any, request: Any, *arguments: Any) -> Any:
+        if request.target.endswith('call-6'):
+            raise RuntimeError(request.target)
+        return check(self, request, *arguments)
+
+    async def act(_: Site) -> None:
+        with mock.patch.object(Readmission, 'check', failing):
+            context.crowd.replies = await asyncio.gather(
+                *context.crowd.start(12)
+            )
+
+    context.crowd.play(act)
+
+
+@then('11 callers get 200 and one 500')
+def one_failed(context: Any) -> None:
+    statuses = context.crowd.statuses
+    assert statuses.count(200) == 11, statuses
+    assert statuses[6] == 500, statuses
+
+
+@when('12 callers post at once without a cyclic collector')
+def post_without_collector(context: Any) -> None:
+    async def act(_: Site) -> None:
+        gc.collect()
+        gc.disable()
+        try:
+            context.crowd.replies = await asyncio.gather(
+                *context.crowd.start(12)
+            )
+            kinds = (ForwardedCall, ForwardedRequest)
+            context.kept = sum(
+                isinstance(one, kinds) for one in gc.get_objects()
+            )
+        finally:
+            gc.enable()
+
+    context.crowd.play(act)
+
+
+@then('the 12 callers get 200, and none of their calls is in memory')
+def none_in_memory(context: Any) -> None:
+    assert context.crowd.statuses.count(200) == 12, context.crowd.statuses
+    assert not context.kept, context.kept
+
+
+@then('a stream of which nothing is read counts until its body is dropped')
+def stream_dropped(_: Any) -> None:
+    one = upstream(0)
+    loads = Loads()
+    state: Any = SimpleNamespace(
+        loads=loads,
+        queueing=CallQueueing(loads),
+        fleet=Fleet(),
+        clock=SimpleNamespace(elapsed=dt.timedelta),
+    )
+    call: Any = SimpleNamespace(route=SimpleNamespace(resumable=False))
+    body = relayed_stream(state, call, one, mock.Mock())
+    counts = [loads.of(one.upstream), state.queueing.limits.of(one.upstream)]
+    assert [count.in_flight for count in counts] == [1, 1]
+    del body
+    assert [count.in_flight for count in counts] == [0, 0]
+
+
 @when('5 streams of 0.4 s are requested from an engine of 4 slots')
-def request_streams(context: Any) -> None:
+def request_streams_in_turn(context: Any) -> None:
+    request_streams(context, 0.02)
+
+
+@when('5 streams are requested at once from an engine of 4 slots')
+def request_streams_at_once(context: Any) -> None:
+    request_streams(context, 0)
+
+
+def request_streams(context: Any, interval_s: float) -> None:
     async def act(site: Site) -> None:
         site.routes.append(route(HOST, '/flow/', 'stream', ENGINES))
         site.put_manifest()
@@ -360,13 +559,25 @@
                 Request_Id=f's{number}',
             )
             tasks.append(asyncio.create_task(post))
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(interval_s)
         context.crowd.replies = await asyncio.gather(*tasks)
         context.begun_s = [seen.at_s for seen in engine.seen]
+        state = site.entries['entry-0']._context
+        found = next(state.fleet.of_service(ServiceId(ENGINES)))
+        calls = state.queueing.limits.of(found.upstream)
+        context.leftover = (
+            calls.in_flight,
+            state.loads.of(found.upstream).in_flight,
+        )
 
     context.crowd.play(act)
 
 
+@then('no count of a stream is left over')
+def no_count_left(context: Any) -> None:
+    assert context.leftover == (0, 0), context.leftover
+
+
 @then('the last begins after another has ended')
 def last_begins_later(context: Any) -> None:
     assert context.crowd.statuses.count(200) == 5, context.crowd.statuses
--- a/features/steps/peers_load_sharing_steps.py
+++ b/features/steps/peers_load_sharing_steps.py
@@ -107,6 +107,14 @@
     assert 'e0' not in context.kept, context.kept
 
 
+@then('only the last of {count:d} entries that come and go is remembered')
+def forgotten(_: Any, count: int) -> None:
+    known = KnownLoad()
+    for number in range(count):
+        known.record_told(NodeId(f'entry-{number}'), 1, NOW + ms(2000 * number))
+    assert list(known._told) == [f'entry-{count - 1}'], known._told
+
+
 @given('an upstream that reported 3 requests 500 ms ago')
 def reported(context: Any) -> None:
     context.known = KnownLoad()
@@ -195,6 +203,13 @@
     check()
 
 
+@then('a told figure of {told:d} requests counts as none')
+def negative_figure(_: Any, told: int) -> None:
+    known = KnownLoad()
+    known.record_told(SENDER, told, NOW)
+    assert known.other_requests(NOW) == 0
+
+
 @given('an entry of the previous release, and one that accepts messages')
 def two_receivers(context: Any) -> None:
     context.got = {SENDER: 0, OLD: 0}
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -569,8 +569,8 @@
     Mutation(
         'lengths are converted by the tokens that the manifest states',
         'platform/manifest.py',
-        '(service.engine or _Engine()).stride',
-        '_Engine().stride',
+        '_stride_of(service.engine)',
+        '_stride_of(None)',
         'platform_adapter',
     ),
     Mutation(
@@ -884,8 +884,8 @@
     Mutation(
         'refusals of one moment reduce a limit once',
         'queueing/limits.py',
-        '        if not self.has_refused(now):\n',
-        '        if slots:\n',
+        'if not (self.has_refused(now) or has_report):',
+        'if not has_report:',
         _QUEUEING,
     ),
     Mutation(
@@ -919,8 +919,8 @@
     Mutation(
         'hedges of a busy service have a budget',
         _SERVICE_CALLS,
-        'return requests * _HALF <= slots or self.hedges.has_left(now)',
-        'return requests >= 0',
+        'if is_busy and not self.hedges.has_left(now):',
+        'if slots < 0:',
         _QUEUEING,
     ),
     Mutation(
@@ -968,8 +968,9 @@
     Mutation(
         'a stream counts as in flight until it ends',
         'forwarding/relayed_stream.py',
-        'with counted_stream(context, upstream):',
-        'with contextlib.nullcontext():',
+        '    counted = CountedStream(context, upstream)\n    if',
+        '    counted = CountedStream(context, upstream)\n'
+        '    counted.close()\n    if',
         _WAITING,
     ),
     Mutation(
@@ -982,8 +983,8 @@
     Mutation(
         'upstreams that failed get calls if there are no others',
         'queueing/limits.py',
-        '        return available or [\n',
-        '        return available\n        return [\n',
+        '        return known\n',
+        '        return available\n',
         _CRASHES,
     ),
     Mutation(
