Bound the search for a capacity plan and the moves that follow

Cause: the search compared each pair of engines for each change, summed the capacities anew, and ran in the event loop without a bound. The rest of a change was made for a gain of 2 %, so noise moved engines back and forth. A model without an engine got none if the demand of all others was unknown, and while no engine may move, other moves were made along with the one for such a model.

Change: capacities are summed as engines move, and only the exchanges that come closest to equal ratios are compared, at most one change for eight engines in a search. There is no search where all demand divided by all capacity shows that the gain is too small. The rest of a change must gain 5 %, and an engine that moved stays for 60 s. A model without an engine takes one of a model of unknown demand if no other can give one, and only such moves are made while none may move.

--- a/bergamotdoor/fleet/capacity_plan.py
+++ b/bergamotdoor/fleet/capacity_plan.py
@@ -12,7 +12,9 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING, Final
+from bisect import bisect_left, insort
+from operator import itemgetter
+from typing import TYPE_CHECKING, Final, TypeAlias
 
 import msgspec
 
@@ -28,16 +30,27 @@
 #: A plan in force changes if the largest ratio falls to this share of it or
 #: less. Measured demands and speeds vary by a tenth.
 _CHANGE_SHARE: Final = 0.85
-#: The same for the rest of a change that was made in part.
-_LEAST_SHARE: Final = 0.98
+#: The same for the rest of a change that was made in part. With a gain of 2 %
+#: the noise of the measurements alone moves engines back and forth.
+_LEAST_SHARE: Final = 0.95
 #: Engines that change their model in one write: at most this part, and at
 #: least this number, so that two engines can swap their models. The others
 #: serve the steps while these load weights.
 _MOVED_PART: Final = 8
 _MIN_MOVED: Final = 2
+#: Changes of one search: at most one for this number of engines, and at least
+#: this number. The search runs in the event loop.
+_ENGINES_PER_CHANGE: Final = 8
+_MIN_CHANGES: Final = 8
 #: Capacities are summed in thousandths of an event per second.
 _UNITS: Final = 1000
 
+#: Capacities and addresses of engines, slowest first.
+_Engines: TypeAlias = list[tuple[int, str]]
+#: Capacity that a model gains, the engine that it gets, and the one that it
+#: gives in return; empty if it gives none.
+_Exchange: TypeAlias = tuple[int, str, str]
+
 
 class CapacityPlan(msgspec.Struct, frozen=True):
     """Assignment of models to engines of a service, as stored."""
@@ -64,6 +77,8 @@
     demands_events_s: dict[ModelId, float]
     #: Models whose demand is unknown. Their engines keep their model.
     unknown_models: frozenset[ModelId] = frozenset()
+    #: Addresses of engines that moved a short time ago and keep their model.
+    held: frozenset[str] = frozenset()
 
 
 class PlanDecision(msgspec.Struct, frozen=True):
@@ -119,11 +134,17 @@
     assignment = _Assignment(planned, start)
     added = assignment.add_unassigned()
     before = assignment.largest_ratio
-    changes: tuple[dict[str, ModelId], ...] = ()
-    if may_move or math.isinf(before):
-        share = 1 / EVEN_TOLERANCE if plan is None else _CHANGE_SHARE
-        changes = _changes(assignment, _LEAST_SHARE if continuing else share)
-    moved = _apply(assignment, changes, _max_moved(len(active)))
+    least_share = 1 / EVEN_TOLERANCE if plan is None else _CHANGE_SHARE
+    if continuing:
+        least_share = _LEAST_SHARE
+    changes = (
+        _changes(assignment, least_share)
+        if may_move
+        else _missing_engines(assignment)
+    )
+    moved = _apply(
+        assignment, changes, max(_MIN_MOVED, len(active) // _MOVED_PART)
+    )
     if not moved and (plan is None or not added):
         return None
     return PlanDecision(
@@ -132,14 +153,10 @@
         added,
         before,
         assignment.largest_ratio,
-        len(moved) < sum(map(len, changes)),
+        may_move and _has_more(assignment, changes, len(moved)),
     )
 
 
-def _max_moved(engines: int) -> int:
-    return max(_MIN_MOVED, engines // _MOVED_PART)
-
-
 def _changes(
     assignment: _Assignment, share: float
 ) -> tuple[dict[str, ModelId], ...]:
@@ -148,14 +165,35 @@
     Failure: demands or speeds vary a little from step to step. Symptom:
     engines change their models back and forth, and each change costs a weight
     load. So changes are made only if all of them together lower the largest
-    ratio to `share` of what it is.
+    ratio to `share` of what it is. There is no search if no assignment can
+    do so, since it takes tens of milliseconds of many engines.
     """
+    limit = assignment.largest_ratio * share
+    if limit < assignment.mean_ratio:
+        return ()
     best = assignment.copy()
     changes = tuple(best.improve())
-    limit = assignment.largest_ratio * share
     return changes if best.largest_ratio <= limit else ()
 
 
+def _missing_engines(
+    assignment: _Assignment,
+) -> tuple[dict[str, ModelId], ...]:
+    """Return the changes that give an engine to each model without one."""
+    return tuple(assignment.copy().improve(while_missing=True))
+
+
+def _has_more(
+    assignment: _Assignment,
+    changes: tuple[dict[str, ModelId], ...],
+    moved: int,
+) -> bool:
+    """Return whether changes remain, or the search was ended by its bound."""
+    return (
+        moved < sum(map(len, changes)) or len(changes) == assignment.max_changes
+    )
+
+
 def _apply(
     assignment: _Assignment,
     changes: Iterable[dict[str, ModelId]],
@@ -166,7 +204,7 @@
     for change in changes:
         if len(moved) + len(change) > max_moved:
             break
-        assignment.models.update(change)
+        assignment.apply(change)
         moved = (*moved, *change)
     return moved
 
@@ -197,11 +235,19 @@
             if one.capacity_events_s > 0
         }
         #: Model of each engine that has one which is still registered.
-        self.models = {
-            one.address: models[one.address]
-            for one in planned.engines
-            if models.get(one.address) in self._demands
+        self.models: dict[str, ModelId] = {}
+        self._sums: dict[ModelId, int] = dict.fromkeys(self._demands, 0)
+        #: Active engines of each model with their capacity, slowest first.
+        self._ordered: dict[ModelId, _Engines] = {
+            model: [] for model in self._demands
         }
+        self.apply(
+            {
+                one.address: models[one.address]
+                for one in planned.engines
+                if models.get(one.address) in self._demands
+            }
+        )
 
     def copy(self) -> _Assignment:
         """Return an independent copy."""
@@ -210,11 +256,30 @@
     @property
     def largest_ratio(self) -> float:
         """Largest ratio of demand to capacity of all models."""
-        sums = self._sums()
-        return max(
-            _ratio(demand, sums[model])
-            for model, demand in self._demands.items()
-        )
+        return self._ratio(self._worst_model())
+
+    @property
+    def mean_ratio(self) -> float:
+        """Ratio of all demand to all capacity.
+
+        The largest ratio of any assignment is at least as large.
+        """
+        total = sum(self._capacities.values())
+        return _ratio(math.fsum(self._demands.values()), total)
+
+    def apply(self, change: Mapping[str, ModelId]) -> None:
+        """Assign models to engines."""
+        for address, model in change.items():
+            capacity = self._capacities.get(address)
+            before = self.models.get(address)
+            self.models[address] = model
+            if capacity is None:
+                continue
+            if before is not None:
+                self._sums[before] -= capacity
+                self._ordered[before].remove((capacity, address))
+            self._sums[model] += capacity
+            insort(self._ordered[model], (capacity, address))
 
     def add_unassigned(self) -> tuple[str, ...]:
         """Assign the engines without a model, and return their addresses.
@@ -222,81 +287,168 @@
         The fastest is assigned first, to the model with the largest ratio.
         """
         missing = self._capacities.keys() - self.models.keys()
-        added = sorted(missing, key=self._speed_order)
+        fastest_first = sorted((-self._capacities[one], one) for one in missing)
+        added = tuple(address for _, address in fastest_first)
         for address in added:
-            self.models[address] = self._worst_model(self._sums())
-        return tuple(added)
+            self.apply({address: self._worst_model()})
+        return added
+
+    @property
+    def max_changes(self) -> int:
+        """The most changes of one search."""
+        return max(_MIN_CHANGES, len(self._capacities) // _ENGINES_PER_CHANGE)
 
-    def improve(self) -> Iterator[dict[str, ModelId]]:
+    def improve(
+        self, *, while_missing: bool = False
+    ) -> Iterator[dict[str, ModelId]]:
         """Apply and yield changes for as long as one is a gain.
 
         A change lowers the largest ratio and raises another one, which stays
-        below it. So no assignment occurs twice, and the search ends.
+        below it. So no assignment occurs twice.
+
+        Parameters
+        ----------
+        while_missing
+            Whether to stop as soon as each model has an engine.
         """
-        change = self._best_change()
-        while change:
-            self.models.update(change)
-            yield change
+        for _ in range(self.max_changes):
+            if while_missing and math.isfinite(self.largest_ratio):
+                return
             change = self._best_change()
+            if not change:
+                return
+            self.apply(change)
+            yield change
 
     def _best_change(self) -> dict[str, ModelId]:
         """Return the change after which the ratios are lowest, if any.
 
         One engine moves to the model with the largest ratio, or is swapped
         for a slower one of this model.
+
+        Failure: a model has no engine, and the others are of unknown demand
+        or have engines that moved a short time ago. Symptom: its steps are
+        not served. In this case such engines move as well.
         """
-        sums = self._sums()
-        worst = self._worst_model(sums)
-        largest = _ratio(self._demands[worst], sums[worst])
-        lowest = (largest, math.inf)
+        worst = self._worst_model()
+        planned = self._planned
+        best = self._best_of(worst, planned.unknown_models, planned.held)
+        if not best and not self._sums[worst]:
+            best = self._best_of(worst, frozenset(), frozenset())
+        return best
+
+    def _best_of(
+        self,
+        worst: ModelId,
+        unknown: AbstractSet[ModelId],
+        held: AbstractSet[str],
+    ) -> dict[str, ModelId]:
+        lowest = (self._ratio(worst), -math.inf)
         best: dict[str, ModelId] = {}
-        for change in self._changes_for(worst):
-            ratios = (
-                _ratio(self._demands[worst], sums[worst] + change.capacity),
+        givers = self._demands.keys() - {worst, *unknown}
+        # No exchange of two models lowers the larger ratio to less than the
+        # one of both together, so most models need no search.
+        for least, _, giver in self._pairs(worst, givers):
+            if least > lowest[0]:
+                break
+            for change in self._changes_between(worst, giver, held):
+                ratios = self._ratios_after(worst, change)
+                if ratios < lowest:
+                    lowest, best = ratios, change.models
+        return best
+
+    def _changes_between(
+        self,
+        worst: ModelId,
+        giver: ModelId,
+        held: AbstractSet[str],
+    ) -> Iterator[_Change]:
+        """Yield the changes that come closest to equal ratios of two models.
+
+        The larger of the two ratios rises with the distance from the capacity
+        that makes them equal, on either side of it. So only the closest change
+        of each side can be the best one.
+        """
+        wanted = self._equalizing_capacity(worst, giver)
+        own = _without(self._ordered[worst], held)
+        others = _without(self._ordered[giver], held)
+        slower = [(0, ''), *own] if len(self._ordered[giver]) > 1 else own
+        for given, other, returned in _closest(slower, others, wanted):
+            models = {other: worst}
+            if returned:
+                models[returned] = giver
+            yield _Change(models, giver, given)
+
+    def _equalizing_capacity(self, worst: ModelId, giver: ModelId) -> float:
+        """Return the capacity that makes the ratios equal if it is given."""
+        demand, other = self._demands[worst], self._demands[giver]
+        if not demand + other:
+            return 0
+        difference = demand * self._sums[giver] - other * self._sums[worst]
+        return difference / (demand + other)
+
+    def _ratios_after(
+        self, worst: ModelId, change: _Change
+    ) -> tuple[float, float]:
+        """Return the larger and the smaller ratio of the two models."""
+        giver = change.giver
+        ratios = (
+            _ratio(self._demands[worst], self._sums[worst] + change.capacity),
+            _ratio(self._demands[giver], self._sums[giver] - change.capacity),
+        )
+        return max(ratios), min(ratios)
+
+    def _pairs(
+        self, worst: ModelId, givers: Iterable[ModelId]
+    ) -> list[tuple[float, int, ModelId]]:
+        """Return the ratio of `worst` together with each giver, sorted.
+
+        Of equal ones, the giver with the most capacity is first.
+        """
+        return sorted(
+            (
                 _ratio(
-                    self._demands[change.giver],
-                    sums[change.giver] - change.capacity,
+                    self._demands[worst] + self._demands[giver],
+                    self._sums[worst] + self._sums[giver],
                 ),
+                -self._sums[giver],
+                giver,
             )
-            ordered = (max(ratios), min(ratios))
-            if ordered < lowest and ordered[0] < largest:
-                lowest, best = ordered, change.models
-        return best
+            for giver in givers
+        )
 
-    def _changes_for(self, worst: ModelId) -> Iterator[_Change]:
-        own = self._active_of({worst})
-        fixed = {worst, *self._planned.unknown_models}
-        for other in self._active_of(self._demands.keys() - fixed):
-            giver = self.models[other]
-            capacity = self._capacities[other]
-            yield _Change({other: worst}, giver, capacity)
-            for one in own:
-                more = capacity - self._capacities[one]
-                if more > 0:
-                    yield _Change({other: worst, one: giver}, giver, more)
-
-    def _speed_order(self, address: str) -> tuple[int, str]:
-        return -self._capacities[address], address
-
-    def _active_of(self, models: AbstractSet[ModelId]) -> list[str]:
-        return [
-            address
-            for address in self._capacities
-            if self.models[address] in models
-        ]
-
-    def _worst_model(self, sums: Mapping[ModelId, int]) -> ModelId:
+    def _ratio(self, model: ModelId) -> float:
+        return _ratio(self._demands[model], self._sums[model])
+
+    def _worst_model(self) -> ModelId:
         # Of models without an engine, the one with the most demand is first.
         return max(
-            (_ratio(demand, sums[model]), demand, model)
+            (self._ratio(model), demand, model)
             for model, demand in self._demands.items()
         )[-1]
 
-    def _sums(self) -> dict[ModelId, int]:
-        sums = dict.fromkeys(self._demands, 0)
-        for address, model in self.models.items():
-            sums[model] += self._capacities.get(address, 0)
-        return sums
+
+def _closest(
+    slower: _Engines, others: _Engines, wanted: float
+) -> list[_Exchange]:
+    """Return the exchanges that give closest to `wanted`, below and above."""
+    less: list[_Exchange] = []
+    more: list[_Exchange] = []
+    for capacity, returned in slower:
+        at = bisect_left(others, (capacity + wanted, ''))
+        for other_capacity, other in others[max(at - 1, 0) : at + 1]:
+            given = other_capacity - capacity
+            if given > 0:
+                side = less if given < wanted else more
+                side.append((given, other, returned))
+    return [
+        *sorted(less, key=itemgetter(0))[-1:],
+        *sorted(more, key=itemgetter(0))[:1],
+    ]
+
+
+def _without(engines: _Engines, held: AbstractSet[str]) -> _Engines:
+    return [one for one in engines if one[1] not in held] if held else engines
 
 
 def _ratio(demand_events_s: float, capacity: int) -> float:
--- a/bergamotdoor/steps/planned_service.py
+++ b/bergamotdoor/steps/planned_service.py
@@ -39,6 +39,10 @@
 #: registers again within this time.
 _ABSENCE_S: Final = 30
 ABSENCE: Final = dt.timedelta(seconds=_ABSENCE_S)
+#: How long an engine keeps its model after a move, so that noise of the
+#: measurements moves no engine back and forth.
+_HOLD_TIME_S: Final = 60
+HOLD_TIME: Final = dt.timedelta(seconds=_HOLD_TIME_S)
 
 
 class DemandState(msgspec.Struct, frozen=True):
@@ -78,6 +82,8 @@
         self._changed_at: dt.timedelta | None = None
         #: Monotonic time at which each engine was last registered.
         self._seen_at: dict[str, dt.timedelta] = {}
+        #: Monotonic time of the last move of each engine.
+        self._moved_at: dict[str, dt.timedelta] = {}
         #: Whether the plan that was written last moved only some engines.
         self._is_partial = False
 
@@ -105,6 +111,7 @@
         self.use_plan(stored, now)
         if decision.moved:
             self._is_partial = decision.is_partial
+            self._moved_at.update(dict.fromkeys(decision.moved, now))
 
     def decide(
         self, members: Sequence[Upstream], now: dt.timedelta, *, is_first: bool
@@ -179,6 +186,7 @@
             tuple(self._engines(members, now)),
             self.demand.demands_events_s(models),
             unknown,
+            self._held(now),
         )
 
     def even_assignment(
@@ -211,6 +219,15 @@
             for model, told in sorted(self.demand.last_told.items())
         )
 
+    def _held(self, now: dt.timedelta) -> frozenset[str]:
+        """Return the addresses of the engines that moved a short time ago."""
+        self._moved_at = {
+            address: moved_at
+            for address, moved_at in self._moved_at.items()
+            if now - moved_at < HOLD_TIME
+        }
+        return frozenset(self._moved_at)
+
     def _engines(
         self, members: Sequence[Upstream], now: dt.timedelta
     ) -> Iterator[PlannedEngine]:
--- a/features/fleet_capacity_plan.feature
+++ b/features/fleet_capacity_plan.feature
@@ -98,6 +98,39 @@
     And the demand of the last 3 models is unknown
     Then there is no plan
 
+  Scenario: an engine is given to a model without one despite unknown demand
+    Guards against a model that nobody serves after its only engine is gone,
+    because the demand of all other models is unknown.
+
+    Given 10 engines, of which 0 take half the time for an event
+    And models that demand 150, 0, 0 and 0 events per second
+    And the demand of the last 3 models is unknown
+    Then the first model gets an engine of another one if it has none
+
+  Scenario: an engine for a model without one starts no other moves
+    Guards against engines that change their model although the last change of
+    the plan has had no effect yet.
+
+    Given 22 engines, of which 0 take half the time for an event
+    And models that demand 300, 20, 20 and 20 events per second
+    Then only one engine moves to a model without one while none may move
+
+  Scenario: an engine that moved a short time ago stays
+    Guards against engines that move back and forth with the noise of the
+    measurements.
+
+    Given 22 engines, of which 0 take half the time for an event
+    And models that demand 300, 20, 20 and 20 events per second
+    Then engines are held for 60 s after their move
+    And the rest of a change is made only for a gain of 5 %
+
+  Scenario: a search ends soon with many engines
+    Guards against an event loop that stops for seconds while a plan of
+    hundreds of engines is searched.
+
+    Then a plan of 700 engines and 9 models compares few exchanges
+    And there is no search where no assignment can gain enough
+
   Scenario: plans of any input have the promised properties
     Then in 300 cases the same input gives the same plan, every model has an engine, few engines move and the plans end
 
--- a/features/steps/fleet_capacity_plan_steps.py
+++ b/features/steps/fleet_capacity_plan_steps.py
@@ -8,6 +8,7 @@
 import math
 import random
 from typing import Any
+from unittest import mock
 
 import hypothesis
 import msgspec
@@ -39,6 +40,7 @@
 draws = hypothesis.strategies
 MODELS = [ModelId(f'm{number}') for number in range(4)]
 SLOWER_EVENTS_S = 100
+PLAN_MODULE = 'bergamotdoor.fleet.capacity_plan'
 
 
 def engines(count: int, fast: int = 0) -> tuple[PlannedEngine, ...]:
@@ -284,6 +286,114 @@
     assert len(found) >= 2, last
 
 
+@then('the first model gets an engine of another one if it has none')
+def check_unknown_givers(context: Any) -> None:
+    start = {
+        address: MODELS[1] if model == MODELS[0] else model
+        for address, model in even_of(context.planned).items()
+    }
+    decision = decide(context.planned, CapacityPlan(start), start)
+    assert decision is not None
+    assert MODELS[0] in decision.plan.engines.values(), decision
+
+
+@then('only one engine moves to a model without one while none may move')
+def check_missing_only(context: Any) -> None:
+    start = {
+        address: MODELS[1] if model == MODELS[0] else model
+        for address, model in even_of(context.planned).items()
+    }
+    decision = decide(
+        context.planned, CapacityPlan(start), start, may_move=False
+    )
+    assert decision is not None
+    assert len(decision.moved) == 1, decision
+    assert not decision.is_partial, decision
+
+
+@then('engines are held for {held_s:d} s after their move')
+def check_held(context: Any, held_s: int) -> None:
+    members = upstreams(22, versions=dict.fromkeys(MODELS, 1))
+    service = PlannedService()
+    service.use_plan(StoredPlan(), seconds(0))
+    moved: dict[str, dt.timedelta] = {}
+    again = 0
+    for now in map(seconds, range(300)):
+        # The demands change places while their plan is still being made.
+        demands = (
+            [20, 20, 300, 20] if now.seconds % 40 < 20 else [300, 20, 20, 20]
+        )
+        for model, demand in zip(MODELS, demands, strict=True):
+            for _ in range(16):
+                service.demand.tell(model, ToldDemand(demand, {}, now))
+        decision = service.decide(members, now, is_first=True)
+        if decision is None:
+            continue
+        stored = StoredPlan(decision.plan, Revision(now.seconds + 1))
+        service.use_written(stored, decision, now)
+        for address in decision.moved:
+            again += address in moved
+            before = moved.pop(address, seconds(-held_s))
+            assert now - before >= seconds(held_s), (now, before)
+            moved[address] = now
+    assert again, moved
+
+
+@then('the rest of a change is made only for a gain of {percent:d} %')
+def check_least_gain(context: Any, percent: int) -> None:
+    planned = PlanInput(engines(40), {MODELS[0]: 104, MODELS[1]: 96})
+    even = even_of(planned)
+    decision = decide(planned, CapacityPlan(even), even, continuing=True)
+    assert decision is None, decision
+    more = PlanInput(engines(40), {MODELS[0]: 112, MODELS[1]: 88})
+    decision = decide(more, CapacityPlan(even), even, continuing=True)
+    assert decision is not None
+    assert decision.ratio_after <= decision.ratio_before * (1 - percent / 100)
+
+
+def uneven_plan(count: int) -> tuple[PlanInput, CapacityPlan]:
+    """Return engines of any speed, and a plan that serves a model badly."""
+    rng = random.Random(1)
+    models = [ModelId(f'm{number}') for number in range(9)]
+    planned = PlanInput(
+        tuple(
+            PlannedEngine(f'e{number:03}', rng.uniform(80, 240))
+            for number in range(count)
+        ),
+        {model: rng.uniform(50, 250) for model in models},
+    )
+    return planned, CapacityPlan(even_of(planned))
+
+
+@then('a plan of {count:d} engines and 9 models compares few exchanges')
+def check_comparisons(context: Any, count: int) -> None:
+    planned, plan = uneven_plan(count)
+    compared: list[float] = []
+
+    def counted(demand_events_s: float, capacity: int) -> float:
+        # Every pair of engines would be compared in each of 87 changes
+        # otherwise.
+        assert len(compared) < 20_000
+        compared.append(demand_events_s)
+        return demand_events_s * 1000 / capacity
+
+    with mock.patch(f'{PLAN_MODULE}._ratio', counted):
+        decision = decide(planned, plan, plan.engines)
+    assert decision is not None
+    assert decision.ratio_after < decision.ratio_before * 0.85, decision
+
+
+@then('there is no search where no assignment can gain enough')
+def check_no_search(_: Any) -> None:
+    planned = PlanInput(engines(22), {MODELS[0]: 110, MODELS[1]: 100})
+    even = even_of(planned)
+    with mock.patch(
+        f'{PLAN_MODULE}._Assignment.improve', side_effect=AssertionError
+    ):
+        assert decide(planned, None, even) is None
+        assert decide(planned, CapacityPlan(even), even) is None
+
+
 @then(
     'in {count:d} cases the same input gives the same plan, every model has '
     'an engine, few engines move and the plans end'
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -35,6 +35,7 @@
 _LOADS: Final = 'steps_engine_loads'
 _FORECAST: Final = 'jobs_forecast'
 _PLAN: Final = 'fleet_capacity_plan'
+_PLAN_CODE: Final = 'fleet/capacity_plan.py'
 _PLANNER: Final = 'steps_capacity_planner'
 _QUEUEING: Final = 'queueing_service_calls'
 _WAITING: Final = 'forwarding_waiting'
@@ -804,28 +805,63 @@
     ),
     Mutation(
         'a model without an engine gets one at once',
-        'fleet/capacity_plan.py',
-        'if may_move or math.isinf(before):',
-        'if may_move:',
+        _PLAN_CODE,
+        'else _missing_engines(assignment)',
+        'else ()',
         _PLAN,
     ),
     Mutation(
         'engines of a model of unknown demand keep their model',
-        'fleet/capacity_plan.py',
-        '{worst, *self._planned.unknown_models}',
-        '{worst}',
+        _PLAN_CODE,
+        'self._best_of(worst, planned.unknown_models, planned.held)',
+        'self._best_of(worst, frozenset(), planned.held)',
+        _PLAN,
+    ),
+    Mutation(
+        'a model without an engine gets one although the others are unknown',
+        _PLAN_CODE,
+        'if not best and not self._sums[worst]:',
+        'if not best and self._sums[worst] < 0:',
+        _PLAN,
+    ),
+    Mutation(
+        'an engine that moved a short time ago keeps its model',
+        _PLAN_CODE,
+        'if one[1] not in held]',
+        'if one[1]]',
+        _PLAN,
+    ),
+    Mutation(
+        'the rest of a change must gain more than the noise',
+        _PLAN_CODE,
+        '_LEAST_SHARE: Final = 0.95',
+        '_LEAST_SHARE: Final = 0.98',
+        _PLAN,
+    ),
+    Mutation(
+        'an engine for a model without one starts no other moves',
+        _PLAN_CODE,
+        'improve(while_missing=True)',
+        'improve()',
+        _PLAN,
+    ),
+    Mutation(
+        'there is no search where no assignment can gain enough',
+        _PLAN_CODE,
+        'if limit < assignment.mean_ratio:',
+        'if limit < 0:',
         _PLAN,
     ),
     Mutation(
         'a change must lower the largest ratio clearly',
-        'fleet/capacity_plan.py',
+        _PLAN_CODE,
         'largest_ratio * share',
         'largest_ratio',
         _PLAN,
     ),
     Mutation(
         'few engines change their model in one write',
-        'fleet/capacity_plan.py',
+        _PLAN_CODE,
         '> max_moved',
         '> len(assignment.models)',
         _PLAN,
