Keep the engines of a model that the planner cannot hear of

Cause: the first planner counted a model as one without demand 30 s after it last heard of it, also if the model's owner could not reach it, or if the steps of the model have no due time and nothing is told of them.

Change: a model that is not told is unknown while its version in the registrations has risen in the last 30 s.

Result: the new scenarios pass, and fail while either rule is switched off.

--- a/bergamotdoor/fleet/demand.py
+++ b/bergamotdoor/fleet/demand.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from bergamotdoor.types import ModelId, UpstreamId
+from bergamotdoor.types import ModelId, UpstreamId, WeightVersion
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping
@@ -114,6 +114,12 @@
 
     def __init__(self) -> None:
         self._told: dict[ModelId, deque[ToldDemand]] = {}
+        #: Monotonic time at which it was last told of each model that its
+        #: demand is not known.
+        self._undue_at: dict[ModelId, dt.timedelta] = {}
+        self._versions: dict[ModelId, WeightVersion] = {}
+        #: Monotonic time at which the version of each model last rose.
+        self._rose_at: dict[ModelId, dt.timedelta] = {}
         #: Monotonic time since which demands are heard without a gap.
         self._heard_since = dt.timedelta()
 
@@ -125,9 +131,13 @@
     def tell(self, model: ModelId, told: ToldDemand) -> None:
         """Record what the owner of a model's jobs tells.
 
-        Figures that are not finite and positive are ignored.
+        A demand of 0 states that the steps of a model have no due time, so
+        that its demand is not known. Other figures that are not finite and
+        positive are ignored.
         """
         self.remove_expired(told.told_at)
+        if told.demand_events_s == 0:
+            self._undue_at[model] = told.told_at
         if not _is_positive(told.demand_events_s):
             return
         if not self._told:
@@ -149,6 +159,15 @@
             if not told:
                 self._told.pop(model)
 
+    def use_versions(
+        self, versions: Mapping[ModelId, WeightVersion], now: dt.timedelta
+    ) -> None:
+        """Record the latest version of each model in the registrations."""
+        for model, version in versions.items():
+            if version > self._versions.get(model, version):
+                self._rose_at[model] = now
+            self._versions[model] = version
+
     def is_settled(self, now: dt.timedelta) -> bool:
         """Return whether enough was heard to compare the models.
 
@@ -169,10 +188,25 @@
         Symptom: all engines but one are given to that model. A model counts
         as one without demand only after the time in which any step of it
         would have been told.
+
+        Failure: the owner of a model cannot reach this process, or the steps
+        of a model have no due time. Symptom: its engines are given to other
+        models while its trainer is at work. A trainer publishes versions, so
+        a model that is not told is unknown while its version rises.
         """
-        if now - self._heard_since > DEMAND_LIFETIME:
-            return frozenset()
-        return frozenset(models) - self._told.keys()
+        undue = {
+            model
+            for model, told_at in self._undue_at.items()
+            if now - told_at <= DEMAND_LIFETIME
+        }
+        if now - self._heard_since <= DEMAND_LIFETIME:
+            return frozenset(models) - (self._told.keys() - undue)
+        trained = {
+            model
+            for model, rose_at in self._rose_at.items()
+            if now - rose_at <= DEMAND_LIFETIME
+        }
+        return frozenset(models) & (undue | (trained - self._told.keys()))
 
     def demands_events_s(
         self, models: Iterable[ModelId]
--- a/bergamotdoor/steps/demand_reports.py
+++ b/bergamotdoor/steps/demand_reports.py
@@ -78,18 +78,22 @@
     def add_job(self, run: JobRun) -> None:
         """Measure the demand of a job that this process begins to run.
 
-        It is told only where several models share the engines.
+        It is told only where several models share the engines. A demand of 0
+        is told of a job without a due time, whose demand is not known.
         """
         route = self._manifests.batch_route(run.spec)
-        if route is None or not route.due_after:
+        if route is None:
             return
         service = pick_service(route, 0)
         models = models_of_service(self._context.fleet, service)
         if run.spec.model not in models or len(models) == 1:
             return
         tokens = step_tokens(item.expected_tokens for item in run.spec.items)
+        due_after_s = route.due_after.total_seconds()
         demand = (
-            tokens / DEFAULT_TOKENS_PER_EVENT / route.due_after.total_seconds()
+            tokens / DEFAULT_TOKENS_PER_EVENT / due_after_s
+            if due_after_s
+            else float(0)
         )
         now = self._context.clock.elapsed()
         self._steps.add(run.spec.model, demand, now)
--- a/bergamotdoor/steps/planned_service.py
+++ b/bergamotdoor/steps/planned_service.py
@@ -28,7 +28,7 @@
     from bergamotdoor.fleet.upstreams import Upstream
     from bergamotdoor.objects.plan_store import StoredPlan
     from bergamotdoor.peers.directory import EntryRecord
-    from bergamotdoor.types import NodeId, Revision
+    from bergamotdoor.types import NodeId, Revision, WeightVersion
 
 #: Least time between two plans that move engines: two steps of a trainer, so
 #: that the effect of the first one is seen.
@@ -177,11 +177,10 @@
         """
         self.demand.remove_expired(now)
         models = sorted({model for one in members for model in one.versions})
-        unknown = (
-            self.demand.unknown_models(models, now)
-            if is_first
-            else frozenset(models) - self.demand.last_told.keys()
-        )
+        self.demand.use_versions(_latest_versions(members), now)
+        unknown = self.demand.unknown_models(models, now)
+        if not is_first:
+            unknown |= frozenset(models) - self.demand.last_told.keys()
         return PlanInput(
             tuple(self._engines(members, now)),
             self.demand.demands_events_s(models),
@@ -286,5 +285,15 @@
     )
 
 
+def _latest_versions(
+    members: Sequence[Upstream],
+) -> dict[ModelId, WeightVersion]:
+    latest: dict[ModelId, WeightVersion] = {}
+    for one in members:
+        for model, version in one.versions.items():
+            latest[model] = max(version, latest.get(model, version))
+    return latest
+
+
 def _started(upstream: Upstream) -> dt.timedelta:
     return upstream.started
--- a/features/fleet_capacity_plan.feature
+++ b/features/fleet_capacity_plan.feature
@@ -131,6 +131,18 @@
     Then a plan of 700 engines and 9 models compares few exchanges
     And there is no search where no assignment can gain enough
 
+  Scenario: a trainer whose owner cannot reach the planner keeps its engines
+    Guards against a planner that takes the engines of a model because it has
+    not heard of it for 30 s, although its trainer publishes versions.
+
+    Then a model that is not told is unknown for 30 s after its version rose
+
+  Scenario: a model whose steps have no due time keeps its engines
+    Guards against a planner that takes the engines of a model because the
+    demand of its steps cannot be computed.
+
+    Then a model is unknown for 30 s after it is told with a demand of 0
+
   Scenario: plans of any input have the promised properties
     Then in 300 cases the same input gives the same plan, every model has an engine, few engines move and the plans end
 
--- a/features/steps/fleet_capacity_plan_steps.py
+++ b/features/steps/fleet_capacity_plan_steps.py
@@ -394,6 +394,39 @@
         assert decide(planned, CapacityPlan(even), even) is None
 
 
+def unknown_at(
+    service: PlannedService, now: dt.timedelta, version: int
+) -> frozenset[ModelId]:
+    """Return the unknown models after m0 was told; m1 has a version."""
+    members = upstreams(4, versions={MODELS[0]: 1, MODELS[1]: version})
+    service.demand.tell(MODELS[0], ToldDemand(5, {}, now))
+    return service.plan_input(members, now, is_first=True).unknown_models
+
+
+@then(
+    'a model that is not told is unknown for {last_s:d} s after its version '
+    'rose'
+)
+def check_risen(_: Any, last_s: int) -> None:
+    service = PlannedService()
+    unknown_at(service, seconds(0), 1)
+    for number in range(1, 21):
+        found = unknown_at(service, seconds(4 * number), number)
+        assert found == {MODELS[1]}, (number, found)
+    assert unknown_at(service, seconds(80 + last_s), 20) == {MODELS[1]}
+    assert not unknown_at(service, seconds(81 + last_s), 20)
+
+
+@then('a model is unknown for {last_s:d} s after it is told with a demand of 0')
+def check_undue(_: Any, last_s: int) -> None:
+    service = PlannedService()
+    for number in range(11):
+        unknown_at(service, seconds(4 * number), 1)
+    service.demand.tell(MODELS[1], ToldDemand(0, {}, seconds(40)))
+    assert unknown_at(service, seconds(40 + last_s), 1) == {MODELS[1]}
+    assert not unknown_at(service, seconds(41 + last_s), 1)
+
+
 @then(
     'in {count:d} cases the same input gives the same plan, every model has '
     'an engine, few engines move and the plans end'
--- a/features/steps/steps_capacity_planner_steps.py
+++ b/features/steps/steps_capacity_planner_steps.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import datetime as dt
 import json
 from typing import TYPE_CHECKING, Any
+from unittest import mock
 
+import msgspec
 from behave import given, then, when
 
 from bergamotdoor.cli.ctl import Seen, status_lines
+from bergamotdoor.entry.views import ManifestView
 from bergamotdoor.http.messages import HttpResponse
 from bergamotdoor.peers.demand_messages import DemandTold, PacesKnown
 from bergamotdoor.steps.planned_service import planner_order
@@ -21,6 +25,9 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from bergamotdoor.calls.manifest import Route
+    from bergamotdoor.jobs.messages import JobSpec
+
 SERVICE = ServiceId('lm')
 MODELS = ('a', 'b')
 
@@ -232,6 +239,30 @@
     play_with(context, act)
 
 
+@when('a trainer of model m submits a step without a due time')
+def submit_undue_step(context: Any) -> None:
+    batch_route = ManifestView.batch_route
+
+    def undue_route(view: ManifestView, spec: JobSpec) -> Route | None:
+        route = batch_route(view, spec)
+        return route and msgspec.structs.replace(
+            route, due_after=dt.timedelta()
+        )
+
+    async def act(site: Site) -> None:
+        with mock.patch.object(ManifestView, 'batch_route', undue_route):
+            await submit_step(site, planner_of(site, 1), 'j')
+        planner = site.entries[planner_of(site)]._components.planner
+        context.undue = set(planner._services[SERVICE].demand._undue_at)
+
+    play_with(context, act)
+
+
+@then('the planner knows that the demand of model m is not known')
+def check_undue_told(context: Any) -> None:
+    assert context.undue == {'m'}, context.undue
+
+
 async def submit_step(site: Site, entry: str, job: str) -> None:
     lengths = [[20, 20, 20, 20], [20, 20, 20, 20]]
     await site.submit(entry, job, lengths)
--- a/features/steps_capacity_planner.feature
+++ b/features/steps_capacity_planner.feature
@@ -30,6 +30,14 @@
     Then the planner knows a demand of 18.4 events per second
     And the owner has learned the interval that another owner measured
 
+  Scenario: a trainer whose steps have no due time is known to the planner
+    Guards against a planner that takes the engines of a model because its
+    owner never tells of it.
+
+    Given a site of 2 entries and 4 engines that 2 models share
+    When a trainer of model m submits a step without a due time
+    Then the planner knows that the demand of model m is not known
+
   Scenario: a planner that is gone is replaced by the next entry
     Guards against a plan that is never changed again after the planner ended
     without notice.
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -771,10 +771,24 @@
     Mutation(
         'a fallback planner leaves engines of unknown models alone',
         'steps/planned_service.py',
-        '            if is_first\n',
-        '            if True\n',
+        'if not is_first:',
+        'if False:',
         _PLANNER,
     ),
+    Mutation(
+        'a model whose version rises counts as unknown',
+        'fleet/demand.py',
+        'undue | (trained - self._told.keys())',
+        'undue',
+        _PLAN,
+    ),
+    Mutation(
+        'a model whose steps have no due time counts as unknown',
+        'fleet/demand.py',
+        'undue | (trained - self._told.keys())',
+        'trained - self._told.keys()',
+        _PLAN,
+    ),
     Mutation(
         'an engine that restarts keeps its place in the plan',
         'steps/planned_service.py',
