Wait for the first listing of plans when an agent starts

Cause: an agent that started while plans could not be listed used the even assignment, and loaded weights again once it knew the plan. The state listed demands that no longer count.

Change: until a listing of plans has succeeded, an agent keeps the assignment that it has and lists again each second, for 10 s at most. The state removes expired demands first.

Result: the new scenarios pass, and fail while the wait is switched off or has no end.

--- a/bergamotdoor/agent/assignment.py
+++ b/bergamotdoor/agent/assignment.py
@@ -24,6 +24,13 @@
 #: added or removed, and a stale listing costs a tenth of a call.
 _CACHE_TIME_S: Final = 5
 _CACHE_TIME: Final = dt.timedelta(seconds=_CACHE_TIME_S)
+#: Time until plans are listed again if none has been listed yet.
+_RETRY_TIME_S: Final = 1
+_RETRY_TIME: Final = dt.timedelta(seconds=_RETRY_TIME_S)
+#: How long an agent that starts waits for the first listing of plans. A
+#: deployment whose store does not have the kind is served as well.
+_MAX_PLAN_WAIT_S: Final = 10
+_MAX_PLAN_WAIT: Final = dt.timedelta(seconds=_MAX_PLAN_WAIT_S)
 
 _log = logging.getLogger('bergamotdoor.agent')
 
@@ -51,8 +58,11 @@
         self._clock = clock
         self._reader = ObjectReader(_log, 'agent')
         self._valid_until = dt.timedelta()
-        #: The plans that were listed last, by service.
-        self._plans: dict[ServiceId, CapacityPlan] = {}
+        #: The plans that were listed last, by service; ``None`` if no listing
+        #: has succeeded.
+        self._plans: dict[ServiceId, CapacityPlan] | None = None
+        #: Monotonic time since which plans could not be listed at all.
+        self._without_plans_since: dt.timedelta | None = None
 
     async def refresh(self) -> None:
         """List engines and plans unless that was done a short time ago.
@@ -72,6 +82,9 @@
         engines = [upstream for upstream in found if upstream is not None]
         if ModelAssignment(engines, self._address).is_shared:
             await self._refresh_plans()
+            if self._waits_for_plans(now):
+                self._valid_until = now + _RETRY_TIME
+                return
         self._use(ModelAssignment(engines, self._address, self._plans))
         self._valid_until = now + _CACHE_TIME
 
@@ -86,6 +99,19 @@
         if not isinstance(plans, Outcome):
             self._plans = plans
 
+    def _waits_for_plans(self, now: dt.timedelta) -> bool:
+        """Return whether to keep the assignment until plans are listed.
+
+        Failure: agents start while plans cannot be listed, and use the even
+        assignment. Symptom: engines load weights of other models, and again
+        once the plan is known.
+        """
+        if self._plans is not None:
+            return False
+        if self._without_plans_since is None:
+            self._without_plans_since = now
+        return now - self._without_plans_since < _MAX_PLAN_WAIT
+
     def _use(self, assignment: ModelAssignment) -> None:
         before, after = self.current.models(), assignment.models()
         if before != after:
--- a/bergamotdoor/steps/planned_service.py
+++ b/bergamotdoor/steps/planned_service.py
@@ -198,6 +198,7 @@
 
     def state(self, service: ServiceId, now: dt.timedelta) -> PlanState:
         """Return the state to be shown."""
+        self.demand.remove_expired(now)
         plan = None if self.stored is None else self.stored.plan
         return PlanState(
             service,
--- a/features/fleet_capacity_plan.feature
+++ b/features/fleet_capacity_plan.feature
@@ -176,6 +176,18 @@
 
     Then an agent that cannot list the plans again keeps those that it has
 
+  Scenario: an agent that starts waits for the plans
+    Guards against an engine that loads the weights of the even assignment
+    first and those of its plan later, because the plans could not be listed.
+
+    Then an agent that cannot list plans has no model until it can
+    And it uses the even assignment after 10 s without a listing
+
+  Scenario: the state shows no demand that is too old to count
+    Guards against a state that lists the demand of a trainer that has ended.
+
+    Then a demand is in the state for 30 s
+
   Scenario: engines move in portions, and none that drains is counted
     Guards against many engines that load weights at the same time.
 
--- a/features/steps/fleet_capacity_plan_steps.py
+++ b/features/steps/fleet_capacity_plan_steps.py
@@ -7,6 +7,7 @@
 import json
 import math
 import random
+from itertools import repeat
 from typing import Any
 from unittest import mock
 
@@ -684,6 +685,73 @@
     play(scene)
 
 
+class PlansLater(PlansUnavailable):
+    """Store whose plans can be listed from some attempt on."""
+
+    def __init__(self, registrations: Listing, plans: Listing) -> None:
+        super().__init__(registrations, plans)
+        self.failures = 0
+
+    async def listing(self, kind: str, **_: Any) -> Listing | Outcome:
+        """Return the listing, or that there is none."""
+        if kind == 'plans' and self.failures:
+            self.failures -= 1
+            return Outcome.NOT_DONE
+        return self.answers[kind][0]
+
+
+async def models_in_time(
+    site: Site, failures: int, last_s: int
+) -> list[set[ModelId]]:
+    """Return the models of an agent that starts, second by second."""
+    registration = {
+        **Engine('e', 'lm', at(8100), site.clock).registration(),
+        'models': [{'name': 'm0'}, {'name': 'm1'}],
+    }
+    store: Any = PlansLater(
+        listing_of(
+            e=registration, f={**registration, 'address': '127.0.0.1:8101'}
+        ),
+        listing_of(lm={'engines': {'127.0.0.1:8100': 'm1'}}),
+    )
+    store.failures = failures
+    view = AssignmentView(store, at(8100), site.clock)
+    found = []
+    for _ in range(last_s):
+        await view.refresh()
+        found.append(set(view.current.models()))
+        await asyncio.sleep(1)
+    return found
+
+
+@then('an agent that cannot list plans has no model until it can')
+def check_plans_awaited(_: Any) -> None:
+    async def scene(site: Site) -> None:
+        found = await models_in_time(site, 3, 6)
+        expected = [*repeat(set(), 3), *repeat({'m1'}, 3)]
+        assert found == expected, found
+
+    play(scene)
+
+
+@then('it uses the even assignment after {wait_s:d} s without a listing')
+def check_plans_missing(_: Any, wait_s: int) -> None:
+    async def scene(site: Site) -> None:
+        found = await models_in_time(site, 1000, wait_s + 2)
+        expected = [*repeat(set(), wait_s), *repeat({'m0'}, 2)]
+        assert found == expected, found
+
+    play(scene)
+
+
+@then('a demand is in the state for {last_s:d} s')
+def check_shown_demands(_: Any, last_s: int) -> None:
+    service = PlannedService()
+    service.demand.tell(MODELS[0], ToldDemand(5, {}, seconds(0)))
+    assert service.state(ServiceId('lm'), seconds(last_s)).demands
+    assert not service.state(ServiceId('lm'), seconds(last_s + 1)).demands
+
+
 def listing_of(**specs: Any) -> Listing:
     """Return objects by their names."""
     return Listing(
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -803,6 +803,13 @@
         'capacity',
         _PLAN,
     ),
+    Mutation(
+        'demands that are too old are not shown',
+        'steps/planned_service.py',
+        '        self.demand.remove_expired(now)\n        plan = None',
+        '        plan = None',
+        _PLAN,
+    ),
     Mutation(
         'plans that move engines are some seconds apart',
         'steps/planned_service.py',
@@ -896,6 +903,20 @@
         '            self._plans = {}\n',
         _PLAN,
     ),
+    Mutation(
+        'an agent that starts waits for the first listing of plans',
+        'agent/assignment.py',
+        'return now - self._without_plans_since < _MAX_PLAN_WAIT',
+        'return False',
+        _PLAN,
+    ),
+    Mutation(
+        'an agent does not wait for ever for the first listing of plans',
+        'agent/assignment.py',
+        'return now - self._without_plans_since < _MAX_PLAN_WAIT',
+        'return True',
+        _PLAN,
+    ),
     Mutation(
         'an account is charged for each call that it sends',
         'queueing/priority_class.py',
