Ignore intervals near zero, and ask silent entries last

Cause: an owner that was paused measures intervals near zero, and the mean made its engines many times faster than they are. A demand was told to nobody while the first three entries in the order had ended and were still registered. The store was read for a plan of a single model.

Change: the planner takes the median of the intervals that it was told and ignores those under a quarter of the median of all engines. An entry that did not answer is asked after the others for 60 s. A decision begins only for a service with two models or more.

--- a/bergamotdoor/fleet/demand.py
+++ b/bergamotdoor/fleet/demand.py
@@ -43,6 +43,9 @@
 #: Assumed event interval if no engine has been measured.
 _DEFAULT_INTERVAL_MS: Final = 40
 _MS_PER_S: Final = 1000
+#: An interval is ignored under this share of the median of all engines. The
+#: fastest engines of a service take about half the time of the others.
+_LEAST_INTERVAL_SHARE: Final = 0.25
 #: The most messages about a model that are kept.
 _MAX_TOLD: Final = 16
 
@@ -228,7 +231,12 @@
     def intervals_ms(
         self, now: dt.timedelta, without: ModelId | None = None
     ) -> dict[UpstreamId, float]:
-        """Return the mean of the recent event intervals of each engine.
+        """Return the median of the recent event intervals of each engine.
+
+        Failure: an owner was paused, and measures the events that arrive
+        together as intervals near zero. Symptom: the engine counts as many
+        times faster than the others, and its model gets no further engine.
+        Intervals that are far below those of the other engines are ignored.
 
         Parameters
         ----------
@@ -241,10 +249,20 @@
         for told in self._recent(now, without):
             for upstream, interval_ms in told.intervals_ms.items():
                 measured[upstream].append(interval_ms)
-        return {
-            engine: statistics.fmean(intervals)
+        if not measured:
+            return {}
+        least_ms = _LEAST_INTERVAL_SHARE * statistics.median(
+            map(statistics.median, measured.values())
+        )
+        credible = {
+            engine: [one for one in intervals if one >= least_ms]
             for engine, intervals in measured.items()
         }
+        return {
+            engine: statistics.median(intervals)
+            for engine, intervals in credible.items()
+            if intervals
+        }
 
     def _recent(
         self, now: dt.timedelta, without: ModelId | None
--- a/bergamotdoor/steps/capacity_planner.py
+++ b/bergamotdoor/steps/capacity_planner.py
@@ -83,7 +83,9 @@
             message.model,
             ToldDemand(message.demand_events_s, message.intervals_ms, now),
         )
-        if service.next_decision_at <= now and not service.planning:
+        is_due = service.next_decision_at <= now and not service.planning
+        # The engines of a single model need no plan, nor a read of the store.
+        if is_due and len(models) > 1:
             service.next_decision_at = now + _DECISION_INTERVAL
             self._tasks.start(self._plan_once(message.service, service))
         return PacesKnown(service.demand.intervals_ms(now, message.model))
--- a/bergamotdoor/steps/demand_reports.py
+++ b/bergamotdoor/steps/demand_reports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import datetime as dt
 import logging
 import math
 from typing import TYPE_CHECKING, Final
@@ -23,8 +24,6 @@
 )
 
 if TYPE_CHECKING:
-    import datetime as dt
-
     from bergamotdoor.entry.context import Context
     from bergamotdoor.entry.views import ManifestView
     from bergamotdoor.peers.access import StoreAccess
@@ -38,6 +37,9 @@
 #: To how many entries a demand is told until one of them answers. The next
 #: step's demand is told a few seconds later anyway.
 _MAX_ATTEMPTS: Final = 3
+#: How long an entry that did not answer is asked after the others.
+_SILENCE_S: Final = 60
+_SILENCE: Final = dt.timedelta(seconds=_SILENCE_S)
 _MS_PER_S: Final = 1000
 
 _log = logging.getLogger('bergamotdoor.gateway')
@@ -74,6 +76,8 @@
         self._tasks = tasks
         self._planner = planner
         self._steps = StepDemands()
+        #: Monotonic time at which each entry last did not answer.
+        self._silent_at: dict[NodeId, dt.timedelta] = {}
 
     def add_job(self, run: JobRun) -> None:
         """Measure the demand of a job that this process begins to run.
@@ -126,8 +130,10 @@
         """
         entries = self._access.directory.with_own
         order = planner_order(message.service, entries)
-        for node in order[:_MAX_ATTEMPTS]:
+        for node in self._answering_first(order)[:_MAX_ATTEMPTS]:
             reply = await self._ask(node, message)
+            if reply is None:
+                self._silent_at[node] = self._context.clock.elapsed()
             accepted = isinstance(reply, PacesKnown)
             _log.info(
                 'gateway: demand of model %s, %.1f events/s, told to %s: %s',
@@ -140,6 +146,20 @@
                 self._learn(reply)
                 return
 
+    def _answering_first(self, order: list[NodeId]) -> list[NodeId]:
+        """Return the entries, those without an answer lately last.
+
+        Failure: as many entries as are asked have ended, and are registered
+        for some time. Symptom: nobody is told of the demand meanwhile.
+        """
+        now = self._context.clock.elapsed()
+        self._silent_at = {
+            node: silent_at
+            for node, silent_at in self._silent_at.items()
+            if now - silent_at < _SILENCE
+        }
+        return sorted(order, key=self._silent_at.__contains__)
+
     async def _ask(self, node: NodeId, message: DemandTold) -> PeerReply | None:
         if node == self._context.settings.node:
             return self._planner.answer(message)
--- a/features/fleet_capacity_plan.feature
+++ b/features/fleet_capacity_plan.feature
@@ -188,6 +188,13 @@
 
     Then a demand is in the state for 30 s
 
+  Scenario: intervals near zero are ignored
+    Guards against an engine that counts as many times faster than the others,
+    because an owner that was paused measured events that arrived together.
+
+    Then an interval under a quarter of the median of all engines is ignored
+    And the interval of an engine is the median of what was told
+
   Scenario: engines move in portions, and none that drains is counted
     Guards against many engines that load weights at the same time.
 
--- a/features/steps/fleet_capacity_plan_steps.py
+++ b/features/steps/fleet_capacity_plan_steps.py
@@ -752,6 +752,30 @@
     assert not service.state(ServiceId('lm'), seconds(last_s + 1)).demands
 
 
+def heard_intervals(*told: dict[str, float]) -> dict[UpstreamId, float]:
+    """Return the intervals of engines of which owners told."""
+    demand = ServiceDemand()
+    for number, intervals_ms in enumerate(told):
+        listed = {UpstreamId(one): ms for one, ms in intervals_ms.items()}
+        demand.tell(MODELS[number % 4], ToldDemand(5, listed, seconds(0)))
+    return demand.intervals_ms(seconds(1))
+
+
+@then('an interval under a quarter of the median of all engines is ignored')
+def check_least_interval(_: Any) -> None:
+    found = heard_intervals({'a': 40, 'b': 44, 'c': 11, 'd': 0.01, 'e': 40})
+    assert found == {'a': 40, 'b': 44, 'c': 11, 'e': 40}, found
+    found = heard_intervals({'a': 40, 'b': 44, 'c': 40}, {'a': 0.01})
+    assert found == {'a': 40, 'b': 44, 'c': 40}, found
+
+
+@then('the interval of an engine is the median of what was told')
+def check_median_interval(_: Any) -> None:
+    found = heard_intervals({'a': 40}, {'a': 400}, {'a': 44})
+    assert found == {'a': 44}, found
+    assert not heard_intervals()
+
+
 def listing_of(**specs: Any) -> Listing:
     """Return objects by their names."""
     return Listing(
--- a/features/steps/steps_capacity_planner_steps.py
+++ b/features/steps/steps_capacity_planner_steps.py
@@ -294,6 +294,47 @@
     play_with(context, act)
 
 
+@given(
+    'a site of {entries:d} entries and {engines:d} engines of models m and '
+    'other'
+)
+def larger_site(context: Any, entries: int, engines: int) -> None:
+    async def prepare(site: Site) -> None:
+        await start_site(site, entries, engines, ('m', 'other'))
+
+    context.prepare = prepare
+
+
+@when(
+    'the first {count:d} planners are killed and a trainer of model m submits '
+    '{steps:d} steps'
+)
+def kill_planners(context: Any, count: int, steps: int) -> None:
+    async def act(site: Site) -> None:
+        order = [planner_of(site, rank) for rank in range(count + 1)]
+        for name in order[:count]:
+            await site.kill(name)
+        context.second = order[count]
+        for number in range(steps):
+            await submit_step(site, context.second, f'j{number}')
+        context.told = known_demands(site)
+
+    play_with(context, act)
+
+
+@when('the demand of that model is told')
+def tell_single(context: Any) -> None:
+    async def act(site: Site) -> None:
+        await tell(site, {'m': 10}, 12)
+
+    play_with(context, act)
+
+
+@then('no call to the store was made for plans')
+def check_no_calls(context: Any) -> None:
+    assert not context.calls, context.calls
+
+
 @when(
     'the planner is of the previous release and a trainer of model m submits '
     'a step'
--- a/features/steps_capacity_planner.feature
+++ b/features/steps_capacity_planner.feature
@@ -46,6 +46,19 @@
     When the planner is killed and a trainer of model m submits a step
     Then the remaining entry knows its demand
 
+  Scenario: three planners that are gone do not stop the telling
+    Guards against a demand that nobody is told of while as many entries as
+    are asked have ended, and are still registered.
+
+    Given a site of 5 entries and 4 engines of models m and other
+    When the first 3 planners are killed and a trainer of model m submits 2 steps
+    Then the remaining entry knows its demand
+
+  Scenario: a single model needs no plan from the store
+    Given a site of 2 entries whose engines serve one model
+    When the demand of that model is told
+    Then no call to the store was made for plans
+
   Scenario: an entry of the previous release does not know the message
     It answers with status 400, as any release does to bytes it can't decode.
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -768,6 +768,27 @@
         '_MAX_ATTEMPTS: Final = 1',
         _PLANNER,
     ),
+    Mutation(
+        'entries that do not answer are asked last',
+        'steps/demand_reports.py',
+        'return sorted(order, key=self._silent_at.__contains__)',
+        'return order',
+        _PLANNER,
+    ),
+    Mutation(
+        'the store is not read for the plan of a single model',
+        'steps/capacity_planner.py',
+        'if is_due and len(models) > 1:',
+        'if is_due:',
+        _PLANNER,
+    ),
+    Mutation(
+        'an interval near zero is ignored',
+        'fleet/demand.py',
+        'if one >= least_ms]',
+        'if one]',
+        _PLAN,
+    ),
     Mutation(
         'a fallback planner leaves engines of unknown models alone',
         'steps/planned_service.py',
