--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -35,6 +35,7 @@
 _LOADS: Final = 'steps_engine_loads'
 _FORECAST: Final = 'jobs_forecast'
 _PLAN: Final = 'fleet_capacity_plan'
+_PLAN_CODE: Final = 'fleet/capacity_plan.py'
 _PLANNER: Final = 'steps_capacity_planner'
 _QUEUEING: Final = 'queueing_service_calls'
 _WAITING: Final = 'forwarding_waiting'
@@ -767,13 +768,48 @@
         '_MAX_ATTEMPTS: Final = 1',
         _PLANNER,
     ),
+    Mutation(
+        'entries that do not answer are asked last',
+        'steps/demand_reports.py',
+        'return sorted(order, key=self._silent_at.__contains__)',
+        'return order',
+        _PLANNER,
+    ),
+    Mutation(
+        'the store is not read for the plan of a single model',
+        'steps/capacity_planner.py',
+        'if is_due and len(models) > 1:',
+        'if is_due:',
+        _PLANNER,
+    ),
+    Mutation(
+        'an interval near zero is ignored',
+        'fleet/demand.py',
+        'if one >= least_ms]',
+        'if one]',
+        _PLAN,
+    ),
     Mutation(
         'a fallback planner leaves engines of unknown models alone',
         'steps/planned_service.py',
-        '            if is_first\n',
-        '            if True\n',
+        'if not is_first:',
+        'if False:',
         _PLANNER,
     ),
+    Mutation(
+        'a model whose version rises counts as unknown',
+        'fleet/demand.py',
+        'undue | (trained - self._told.keys())',
+        'undue',
+        _PLAN,
+    ),
+    Mutation(
+        'a model whose steps have no due time counts as unknown',
+        'fleet/demand.py',
+        'undue | (trained - self._told.keys())',
+        'trained - self._told.keys()',
+        _PLAN,
+    ),
     Mutation(
         'an engine that restarts keeps its place in the plan',
         'steps/planned_service.py',
@@ -788,6 +824,13 @@
         'capacity',
         _PLAN,
     ),
+    Mutation(
+        'demands that are too old are not shown',
+        'steps/planned_service.py',
+        '        self.demand.remove_expired(now)\n        plan = None',
+        '        plan = None',
+        _PLAN,
+    ),
     Mutation(
         'plans that move engines are some seconds apart',
         'steps/planned_service.py',
@@ -804,28 +847,63 @@
     ),
     Mutation(
         'a model without an engine gets one at once',
-        'fleet/capacity_plan.py',
-        'if may_move or math.isinf(before):',
-        'if may_move:',
+        _PLAN_CODE,
+        'else _missing_engines(assignment)',
+        'else ()',
         _PLAN,
     ),
     Mutation(
         'engines of a model of unknown demand keep their model',
-        'fleet/capacity_plan.py',
-        '{worst, *self._planned.unknown_models}',
-        '{worst}',
+        _PLAN_CODE,
+        'self._best_of(worst, planned.unknown_models, planned.held)',
+        'self._best_of(worst, frozenset(), planned.held)',
+        _PLAN,
+    ),
+    Mutation(
+        'a model without an engine gets one although the others are unknown',
+        _PLAN_CODE,
+        'if not best and not self._sums[worst]:',
+        'if not best and self._sums[worst] < 0:',
+        _PLAN,
+    ),
+    Mutation(
+        'an engine that moved a short time ago keeps its model',
+        _PLAN_CODE,
+        'if one[1] not in held]',
+        'if one[1]]',
+        _PLAN,
+    ),
+    Mutation(
+        'the rest of a change must gain more than the noise',
+        _PLAN_CODE,
+        '_LEAST_SHARE: Final = 0.95',
+        '_LEAST_SHARE: Final = 0.98',
+        _PLAN,
+    ),
+    Mutation(
+        'an engine for a model without one starts no other moves',
+        _PLAN_CODE,
+        'improve(while_missing=True)',
+        'improve()',
+        _PLAN,
+    ),
+    Mutation(
+        'there is no search where no assignment can gain enough',
+        _PLAN_CODE,
+        'if limit < assignment.mean_ratio:',
+        'if limit < 0:',
         _PLAN,
     ),
     Mutation(
         'a change must lower the largest ratio clearly',
-        'fleet/capacity_plan.py',
+        _PLAN_CODE,
         'largest_ratio * share',
         'largest_ratio',
         _PLAN,
     ),
     Mutation(
         'few engines change their model in one write',
-        'fleet/capacity_plan.py',
+        _PLAN_CODE,
         '> max_moved',
         '> len(assignment.models)',
         _PLAN,
@@ -846,6 +924,20 @@
         '            self._plans = {}\n',
         _PLAN,
     ),
+    Mutation(
+        'an agent that starts waits for the first listing of plans',
+        'agent/assignment.py',
+        'return now - self._without_plans_since < _MAX_PLAN_WAIT',
+        'return False',
+        _PLAN,
+    ),
+    Mutation(
+        'an agent does not wait for ever for the first listing of plans',
+        'agent/assignment.py',
+        'return now - self._without_plans_since < _MAX_PLAN_WAIT',
+        'return True',
+        _PLAN,
+    ),
     Mutation(
         'an account is charged for each call that it sends',
         'queueing/priority_class.py',
