--- a/lab/upstreams.py
+++ b/lab/upstreams.py
@@ -96,6 +96,7 @@
         self.always_fail: set[str] = set()
         #: Stamps of the successful responses, by the request's id.
         self._proofs: dict[str, set[str]] = {}
+        self._restart_lock = asyncio.Lock()
         #: How often each request got a response with 500, by its id.
         self.failures: Counter[str] = Counter()
         self.work_s = _DEFAULT_WORK_S
@@ -140,17 +141,22 @@
     async def restart(self, down_s: float) -> None:
         """End all requests and start again under the same name.
 
+        Failure: two faults restart one upstream at the same time. Symptom:
+        the second start finds the address in use and ends the run. The second
+        restart therefore waits for the first one.
+
         Parameters
         ----------
         down_s
             How long the upstream is down.
         """
-        await self.stop()
-        await asyncio.sleep(down_s)
-        self.running.clear()
-        self.born_ms += int(down_s * _MS_PER_S) + 1
-        self._server = self._new_server()
-        await self._server.start()
+        async with self._restart_lock:
+            await self.stop()
+            await asyncio.sleep(down_s)
+            self.running.clear()
+            self.born_ms += int(down_s * _MS_PER_S) + 1
+            self._server = self._new_server()
+            await self._server.start()
 
     def fields(self, request_id: str) -> list[tuple[str, str]]:
         """Return the header fields of a response."""
