Serve steps that fit in the order of their due times

Change: order by latest start and placement by length apply only while groups of the open steps do not fit; the time of loads is not counted in the forecast again.

--- a/bergamotdoor/jobs/forecast.py
+++ b/bergamotdoor/jobs/forecast.py
@@ -129,16 +129,25 @@
     the least work first, so that each group is served whole.
     """
     entries: list[_Entry] = []
+    fits = len(kept) == sum(len(groups) for groups in works.values())
     for job in jobs:
-        entries.extend(_entries_of(job, works[job.job], kept))
+        entries.extend(_entries_of(job, works[job.job], kept, fits=fits))
     for _, owner, name in sorted(entries):
         yield owner, name
 
 
 def _entries_of(
-    job: OpenJob, groups: Sequence[GroupWork], kept: frozenset[GroupKey]
+    job: OpenJob,
+    groups: Sequence[GroupWork],
+    kept: frozenset[GroupKey],
+    *,
+    fits: bool,
 ) -> Iterator[_Entry]:
-    """Yield the items of a job, each with its sort key."""
+    """Yield the items of a job, each with its sort key.
+
+    Where all groups fit, jobs are served in the order of their due times, and
+    the long items of a job start first.
+    """
     deferred = {
         one.group: (1, not one.is_needed, one.work, job.job, one.group)
         for one in groups
@@ -149,9 +158,12 @@
     for number, item in enumerate(job.items):
         latest_s = due_s - item.events * job.fast_interval_s
         prefix = deferred.get(item.group, ())
-        if prefix:
+        is_long = item.events > job.long_events
+        if fits:
+            key = (0, due_s, job.job, not is_long, number)
+        elif prefix:
             key = (*prefix, latest_s, number)
-        elif item.events > job.long_events:
+        elif is_long:
             key = (0, False, latest_s, due_s, job.job, number)
         else:
             key = (0, True, due_s, job.job, number)
--- a/bergamotdoor/steps/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -66,6 +66,9 @@
         self._on_item_end = on_item_end
         self._reservations = Reservations(context.loads)
         self._suspects = ItemSuspects(context)
+        #: Whether items are placed by their length: while the open jobs need
+        #: more than the engines can do in time.
+        self.by_length = False
 
     def start_items(self, run: JobRun, route: Route) -> Iterator[None]:
         """Start waiting items of a job while engines have free slots.
@@ -185,7 +188,7 @@
         While no item waits for a slot it is 0, so that all items move that
         gain: hints are often too low, and the step waits for those items.
         """
-        if not serve_several_models(upstreams):
+        if not (self.by_length and serve_several_models(upstreams)):
             return 0
         intervals_s = [
             self._context.speeds.interval_s(one.upstream) for one in upstreams
@@ -241,7 +244,7 @@
                 queued.avoid,
                 lengths.remaining_events(queued.spec),
                 lengths.longest_events,
-                serve_several_models(upstreams),
+                self.by_length and serve_several_models(upstreams),
             ),
             now,
         )
--- a/bergamotdoor/steps/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -209,6 +209,7 @@
             if (route := self._manifests.batch_route(run.spec)) is not None
         ]
         self.planner.update(routed)
+        self._dispatcher.by_length = self.planner.is_capacity_short
         starts = []
         for run, route in routed:
             run.items.item_queue.max_failures = route.max_attempts
--- a/bergamotdoor/steps/step_planner.py
+++ b/bergamotdoor/steps/step_planner.py
@@ -8,7 +8,6 @@
 from typing import TYPE_CHECKING, Final, TypeAlias
 
 from bergamotdoor.calls.manifest import Route, pick_service
-from bergamotdoor.fleet.model_assignment import LOAD_TIME
 from bergamotdoor.fleet.upstreams import Upstream, serve_several_models
 from bergamotdoor.jobs.forecast import StepPlan, plan_steps
 from bergamotdoor.jobs.item_queue import LONG_RATIO
@@ -45,9 +44,6 @@
 _NO_GROUPS: Final[frozenset[GroupId]] = frozenset()
 #: An item that takes this share of its step's time on a fast engine is long.
 _LONG_SHARE: Final = 0.5
-#: Where steps have so little time that engines would load all the time,
-#: trainers skip versions.
-_LEAST_GENERATING_SHARE: Final = 0.5
 #: A job, and an iterator that starts its items one at a time.
 JobStarts: TypeAlias = 'tuple[JobRun, Iterator[None]]'
 
@@ -102,6 +98,11 @@
         """Return the last forecast of a job; ``None`` if there is none."""
         return self._plan.forecasts.get(job)
 
+    @property
+    def is_capacity_short(self) -> bool:
+        """Whether some groups of the open jobs cannot be complete on time."""
+        return any(one.deferred for one in self._plan.forecasts.values())
+
     def target_in(self, job: JobId) -> dt.timedelta | None:
         """Return the time until a job's target is expected to be complete.
 
@@ -238,8 +239,7 @@
             tuple(_open_items(run, rules.tokens_per_event, intervals_s)),
             usual_interval_s(
                 (one.slots, intervals_s[one.upstream]) for one in engines
-            )
-            / _generating_share(route),
+            ),
             fast_interval_s,
             resubmitted,
             missing_others,
@@ -251,16 +251,6 @@
         )
 
 
-def _generating_share(route: Route) -> float:
-    """Return for which share of the time engines generate events.
-
-    A trainer has two steps open and publishes a version with each, so each
-    engine loads weights once in half of the time that a step has.
-    """
-    load_share = 2 * LOAD_TIME / route.due_after
-    return max(1 - load_share, _LEAST_GENERATING_SHARE)
-
-
 def _long_events(
     mean_events: float, time_allowed_s: float, fast_interval_s: float
 ) -> float:
