Start a long item early only where it would be late otherwise

Cause: with all jobs in the order of their due times, a long item of a new step waits for short ones that have time, and its step ends late. Change: a long item is urgent if its latest start lies within the work of the jobs that are due earlier, or if not all groups fit.

--- a/bergamotdoor/jobs/forecast.py
+++ b/bergamotdoor/jobs/forecast.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import datetime as dt
+import math
 from typing import TYPE_CHECKING, Any, Final, TypeAlias
 
 import msgspec
@@ -82,7 +83,10 @@
         for one in works[job.job]
     )
     ranks: dict[JobId, dict[ItemId, int]] = {job.job: {} for job in jobs}
-    for rank, (owner, item) in enumerate(_start_order(jobs, works, kept)):
+    ahead = {job.job: _work_ahead_s(job, jobs, works, slots) for job in jobs}
+    for rank, (owner, item) in enumerate(
+        _start_order(jobs, works, kept, ahead)
+    ):
         ranks[owner][item] = rank
     kept_work = {job.job: _kept_work(job, works, kept) for job in jobs}
     target_times = {
@@ -113,7 +117,10 @@
 
 
 def _start_order(
-    jobs: Sequence[OpenJob], works: Works, kept: frozenset[GroupKey]
+    jobs: Sequence[OpenJob],
+    works: Works,
+    kept: frozenset[GroupKey],
+    ahead: Mapping[JobId, float],
 ) -> Iterator[tuple[JobId, ItemId]]:
     """Yield all items: long ones, other kept ones, then the deferred ones.
 
@@ -131,7 +138,9 @@
     entries: list[_Entry] = []
     fits = len(kept) == sum(len(groups) for groups in works.values())
     for job in jobs:
-        entries.extend(_entries_of(job, works[job.job], kept, fits=fits))
+        # A long item counts as urgent in any case while not all groups fit.
+        ahead_s = ahead[job.job] if fits else math.inf
+        entries.extend(_entries_of(job, works[job.job], kept, ahead_s))
     for _, owner, name in sorted(entries):
         yield owner, name
 
@@ -140,13 +149,13 @@
     job: OpenJob,
     groups: Sequence[GroupWork],
     kept: frozenset[GroupKey],
-    *,
-    fits: bool,
+    ahead_s: float,
 ) -> Iterator[_Entry]:
     """Yield the items of a job, each with its sort key.
 
-    Where all groups fit, jobs are served in the order of their due times, and
-    the long items of a job start first.
+    A long item is urgent if it would be late behind the work of the jobs that
+    are due earlier, which takes `ahead_s` seconds. All other items are served
+    in the order of the due times of their jobs, long ones first.
     """
     deferred = {
         one.group: (1, not one.is_needed, one.work, job.job, one.group)
@@ -159,17 +168,38 @@
         latest_s = due_s - item.events * job.fast_interval_s
         prefix = deferred.get(item.group, ())
         is_long = item.events > job.long_events
-        if fits:
-            key = (0, due_s, job.job, not is_long, number)
-        elif prefix:
+        if prefix:
             key = (*prefix, latest_s, number)
-        elif is_long:
+        elif is_long and latest_s < ahead_s:
             key = (0, False, latest_s, due_s, job.job, number)
         else:
-            key = (0, True, due_s, job.job, number)
+            key = (0, True, due_s, job.job, not is_long, number)
         yield key, job.job, item.item
 
 
+def _work_ahead_s(
+    job: OpenJob,
+    jobs: Sequence[OpenJob],
+    works: Works,
+    slots: Mapping[UpstreamId, int],
+) -> float:
+    """Return how long the engines of a job work for jobs that are due earlier.
+
+    The result is in seconds.
+    """
+    ahead = sum(
+        (
+            one.work
+            for other in jobs
+            if due_order(other) < due_order(job) and other.engines & job.engines
+            for one in works[other.job]
+        ),
+        _ZERO,
+    )
+    count = sum(slots.get(one, 0) for one in job.engines)
+    return ahead.total_seconds() / max(count, 1)
+
+
 def _target_in(
     job: OpenJob,
     pool: Pool,
