Announce weight loads only where the settings ask for it

Change: agents announce loads only with announces_loads, which is off by default; the cause is open.

--- a/bergamotdoor/agent/daemon.py
+++ b/bergamotdoor/agent/daemon.py
@@ -21,6 +21,7 @@
 
 if TYPE_CHECKING:
     from bergamotdoor.settings.node import NodeSettings
+    from bergamotdoor.types import ModelId, WeightVersion
 
 #: Versions of several models that are published within this time are
 #: applied in one batch.
@@ -80,7 +81,9 @@
             EngineClient(self._client, self._settings.engine),
             self._settings.node,
             self._clock,
-            notifier.announce_load,
+            notifier.announce_load
+            if self._settings.announces_loads
+            else _announce_nothing,
             notifier.notify_of_load,
         )
         self._start_watcher(names.VERSION_KIND, weights)
@@ -105,3 +108,7 @@
             self._access.store, self._access.news, watch, view, self._clock
         )
         self._tasks.start(watcher.run())
+
+
+async def _announce_nothing(_: ModelId, version: WeightVersion) -> None:
+    """Leave it to the owners of jobs to notice that an engine loads."""
--- a/lab/site.py
+++ b/lab/site.py
@@ -161,6 +161,7 @@
             grace=dt.timedelta(seconds=8),
             retention=dt.timedelta(seconds=_RETENTION_S),
             link_mbps=self.link_mbps,
+            announces_loads=True,
             revocation=self.revocation,
             duties=duties_for(self.receiver),
         )
