--- a/bergamotdoor/steps/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -17,6 +17,7 @@
     RunEnd,
     choose_moves,
     free_slots,
+    has_faster,
     place_item,
     short_time_s,
 )
@@ -125,9 +126,9 @@
         upstreams = self._eligible_engines(run, route)
         loads = self._context.loads
         loading = {
-            one.upstream
+            one.upstream: left
             for one in progresses
-            if loads.of(one.upstream).is_closed(now)
+            if (left := loads.of(one.upstream).load_time_left(now)) is not None
         }
         movable = (
             one
@@ -144,6 +145,11 @@
         ):
             self._move_item(run, move)
 
+    def _is_short_of_slots(self, run: JobRun) -> bool:
+        """Return whether an item of a job waits for a slot."""
+        now = self._context.clock.elapsed()
+        return run.items.item_queue.next_item(now) is not None
+
     def _free_by_engine(
         self, upstreams: tuple[Upstream, ...]
     ) -> dict[UpstreamId, int]:
@@ -158,12 +164,18 @@
     def _short_time_s(
         self, run: JobRun, route: Route, upstreams: tuple[Upstream, ...]
     ) -> float:
-        """Return below which time an item of a job is short, in seconds."""
-        speeds = self._context.speeds
-        return short_time_s(
-            self._item_lengths(run, route).longest_events,
-            [speeds.interval_s(one.upstream) for one in upstreams],
-        )
+        """Return below which time an item of a job is short, in seconds.
+
+        While no item waits for a slot it is 0, so that all items move that
+        gain: hints are often too low, and the step waits for those items.
+        """
+        intervals_s = [
+            self._context.speeds.interval_s(one.upstream) for one in upstreams
+        ]
+        if not has_faster(intervals_s) or not self._is_short_of_slots(run):
+            return 0
+        lengths = self._item_lengths(run, route)
+        return short_time_s(lengths.longest_events, intervals_s)
 
     def _eligible_engines(
         self, run: JobRun, route: Route
