--- a/bergamotdoor/steps/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -6,13 +6,15 @@
 import logging
 from typing import TYPE_CHECKING
 
-from bergamotdoor.calls.manifest import pick_service
+from bergamotdoor.calls.manifest import Route, pick_service
+from bergamotdoor.fleet.upstreams import Upstream, serve_several_models
 from bergamotdoor.forwarding.counted import start_counted
 from bergamotdoor.jobs import (
     ItemLengths,
     ItemResult,
     ItemToPlace,
     MoveReason,
+    PendingLoads,
     Reservations,
     RunEnd,
     choose_moves,
@@ -30,10 +32,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    from bergamotdoor.calls.manifest import Route
     from bergamotdoor.entry.context import Context
     from bergamotdoor.entry.views import ManifestView
-    from bergamotdoor.fleet.upstreams import Upstream
     from bergamotdoor.jobs import Move, QueuedItem
     from bergamotdoor.steps.job_run import JobRun
     from bergamotdoor.types import UpstreamId
@@ -124,27 +124,43 @@
         for progress in progresses:
             self._context.speeds.add_intervals(progress)
         upstreams = self._eligible_engines(run, route)
-        loads = self._context.loads
-        loading = {
-            one.upstream: left
-            for one in progresses
-            if (left := loads.of(one.upstream).load_time_left(now)) is not None
-        }
         movable = (
             one
             for one in progresses
-            if not loads.of(one.upstream).is_resuming(now)
+            if not self._context.loads.of(one.upstream).is_resuming(now)
         )
         for move in choose_moves(
             movable,
             self._free_by_engine(upstreams),
             self._context.speeds,
             now,
-            loading,
+            self._pending_loads(run, upstreams),
             self._short_time_s(run, route, upstreams),
         ):
             self._move_item(run, move)
 
+    def _pending_loads(
+        self, run: JobRun, upstreams: tuple[Upstream, ...]
+    ) -> PendingLoads:
+        """Return the weight loads of the engines that run items of a job."""
+        now = self._context.clock.elapsed()
+        fleet, model = self._context.fleet, run.spec.model
+        announced = fleet.announced_versions.get(model, 0)
+        engines = {one.progress.upstream for one in run.running.values()}
+        return PendingLoads(
+            {
+                name: left
+                for name in engines
+                if (left := self._context.loads.of(name).load_time_left(now))
+                is not None
+            },
+            frozenset(
+                one.upstream
+                for one in upstreams
+                if fleet.version(one.upstream, model) >= announced
+            ),
+        )
+
     def _is_short_of_slots(self, run: JobRun) -> bool:
         """Return whether an item of a job waits for a slot."""
         now = self._context.clock.elapsed()
@@ -169,6 +185,8 @@
         While no item waits for a slot it is 0, so that all items move that
         gain: hints are often too low, and the step waits for those items.
         """
+        if not serve_several_models(upstreams):
+            return 0
         intervals_s = [
             self._context.speeds.interval_s(one.upstream) for one in upstreams
         ]
@@ -223,6 +241,7 @@
                 queued.avoid,
                 lengths.remaining_events(queued.spec),
                 lengths.longest_events,
+                serve_several_models(upstreams),
             ),
             now,
         )
--- a/features/fleet_capacity_plan.feature
+++ b/features/fleet_capacity_plan.feature
@@ -98,6 +98,51 @@
     And the demand of the last 3 models is unknown
     Then there is no plan
 
+  Scenario: an engine is given to a model without one despite unknown demand
+    Guards against a model that nobody serves after its only engine is gone,
+    because the demand of all other models is unknown.
+
+    Given 10 engines, of which 0 take half the time for an event
+    And models that demand 150, 0, 0 and 0 events per second
+    And the demand of the last 3 models is unknown
+    Then the first model gets an engine of another one if it has none
+
+  Scenario: an engine for a model without one starts no other moves
+    Guards against engines that change their model although the last change of
+    the plan has had no effect yet.
+
+    Given 22 engines, of which 0 take half the time for an event
+    And models that demand 300, 20, 20 and 20 events per second
+    Then only one engine moves to a model without one while none may move
+
+  Scenario: an engine that moved a short time ago stays
+    Guards against engines that move back and forth with the noise of the
+    measurements.
+
+    Given 22 engines, of which 0 take half the time for an event
+    And models that demand 300, 20, 20 and 20 events per second
+    Then engines are held for 60 s after their move
+    And the rest of a change is made only for a gain of 5 %
+
+  Scenario: a search ends soon with many engines
+    Guards against an event loop that stops for seconds while a plan of
+    hundreds of engines is searched.
+
+    Then a plan of 700 engines and 9 models compares few exchanges
+    And there is no search where no assignment can gain enough
+
+  Scenario: a trainer whose owner cannot reach the planner keeps its engines
+    Guards against a planner that takes the engines of a model because it has
+    not heard of it for 30 s, although its trainer publishes versions.
+
+    Then a model that is not told is unknown for 30 s after its version rose
+
+  Scenario: a model whose steps have no due time keeps its engines
+    Guards against a planner that takes the engines of a model because the
+    demand of its steps cannot be computed.
+
+    Then a model is unknown for 30 s after it is told with a demand of 0
+
   Scenario: plans of any input have the promised properties
     Then in 300 cases the same input gives the same plan, every model has an engine, few engines move and the plans end
 
@@ -131,6 +176,25 @@
 
     Then an agent that cannot list the plans again keeps those that it has
 
+  Scenario: an agent that starts waits for the plans
+    Guards against an engine that loads the weights of the even assignment
+    first and those of its plan later, because the plans could not be listed.
+
+    Then an agent that cannot list plans has no model until it can
+    And it uses the even assignment after 10 s without a listing
+
+  Scenario: the state shows no demand that is too old to count
+    Guards against a state that lists the demand of a trainer that has ended.
+
+    Then a demand is in the state for 30 s
+
+  Scenario: intervals near zero are ignored
+    Guards against an engine that counts as many times faster than the others,
+    because an owner that was paused measured events that arrived together.
+
+    Then an interval under a quarter of the median of all engines is ignored
+    And the interval of an engine is the median of what was told
+
   Scenario: engines move in portions, and none that drains is counted
     Guards against many engines that load weights at the same time.
 
--- a/features/forwarding_waiting.feature
+++ b/features/forwarding_waiting.feature
@@ -43,6 +43,21 @@
     When a caller posts while the service refuses calls for 0.2 s
     Then the caller gets 200 as soon as the backoff ends
 
+  Scenario: a call is not held at a service that refuses every time
+    When a caller that waits for 1500 ms posts while the service refuses
+    Then the last gets 503 within 660 ms, and a delay
+
+  Scenario: a refusal with a load report does not reduce the learned limit
+    When a caller posts once to a service that refuses and reports its load
+    Then the limit that refusals have shown is still 4
+
+  Scenario: a call with little time is sent as a probe after a refusal
+    The service is idle again after a moment, and its backoff lasts longer. The
+    other calls follow when the first has been accepted.
+
+    When 3 callers that wait for 290 ms post after a refusal
+    Then the 3 callers get 200, and the service never ran over 2 calls
+
   Scenario: a call that may have run is never refused as not run
     It breaks at one upstream, and its time ends while it waits for another.
     With 503 the caller would send it again.
@@ -56,12 +71,48 @@
     When 24 callers post at once to two services
     Then the 24 callers get 200, and each call ran once
 
+  Scenario: a call that may not be hedged is not checked without a pause
+    Its route has no target latency, so that a hedge is due at once.
+
+    When a caller posts on a route without a target latency
+    Then its call gets 200 after 4 to 20 checks, and used up no hedge
+
+  Scenario: a hedge of a service with room is not charged to the budget
+    Otherwise none is left when the service is busy.
+
+    When a caller posts without a target latency to two services
+    Then its call gets 200 after 1 to 20 checks, and used up no hedge
+
   Scenario: a stream uses its slot until it ends
     Its response begins at once, and its upstream is full for long after that.
 
     When 5 streams of 0.4 s are requested from an engine of 4 slots
     Then the last begins after another has ended
 
+  Scenario: a call that waits is not sent when the response of a stream begins
+    The count of its attempt ends then, and the stream still uses the slot.
+
+    When 5 streams are requested at once from an engine of 4 slots
+    Then the last begins after another has ended
+    And no count of a stream is left over
+
+  Scenario: a stream whose caller leaves before it begins does not stay counted
+    No code of its body runs then, and the upstream would seem full for ever.
+
+    Then a stream of which nothing is read counts until its body is dropped
+
+  Scenario: a call that cannot be sent does not hold up the others
+    An exception in the check of the waiting calls leaves them without a timer.
+
+    When 12 callers post at once, and the second admission of one fails
+    Then 11 callers get 200 and one 500
+
+  Scenario: the body of a call is freed when the call ends
+    Cycles of references keep it in memory until the cyclic collector runs.
+
+    When 12 callers post at once without a cyclic collector
+    Then the 12 callers get 200, and none of their calls is in memory
+
   Scenario: an entry that stops answers or refuses what waits
     When an entry stops while 20 callers of a long route wait
     Then the 20 callers get 200, or 503 and did not run
--- a/features/steps/fleet_capacity_plan_steps.py
+++ b/features/steps/fleet_capacity_plan_steps.py
@@ -7,7 +7,9 @@
 import json
 import math
 import random
+from itertools import repeat
 from typing import Any
+from unittest import mock
 
 import hypothesis
 import msgspec
@@ -39,6 +41,7 @@
 draws = hypothesis.strategies
 MODELS = [ModelId(f'm{number}') for number in range(4)]
 SLOWER_EVENTS_S = 100
+PLAN_MODULE = 'bergamotdoor.fleet.capacity_plan'
 
 
 def engines(count: int, fast: int = 0) -> tuple[PlannedEngine, ...]:
@@ -284,6 +287,147 @@
     assert len(found) >= 2, last
 
 
+@then('the first model gets an engine of another one if it has none')
+def check_unknown_givers(context: Any) -> None:
+    start = {
+        address: MODELS[1] if model == MODELS[0] else model
+        for address, model in even_of(context.planned).items()
+    }
+    decision = decide(context.planned, CapacityPlan(start), start)
+    assert decision is not None
+    assert MODELS[0] in decision.plan.engines.values(), decision
+
+
+@then('only one engine moves to a model without one while none may move')
+def check_missing_only(context: Any) -> None:
+    start = {
+        address: MODELS[1] if model == MODELS[0] else model
+        for address, model in even_of(context.planned).items()
+    }
+    decision = decide(
+        context.planned, CapacityPlan(start), start, may_move=False
+    )
+    assert decision is not None
+    assert len(decision.moved) == 1, decision
+    assert not decision.is_partial, decision
+
+
+@then('engines are held for {held_s:d} s after their move')
+def check_held(context: Any, held_s: int) -> None:
+    members = upstreams(22, versions=dict.fromkeys(MODELS, 1))
+    service = PlannedService()
+    service.use_plan(StoredPlan(), seconds(0))
+    moved: dict[str, dt.timedelta] = {}
+    again = 0
+    for now in map(seconds, range(300)):
+        # The demands change places while their plan is still being made.
+        demands = (
+            [20, 20, 300, 20] if now.seconds % 40 < 20 else [300, 20, 20, 20]
+        )
+        for model, demand in zip(MODELS, demands, strict=True):
+            for _ in range(16):
+                service.demand.tell(model, ToldDemand(demand, {}, now))
+        decision = service.decide(members, now, is_first=True)
+        if decision is None:
+            continue
+        stored = StoredPlan(decision.plan, Revision(now.seconds + 1))
+        service.use_written(stored, decision, now)
+        for address in decision.moved:
+            again += address in moved
+            before = moved.pop(address, seconds(-held_s))
+            assert now - before >= seconds(held_s), (now, before)
+            moved[address] = now
+    assert again, moved
+
+
+@then('the rest of a change is made only for a gain of {percent:d} %')
+def check_least_gain(context: Any, percent: int) -> None:
+    planned = PlanInput(engines(40), {MODELS[0]: 104, MODELS[1]: 96})
+    even = even_of(planned)
+    decision = decide(planned, CapacityPlan(even), even, continuing=True)
+    assert decision is None, decision
+    more = PlanInput(engines(40), {MODELS[0]: 112, MODELS[1]: 88})
+    decision = decide(more, CapacityPlan(even), even, continuing=True)
+    assert decision is not None
+    assert decision.ratio_after <= decision.ratio_before * (1 - percent / 100)
+
+
+def uneven_plan(count: int) -> tuple[PlanInput, CapacityPlan]:
+    """Return engines of any speed, and a plan that serves a model badly."""
+    rng = random.Random(1)
+    models = [ModelId(f'm{number}') for number in range(9)]
+    planned = PlanInput(
+        tuple(
+            PlannedEngine(f'e{number:03}', rng.uniform(80, 240))
+            for number in range(count)
+        ),
+        {model: rng.uniform(50, 250) for model in models},
+    )
+    return planned, CapacityPlan(even_of(planned))
+
+
+@then('a plan of {count:d} engines and 9 models compares few exchanges')
+def check_comparisons(context: Any, count: int) -> None:
+    planned, plan = uneven_plan(count)
+    compared: list[float] = []
+
+    def counted(demand_events_s: float, capacity: int) -> float:
+        # Every pair of engines would be compared in each of 87 changes
+        # otherwise.
+        assert len(compared) < 20_000
+        compared.append(demand_events_s)
+        return demand_events_s * 1000 / capacity
+
+    with mock.patch(f'{PLAN_MODULE}._ratio', counted):
+        decision = decide(planned, plan, plan.engines)
+    assert decision is not None
+    assert decision.ratio_after < decision.ratio_before * 0.85, decision
+
+
+@then('there is no search where no assignment can gain enough')
+def check_no_search(_: Any) -> None:
+    planned = PlanInput(engines(22), {MODELS[0]: 110, MODELS[1]: 100})
+    even = even_of(planned)
+    with mock.patch(
+        f'{PLAN_MODULE}._Assignment.improve', side_effect=AssertionError
+    ):
+        assert decide(planned, None, even) is None
+        assert decide(planned, CapacityPlan(even), even) is None
+
+
+def unknown_at(
+    service: PlannedService, now: dt.timedelta, version: int
+) -> frozenset[ModelId]:
+    """Return the unknown models after m0 was told; m1 has a version."""
+    members = upstreams(4, versions={MODELS[0]: 1, MODELS[1]: version})
+    service.demand.tell(MODELS[0], ToldDemand(5, {}, now))
+    return service.plan_input(members, now, is_first=True).unknown_models
+
+
+@then(
+    'a model that is not told is unknown for {last_s:d} s after its version '
+    'rose'
+)
+def check_risen(_: Any, last_s: int) -> None:
+    service = PlannedService()
+    unknown_at(service, seconds(0), 1)
+    for number in range(1, 21):
+        found = unknown_at(service, seconds(4 * number), number)
+        assert found == {MODELS[1]}, (number, found)
+    assert unknown_at(service, seconds(80 + last_s), 20) == {MODELS[1]}
+    assert not unknown_at(service, seconds(81 + last_s), 20)
+
+
+@then('a model is unknown for {last_s:d} s after it is told with a demand of 0')
+def check_undue(_: Any, last_s: int) -> None:
+    service = PlannedService()
+    for number in range(11):
+        unknown_at(service, seconds(4 * number), 1)
+    service.demand.tell(MODELS[1], ToldDemand(0, {}, seconds(40)))
+    assert unknown_at(service, seconds(40 + last_s), 1) == {MODELS[1]}
+    assert not unknown_at(service, seconds(41 + last_s), 1)
+
+
 @then(
     'in {count:d} cases the same input gives the same plan, every model has '
     'an engine, few engines move and the plans end'
@@ -541,6 +685,97 @@
     play(scene)
 
 
+class PlansLater(PlansUnavailable):
+    """Store whose plans can be listed from some attempt on."""
+
+    def __init__(self, registrations: Listing, plans: Listing) -> None:
+        super().__init__(registrations, plans)
+        self.failures = 0
+
+    async def listing(self, kind: str, **_: Any) -> Listing | Outcome:
+        """Return the listing, or that there is none."""
+        if kind == 'plans' and self.failures:
+            self.failures -= 1
+            return Outcome.NOT_DONE
+        return self.answers[kind][0]
+
+
+async def models_in_time(
+    site: Site, failures: int, last_s: int
+) -> list[set[ModelId]]:
+    """Return the models of an agent that starts, second by second."""
+    registration = {
+        **Engine('e', 'lm', at(8100), site.clock).registration(),
+        'models': [{'name': 'm0'}, {'name': 'm1'}],
+    }
+    store: Any = PlansLater(
+        listing_of(
+            e=registration, f={**registration, 'address': '127.0.0.1:8101'}
+        ),
+        listing_of(lm={'engines': {'127.0.0.1:8100': 'm1'}}),
+    )
+    store.failures = failures
+    view = AssignmentView(store, at(8100), site.clock)
+    found = []
+    for _ in range(last_s):
+        await view.refresh()
+        found.append(set(view.current.models()))
+        await asyncio.sleep(1)
+    return found
+
+
+@then('an agent that cannot list plans has no model until it can')
+def check_plans_awaited(_: Any) -> None:
+    async def scene(site: Site) -> None:
+        found = await models_in_time(site, 3, 6)
+        expected = [*repeat(set(), 3), *repeat({'m1'}, 3)]
+        assert found == expected, found
+
+    play(scene)
+
+
+@then('it uses the even assignment after {wait_s:d} s without a listing')
+def check_plans_missing(_: Any, wait_s: int) -> None:
+    async def scene(site: Site) -> None:
+        found = await models_in_time(site, 1000, wait_s + 2)
+        expected = [*repeat(set(), wait_s), *repeat({'m0'}, 2)]
+        assert found == expected, found
+
+    play(scene)
+
+
+@then('a demand is in the state for {last_s:d} s')
+def check_shown_demands(_: Any, last_s: int) -> None:
+    service = PlannedService()
+    service.demand.tell(MODELS[0], ToldDemand(5, {}, seconds(0)))
+    assert service.state(ServiceId('lm'), seconds(last_s)).demands
+    assert not service.state(ServiceId('lm'), seconds(last_s + 1)).demands
+
+
+def heard_intervals(*told: dict[str, float]) -> dict[UpstreamId, float]:
+    """Return the intervals of engines of which owners told."""
+    demand = ServiceDemand()
+    for number, intervals_ms in enumerate(told):
+        listed = {UpstreamId(one): ms for one, ms in intervals_ms.items()}
+        demand.tell(MODELS[number % 4], ToldDemand(5, listed, seconds(0)))
+    return demand.intervals_ms(seconds(1))
+
+
+@then('an interval under a quarter of the median of all engines is ignored')
+def check_least_interval(_: Any) -> None:
+    found = heard_intervals({'a': 40, 'b': 44, 'c': 11, 'd': 0.01, 'e': 40})
+    assert found == {'a': 40, 'b': 44, 'c': 11, 'e': 40}, found
+    found = heard_intervals({'a': 40, 'b': 44, 'c': 40}, {'a': 0.01})
+    assert found == {'a': 40, 'b': 44, 'c': 40}, found
+
+
+@then('the interval of an engine is the median of what was told')
+def check_median_interval(_: Any) -> None:
+    found = heard_intervals({'a': 40}, {'a': 400}, {'a': 44})
+    assert found == {'a': 44}, found
+    assert not heard_intervals()
+
+
 def listing_of(**specs: Any) -> Listing:
     """Return objects by their names."""
     return Listing(
--- a/features/steps/steps_capacity_planner_steps.py
+++ b/features/steps/steps_capacity_planner_steps.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import datetime as dt
 import json
 from typing import TYPE_CHECKING, Any
+from unittest import mock
 
+import msgspec
 from behave import given, then, when
 
 from bergamotdoor.cli.ctl import Seen, status_lines
+from bergamotdoor.entry.views import ManifestView
 from bergamotdoor.http.messages import HttpResponse
 from bergamotdoor.peers.demand_messages import DemandTold, PacesKnown
 from bergamotdoor.steps.planned_service import planner_order
@@ -21,6 +25,9 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from bergamotdoor.calls.manifest import Route
+    from bergamotdoor.jobs.messages import JobSpec
+
 SERVICE = ServiceId('lm')
 MODELS = ('a', 'b')
 
@@ -232,6 +239,30 @@
     play_with(context, act)
 
 
+@when('a trainer of model m submits a step without a due time')
+def submit_undue_step(context: Any) -> None:
+    batch_route = ManifestView.batch_route
+
+    def undue_route(view: ManifestView, spec: JobSpec) -> Route | None:
+        route = batch_route(view, spec)
+        return route and msgspec.structs.replace(
+            route, due_after=dt.timedelta()
+        )
+
+    async def act(site: Site) -> None:
+        with mock.patch.object(ManifestView, 'batch_route', undue_route):
+            await submit_step(site, planner_of(site, 1), 'j')
+        planner = site.entries[planner_of(site)]._components.planner
+        context.undue = set(planner._services[SERVICE].demand._undue_at)
+
+    play_with(context, act)
+
+
+@then('the planner knows that the demand of model m is not known')
+def check_undue_told(context: Any) -> None:
+    assert context.undue == {'m'}, context.undue
+
+
 async def submit_step(site: Site, entry: str, job: str) -> None:
     lengths = [[20, 20, 20, 20], [20, 20, 20, 20]]
     await site.submit(entry, job, lengths)
@@ -263,6 +294,47 @@
     play_with(context, act)
 
 
+@given(
+    'a site of {entries:d} entries and {engines:d} engines of models m and '
+    'other'
+)
+def larger_site(context: Any, entries: int, engines: int) -> None:
+    async def prepare(site: Site) -> None:
+        await start_site(site, entries, engines, ('m', 'other'))
+
+    context.prepare = prepare
+
+
+@when(
+    'the first {count:d} planners are killed and a trainer of model m submits '
+    '{steps:d} steps'
+)
+def kill_planners(context: Any, count: int, steps: int) -> None:
+    async def act(site: Site) -> None:
+        order = [planner_of(site, rank) for rank in range(count + 1)]
+        for name in order[:count]:
+            await site.kill(name)
+        context.second = order[count]
+        for number in range(steps):
+            await submit_step(site, context.second, f'j{number}')
+        context.told = known_demands(site)
+
+    play_with(context, act)
+
+
+@when('the demand of that model is told')
+def tell_single(context: Any) -> None:
+    async def act(site: Site) -> None:
+        await tell(site, {'m': 10}, 12)
+
+    play_with(context, act)
+
+
+@then('no call to the store was made for plans')
+def check_no_calls(context: Any) -> None:
+    assert not context.calls, context.calls
+
+
 @when(
     'the planner is of the previous release and a trainer of model m submits '
     'a step'
--- a/features/steps_capacity_planner.feature
+++ b/features/steps_capacity_planner.feature
@@ -30,6 +30,14 @@
     Then the planner knows a demand of 18.4 events per second
     And the owner has learned the interval that another owner measured
 
+  Scenario: a trainer whose steps have no due time is known to the planner
+    Guards against a planner that takes the engines of a model because its
+    owner never tells of it.
+
+    Given a site of 2 entries and 4 engines that 2 models share
+    When a trainer of model m submits a step without a due time
+    Then the planner knows that the demand of model m is not known
+
   Scenario: a planner that is gone is replaced by the next entry
     Guards against a plan that is never changed again after the planner ended
     without notice.
@@ -38,6 +46,19 @@
     When the planner is killed and a trainer of model m submits a step
     Then the remaining entry knows its demand
 
+  Scenario: three planners that are gone do not stop the telling
+    Guards against a demand that nobody is told of while as many entries as
+    are asked have ended, and are still registered.
+
+    Given a site of 5 entries and 4 engines of models m and other
+    When the first 3 planners are killed and a trainer of model m submits 2 steps
+    Then the remaining entry knows its demand
+
+  Scenario: a single model needs no plan from the store
+    Given a site of 2 entries whose engines serve one model
+    When the demand of that model is told
+    Then no call to the store was made for plans
+
   Scenario: an entry of the previous release does not know the message
     It answers with status 400, as any release does to bytes it can't decode.
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -35,6 +35,7 @@
 _LOADS: Final = 'steps_engine_loads'
 _FORECAST: Final = 'jobs_forecast'
 _PLAN: Final = 'fleet_capacity_plan'
+_PLAN_CODE: Final = 'fleet/capacity_plan.py'
 _PLANNER: Final = 'steps_capacity_planner'
 _QUEUEING: Final = 'queueing_service_calls'
 _WAITING: Final = 'forwarding_waiting'
@@ -555,7 +556,7 @@
     Mutation(
         'engines of equal speed are chosen by load',
         'jobs/placement.py',
-        'if free and has_faster(intervals_s):',
+        'if free and placed.by_length and has_faster(intervals_s):',
         'if free:',
         _PLACEMENT,
     ),
@@ -569,8 +570,8 @@
     Mutation(
         'lengths are converted by the tokens that the manifest states',
         'platform/manifest.py',
-        '(service.engine or _Engine()).stride',
-        '_Engine().stride',
+        '_stride_of(service.engine)',
+        '_stride_of(None)',
         'platform_adapter',
     ),
     Mutation(
@@ -633,8 +634,8 @@
     Mutation(
         'items leave an engine before it loads weights',
         'jobs/moves.py',
-        'if progress.upstream in loading:',
-        'if progress.upstream is loading:',
+        'if progress.upstream in loads.time_left:',
+        'if progress.upstream is loads.time_left:',
         _LOADS,
     ),
     Mutation(
@@ -703,8 +704,8 @@
     Mutation(
         'a job without a due time keeps its order',
         'steps/step_planner.py',
-        'routed = [entry for entry in routed if entry[1].due_after]',
-        'routed = list(routed)',
+        'if route.due_after and self._serves_several_models(route)',
+        'if self._serves_several_models(route)',
         _FORECAST,
     ),
     Mutation(
@@ -728,20 +729,6 @@
         'missing = 0',
         _FORECAST,
     ),
-    Mutation(
-        'results are held by the forecast of the target',
-        'jobs/listing.py',
-        'return target.is_near if target_in is None else',
-        'return target.is_near if target else',
-        'jobs_listing',
-    ),
-    Mutation(
-        'without a length hint, results are not held by the forecast',
-        'steps/result_writer.py',
-        'return self._planner.target_in(spec.job) if has_hints else None',
-        'return self._planner.target_in(spec.job)',
-        'gateway_jobs',
-    ),
     Mutation(
         'a deferred group and a late step are counted once',
         'steps/forecast_report.py',
@@ -767,13 +754,48 @@
         '_MAX_ATTEMPTS: Final = 1',
         _PLANNER,
     ),
+    Mutation(
+        'entries that do not answer are asked last',
+        'steps/demand_reports.py',
+        'return sorted(order, key=self._silent_at.__contains__)',
+        'return order',
+        _PLANNER,
+    ),
+    Mutation(
+        'the store is not read for the plan of a single model',
+        'steps/capacity_planner.py',
+        'if is_due and len(models) > 1:',
+        'if is_due:',
+        _PLANNER,
+    ),
+    Mutation(
+        'an interval near zero is ignored',
+        'fleet/demand.py',
+        'if one >= least_ms]',
+        'if one]',
+        _PLAN,
+    ),
     Mutation(
         'a fallback planner leaves engines of unknown models alone',
         'steps/planned_service.py',
-        '            if is_first\n',
-        '            if True\n',
+        'if not is_first:',
+        'if False:',
         _PLANNER,
     ),
+    Mutation(
+        'a model whose version rises counts as unknown',
+        'fleet/demand.py',
+        'undue | (trained - self._told.keys())',
+        'undue',
+        _PLAN,
+    ),
+    Mutation(
+        'a model whose steps have no due time counts as unknown',
+        'fleet/demand.py',
+        'undue | (trained - self._told.keys())',
+        'trained - self._told.keys()',
+        _PLAN,
+    ),
     Mutation(
         'an engine that restarts keeps its place in the plan',
         'steps/planned_service.py',
@@ -788,6 +810,13 @@
         'capacity',
         _PLAN,
     ),
+    Mutation(
+        'demands that are too old are not shown',
+        'steps/planned_service.py',
+        '        self.demand.remove_expired(now)\n        plan = None',
+        '        plan = None',
+        _PLAN,
+    ),
     Mutation(
         'plans that move engines are some seconds apart',
         'steps/planned_service.py',
@@ -804,28 +833,63 @@
     ),
     Mutation(
         'a model without an engine gets one at once',
-        'fleet/capacity_plan.py',
-        'if may_move or math.isinf(before):',
-        'if may_move:',
+        _PLAN_CODE,
+        'else _missing_engines(assignment)',
+        'else ()',
         _PLAN,
     ),
     Mutation(
         'engines of a model of unknown demand keep their model',
-        'fleet/capacity_plan.py',
-        '{worst, *self._planned.unknown_models}',
-        '{worst}',
+        _PLAN_CODE,
+        'self._best_of(worst, planned.unknown_models, planned.held)',
+        'self._best_of(worst, frozenset(), planned.held)',
+        _PLAN,
+    ),
+    Mutation(
+        'a model without an engine gets one although the others are unknown',
+        _PLAN_CODE,
+        'if not best and not self._sums[worst]:',
+        'if not best and self._sums[worst] < 0:',
+        _PLAN,
+    ),
+    Mutation(
+        'an engine that moved a short time ago keeps its model',
+        _PLAN_CODE,
+        'if one[1] not in held]',
+        'if one[1]]',
+        _PLAN,
+    ),
+    Mutation(
+        'the rest of a change must gain more than the noise',
+        _PLAN_CODE,
+        '_LEAST_SHARE: Final = 0.95',
+        '_LEAST_SHARE: Final = 0.98',
+        _PLAN,
+    ),
+    Mutation(
+        'an engine for a model without one starts no other moves',
+        _PLAN_CODE,
+        'improve(while_missing=True)',
+        'improve()',
+        _PLAN,
+    ),
+    Mutation(
+        'there is no search where no assignment can gain enough',
+        _PLAN_CODE,
+        'if limit < assignment.mean_ratio:',
+        'if limit < 0:',
         _PLAN,
     ),
     Mutation(
         'a change must lower the largest ratio clearly',
-        'fleet/capacity_plan.py',
+        _PLAN_CODE,
         'largest_ratio * share',
         'largest_ratio',
         _PLAN,
     ),
     Mutation(
         'few engines change their model in one write',
-        'fleet/capacity_plan.py',
+        _PLAN_CODE,
         '> max_moved',
         '> len(assignment.models)',
         _PLAN,
@@ -846,6 +910,20 @@
         '            self._plans = {}\n',
         _PLAN,
     ),
+    Mutation(
+        'an agent that starts waits for the first listing of plans',
+        'agent/assignment.py',
+        'return now - self._without_plans_since < _MAX_PLAN_WAIT',
+        'return False',
+        _PLAN,
+    ),
+    Mutation(
+        'an agent does not wait for ever for the first listing of plans',
+        'agent/assignment.py',
+        'return now - self._without_plans_since < _MAX_PLAN_WAIT',
+        'return True',
+        _PLAN,
+    ),
     Mutation(
         'an account is charged for each call that it sends',
         'queueing/priority_class.py',
@@ -884,8 +962,8 @@
     Mutation(
         'refusals of one moment reduce a limit once',
         'queueing/limits.py',
-        '        if not self.has_refused(now):\n',
-        '        if slots:\n',
+        'if not (self.has_refused(now) or has_report):',
+        'if not has_report:',
         _QUEUEING,
     ),
     Mutation(
@@ -919,8 +997,8 @@
     Mutation(
         'hedges of a busy service have a budget',
         _SERVICE_CALLS,
-        'return requests * _HALF <= slots or self.hedges.has_left(now)',
-        'return requests >= 0',
+        'if is_busy and not self.hedges.has_left(now):',
+        'if slots < 0:',
         _QUEUEING,
     ),
     Mutation(
@@ -968,8 +1046,9 @@
     Mutation(
         'a stream counts as in flight until it ends',
         'forwarding/relayed_stream.py',
-        'with counted_stream(context, upstream):',
-        'with contextlib.nullcontext():',
+        '    counted = CountedStream(context, upstream)\n    if',
+        '    counted = CountedStream(context, upstream)\n'
+        '    counted.close()\n    if',
         _WAITING,
     ),
     Mutation(
@@ -982,8 +1061,8 @@
     Mutation(
         'upstreams that failed get calls if there are no others',
         'queueing/limits.py',
-        '        return available or [\n',
-        '        return available\n        return [\n',
+        '        return known\n',
+        '        return available\n',
         _CRASHES,
     ),
     Mutation(
