--- a/bergamotdoor/fleet/capacity_plan.py
+++ b/bergamotdoor/fleet/capacity_plan.py
@@ -28,7 +28,7 @@
 #: better by at most this factor.
 EVEN_TOLERANCE: Final = 1.15
 #: A plan in force changes if the largest ratio falls to this share of it or
-#: less. Measured demands and speeds vary by a tenth.
+#: less. Demands and speeds that vary by a tenth must not move engines.
 _CHANGE_SHARE: Final = 0.85
 #: The same for the rest of a change that was made in part. With a gain of 2 %
 #: the noise of the measurements alone moves engines back and forth.
--- a/bergamotdoor/settings/node.py
+++ b/bergamotdoor/settings/node.py
@@ -53,8 +53,9 @@
     retention: dt.timedelta
     #: The bandwidth of this VM's link, in Mbit/s; 0 if unknown.
     link_mbps: float = 0
-    #: Whether agents announce weight loads to the owners of jobs. Off: owners
-    #: notice loads by refusals and stalls, and steps take less time then.
+    #: Whether agents announce weight loads to the owners of jobs. If not, the
+    #: owners notice loads by refusals and stalls. The settings file has no
+    #: field for this.
     announces_loads: bool = False
     #: The time within which a revoked key must stop working on every VM, even
     #: if the store is unreachable. If ``None``, a key stops working when the
