Log and count breaks that give no strike, and where strikes come from

Callers' requests were sent on to servers under which three had ended. The logs could not tell apart whether an end had not been seen, or had been seen and forgotten: a break that gave no strike left no line, and neither did strikes that came from another entry or from the store.

A break without a strike now has a line and a counter with its reason: the upstream was leaving, its address still took connections, or it did not reply to the look. Lines about strikes tell how long the request had run, so that copies that ran side by side can be told from the log. Client.refuses became Client.probe, which tells a refusal from silence.

No decision is changed.

--- a/bergamotdoor/entry/context.py
+++ b/bergamotdoor/entry/context.py
@@ -87,11 +87,10 @@
             quarantine,
             StrikeSharing(
                 quarantine,
-                access.store,
-                access.peers,
-                access.directory,
+                access,
                 settings.node,
                 clock,
+                metrics,
             ),
             LoadSharing(fleet, loads, metrics, access, settings, clock),
             metrics,
--- a/bergamotdoor/forwarding/attempt.py
+++ b/bergamotdoor/forwarding/attempt.py
@@ -9,7 +9,7 @@
 from bergamotdoor.forwarding.answers import judge
 from bergamotdoor.forwarding.call import Attempt, Call
 from bergamotdoor.forwarding.call_request import call_request
-from bergamotdoor.forwarding.upstream_end import note_end, strikes_of
+from bergamotdoor.forwarding.upstream_end import ObservedRun, record_break
 from bergamotdoor.http.messages import ClientFailure
 from bergamotdoor.http.sending import send
 from bergamotdoor.observe.events import Counted
@@ -50,7 +50,7 @@
     figure_age = known.figure_age(began_at)
     if figure_age is not None:
         context.metrics.record(Stage.LOAD_AGE, figure_age)
-    strikes_before = strikes_of(context, call)
+    run = ObservedRun.begin(context, upstream, call.fingerprint)
     attempt = await _send(context, call, upstream, left)
     latency = context.clock.elapsed() - began_at
     _update_load(context, attempt, upstream, latency)
@@ -58,7 +58,7 @@
         context.metrics.count(Counted.ATTEMPT_FAILED, upstream.service)
         _log_failure(call, attempt, latency)
     if attempt.broke:
-        await note_end(context, upstream, call.fingerprint, strikes_before)
+        await record_break(context, run)
     return attempt
 
 
--- a/bergamotdoor/forwarding/relayed_stream.py
+++ b/bergamotdoor/forwarding/relayed_stream.py
@@ -13,7 +13,7 @@
 from bergamotdoor.fleet.quarantine import CALL_STRIKE_LIMIT
 from bergamotdoor.forwarding.call_request import call_request
 from bergamotdoor.forwarding.counted import CountedStream
-from bergamotdoor.forwarding.upstream_end import note_end, strikes_of
+from bergamotdoor.forwarding.upstream_end import ObservedRun, record_break
 from bergamotdoor.http import close_body
 from bergamotdoor.http.messages import BodyBrokenError, ClientResponse
 from bergamotdoor.jobs.event_stream import EventReader
@@ -86,13 +86,13 @@
     counted: CountedStream,
 ) -> AsyncGenerator[bytes, None]:
     """Yield the pieces of a response that no other upstream can resume."""
-    strikes_before = strikes_of(context, call)
+    run = ObservedRun.begin(context, upstream, call.fingerprint)
     try:
         with contextlib.closing(counted):
             async for piece in response.body:
                 yield piece
     except BodyBrokenError:
-        await note_end(context, upstream, call.fingerprint, strikes_before)
+        await record_break(context, run)
         raise
 
 
@@ -114,7 +114,7 @@
         self._call = call
         self._response = response
         self._upstreams = [upstream]
-        self._strikes_before = strikes_of(context, call)
+        self._run = ObservedRun.begin(context, upstream, call.fingerprint)
         self._last_event_id = call.headers.first(names.LAST_EVENT_ID)
         #: Why the present response broke off; ``None`` if it did not.
         self._error: Exception | None = None
@@ -153,7 +153,7 @@
     async def _resume(self, error: Exception) -> None:
         """Resume the stream at another upstream after an error."""
         await close_body(self._response.body)
-        await self._record_crash()
+        await record_break(self._context, self._run)
         response = await self._next_response(error)
         _log.info(
             'gateway: call %s resumed at %s after event %s: %s',
@@ -164,17 +164,6 @@
         )
         self._response = response
 
-    async def _record_crash(self) -> None:
-        """Record a strike if the last upstream crashed."""
-        fingerprint = self._call.fingerprint
-        await note_end(
-            self._context,
-            self._upstreams[-1],
-            fingerprint,
-            self._strikes_before,
-        )
-        self._strikes_before = strikes_of(self._context, self._call)
-
     def _is_quarantined(self) -> bool:
         now = self._context.clock.elapsed()
         fingerprint = self._call.fingerprint
@@ -202,13 +191,16 @@
 
         ``None`` if the upstream does not resume the stream.
         """
-        time_left = self._call.rules.deadline - self._context.clock.elapsed()
+        self._run = ObservedRun.begin(
+            self._context, upstream, self._call.fingerprint
+        )
+        time_left = self._call.rules.deadline - self._run.sent_at
         response = await self._context.client.send(
             call_request(self._remaining_call(), upstream, time_left)
         )
         if not isinstance(response, ClientResponse):
             if response.sent:
-                await self._record_crash()
+                await record_break(self._context, self._run)
             return None
         if response.status == HTTPStatus.OK:
             return response
--- a/bergamotdoor/http/client.py
+++ b/bergamotdoor/http/client.py
@@ -15,7 +15,7 @@
 from bergamotdoor.http._client_heads import UnclearEndError, head_of
 from bergamotdoor.http._pool import Pool
 from bergamotdoor.http._stream import connect
-from bergamotdoor.http.messages import ClientFailure
+from bergamotdoor.http.messages import ClientFailure, Reachability
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
@@ -101,22 +101,21 @@
             return msgspec.structs.replace(result, reused=reused)
         return result
 
-    async def refuses(self, address: Address) -> bool:
-        """Return whether `address` refuses connections.
+    async def probe(self, address: Address) -> Reachability:
+        """Open a connection to `address`, and return what that shows.
 
-        A refusal means that no process listens at the address. A connection
-        attempt without an answer within 0.1 s does not count as a refusal.
-        A connection that opens is added to the pool.
+        A connection that opens is added to the pool. One that does not open
+        within 0.1 s shows nothing.
         """
         try:
             async with asyncio.timeout(_PROBE_TIMEOUT_S):
                 stream = await connect(address)
         except ConnectionRefusedError:
-            return True
+            return Reachability.REFUSED
         except OSError:
-            return False
+            return Reachability.SILENT
         self._pool.give(address, stream)
-        return False
+        return Reachability.OPEN
 
     async def close(self) -> None:
         """Close all pooled connections; no connection is pooled afterwards."""
--- a/bergamotdoor/http/messages.py
+++ b/bergamotdoor/http/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import datetime as dt
+import enum
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from typing import NamedTuple, Protocol
 
@@ -156,6 +157,16 @@
         return await read_all(self.body, limit_bytes)
 
 
+class Reachability(enum.Enum):
+    """What an attempt to open a connection shows about an address."""
+
+    OPEN = 'accepts connections'
+    #: No process listens at the address.
+    REFUSED = 'refuses connections'
+    #: There was no reply in time: nothing is known.
+    SILENT = 'does not reply'
+
+
 class Client(Protocol):
     """Client that sends requests and never retries on its own."""
 
@@ -164,11 +175,8 @@
     ) -> ClientResponse | ClientFailure:
         """Send `request`, and return when the response's head is read."""
 
-    async def refuses(self, address: Address) -> bool:
-        """Return whether `address` refuses connections.
-
-        A refusal means that no process listens at the address.
-        """
+    async def probe(self, address: Address) -> Reachability:
+        """Open a connection to `address`, and return what that shows."""
 
     async def close(self) -> None:
         """Close all pooled connections."""
--- a/bergamotdoor/observe/events.py
+++ b/bergamotdoor/observe/events.py
@@ -27,6 +27,14 @@
     ATTEMPT_FAILED = 'call_attempts_failed'
     #: Ends of upstreams while they ran requests, counted once per request.
     UPSTREAM_ENDED = 'upstreams_ended_under_requests'
+    #: Requests that broke off and gave no strike: the upstream was leaving, or
+    #: it accepted connections, or did not reply to an attempt to open one.
+    BROKE_AT_LEAVING = 'broke_at_leaving_upstreams'
+    BROKE_AT_OPEN = 'broke_at_open_upstreams'
+    BROKE_AT_SILENT = 'broke_at_silent_upstreams'
+    #: New strikes from other entries, and from the store.
+    STRIKE_HEARD = 'strikes_heard'
+    STRIKE_READ = 'strikes_read'
     CALL_QUARANTINED = 'calls_quarantined'
     ITEM_QUARANTINED = 'items_quarantined'
     ITEM_COMPLETED = 'items_completed'
--- a/bergamotdoor/peers/strike_sharing.py
+++ b/bergamotdoor/peers/strike_sharing.py
@@ -13,15 +13,15 @@
 import msgspec
 
 from bergamotdoor.fleet.quarantine import Quarantine, Strike, newest_strikes
+from bergamotdoor.observe.events import Counted
 from bergamotdoor.peers.directory import ENTRY_KIND
 from bergamotdoor.peers.messages import Done, StrikesLearned
 from bergamotdoor.stored import Outcome, UnreadableError, reading
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
-    from bergamotdoor.objects.client import ObjectClient
-    from bergamotdoor.peers.client import PeerClient
-    from bergamotdoor.peers.directory import Directory
+    from bergamotdoor.observe.metrics import Metrics
+    from bergamotdoor.peers.access import StoreAccess
     from bergamotdoor.settings.document import Address
     from bergamotdoor.tasks import Tasks
     from bergamotdoor.types import NodeId
@@ -62,37 +62,36 @@
     ----------
     quarantine
         The strikes that this process knows.
-    store
-        Client of the store that holds the records of the entries.
-    peers
-        Client for requests to other entries.
-    directory
-        Addresses of the other entries, and the source of their statuses.
+    access
+        The clients for the store and for the other entries, and the directory
+        of these, which gives the statuses of their records.
     node
         Node of this process.
     clock
         Clock for the pauses.
+    metrics
+        Counters of the strikes from elsewhere.
     """
 
     def __init__(
         self,
         quarantine: Quarantine,
-        store: ObjectClient,
-        peers: PeerClient,
-        directory: Directory,
+        access: StoreAccess,
         node: NodeId,
         clock: Clock,
+        metrics: Metrics,
     ) -> None:
         self._quarantine = quarantine
-        self._store = store
-        self._peers = peers
-        self._directory = directory
+        self._store = access.store
+        self._peers = access.peers
+        self._directory = access.directory
         self._node = node
         self._clock = clock
+        self._metrics = metrics
         self._unsent: list[Strike] = []
         self._send_needed = asyncio.Event()
         self._store_needed = asyncio.Event()
-        directory.on_status = self.take_kept
+        self._directory.on_status = self.take_kept
 
     def start(self, tasks: Tasks) -> None:
         """Start the tasks that send and store strikes."""
@@ -108,9 +107,7 @@
 
     def take(self, message: StrikesLearned) -> None:
         """Record the strikes that another entry has sent."""
-        now = self._clock.elapsed()
-        for strike in message.strikes:
-            self._quarantine.add(strike, now)
+        self._take_all(message.strikes, Counted.STRIKE_HEARD)
 
     def take_kept(self, status: bytes, *, own: bool) -> None:
         """Record the strikes that an entry keeps in its record.
@@ -131,10 +128,17 @@
             _log.warning('peers: status of a record is skipped: %s', error)
             return
         if stored is not None:
-            self.take(StrikesLearned(stored.strikes))
+            self._take_all(stored.strikes, Counted.STRIKE_READ)
         if own and stored is not None:
             self._store_needed.set()
 
+    def _take_all(self, strikes: tuple[Strike, ...], source: Counted) -> None:
+        now = self._clock.elapsed()
+        added = sum(self._quarantine.add(strike, now) for strike in strikes)
+        if added:
+            self._metrics.count(source, amount=added)
+            _log.info('peers: %s: %d of %d', source.value, added, len(strikes))
+
     async def _send_to_all(self, tasks: Tasks) -> None:
         while True:
             await self._send_needed.wait()
--- a/bergamotdoor/steps/item_run.py
+++ b/bergamotdoor/steps/item_run.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from bergamotdoor import utils
-from bergamotdoor.forwarding.upstream_end import note_end
+from bergamotdoor.forwarding.upstream_end import ObservedRun, record_break
 from bergamotdoor.http.messages import BodyBrokenError, ClientResponse
 from bergamotdoor.http.sending import send
 from bergamotdoor.jobs.event_stream import EventReader
@@ -45,9 +45,9 @@
         The completed text, or the reason why there is none.
     """
     load = context.loads.of(run.upstream.upstream)
-    started_at = context.clock.elapsed()
-    fingerprint = item_fingerprint(run.job, run.spec)
-    before = context.quarantine.count_strikes(fingerprint)
+    observed = ObservedRun.begin(
+        context, run.upstream, item_fingerprint(run.job, run.spec)
+    )
     end = await _run_at_engine(context, run)
     now = context.clock.elapsed()
     _log.info(
@@ -57,15 +57,15 @@
         run.job.job,
         run.upstream.upstream,
         end.value if isinstance(end, RunEnd) else end.state.value,
-        utils.to_ms(now - started_at),
+        utils.to_ms(now - observed.sent_at),
         run.transcript.event_count,
         load.in_flight,
     )
-    record_outcome(context, run, end, now - started_at)
+    record_outcome(context, run, end, now - observed.sent_at)
     if end is RunEnd.BROKEN:
-        await note_end(context, run.upstream, fingerprint, before)
+        await record_break(context, observed)
     elif isinstance(end, ItemResult):
-        context.quarantine.clear_strikes(fingerprint)
+        context.quarantine.clear_strikes(observed.fingerprint)
     return end
 
 
--- a/features/gateway_crashes.feature
+++ b/features/gateway_crashes.feature
@@ -97,6 +97,18 @@
       | lose power                   |
       | leave, with calls in progress |
 
+  Scenario Outline: a break that gives no strike is counted with its reason
+    Guards against ends of upstreams that are missed without a trace.
+
+    Given a site with 1 entries and callers that repeat the same calls
+    When calls break at upstreams that <state>
+    Then the breaks are counted as <counter>
+
+    Examples:
+      | state                  | counter                    |
+      | are leaving            | broke_at_leaving_upstreams |
+      | still take connections | broke_at_open_upstreams    |
+
   Scenario: strikes survive a loss of power at all entries
     Two upstreams have ended under a call that may run once. All entries
     restart a moment later and know only what is in the store.
--- a/features/steps/gateway_innocent_steps.py
+++ b/features/steps/gateway_innocent_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from typing import Any
 
 from behave import given, then, when
@@ -18,12 +19,17 @@
 
 def count_held_back(site: Site) -> int:
     """Return how many calls and items all entries have held back."""
-    return sum(
-        row.count
-        for entry in site.entries.values()
-        for row in entry._context.metrics.snapshot().counters
-        if row.name in {'calls_quarantined', 'items_quarantined'}
-    )
+    counted = count_all(site)
+    return counted['calls_quarantined'] + counted['items_quarantined']
+
+
+def count_all(site: Site) -> Counter[str]:
+    """Return the sums of all entries' counters, by name."""
+    counted: Counter[str] = Counter()
+    for entry in site.entries.values():
+        for row in entry._context.metrics.snapshot().counters:
+            counted[row.name] += row.count
+    return counted
 
 
 @when('slow calls run at the same upstreams as each of its {times:d} arrivals')
@@ -138,3 +144,43 @@
 def no_call_was_held_back(context: Any) -> None:
     assert all(context.ended_counts), context.ended_counts
     assert not context.held_back, (context.held_back, context.ended_counts)
+
+
+async def crash_late(site: Site, upstream: Upstream) -> None:
+    """Crash after the entries know that the upstream leaves."""
+    register(site.store, upstream, state='draining')
+    await asyncio.sleep(1.2)
+    await crash(site, upstream)
+
+
+async def break_connections(_: Site, upstream: Upstream) -> None:
+    upstream.mode = UpstreamMode.BROKEN
+
+
+BREAKS = {
+    'are leaving': crash_late,
+    'still take connections': break_connections,
+}
+
+
+@when('calls break at upstreams that {state}')
+def calls_break(context: Any, state: str) -> None:
+    async def act(site: Site) -> None:
+        services = tuple(site.services.values())
+        for service in services:
+            service.work_s = 1.4
+        breaks = [
+            asyncio.create_task(BREAKS[state](site, one)) for one in services
+        ]
+        await site.ask('entry-0', 'POST', '/book/one', b'x', Request_Id='one')
+        await asyncio.gather(*breaks)
+        context.counted = count_all(site)
+
+    context.plan.act = act
+    play(context.plan)
+
+
+@then('the breaks are counted as {counter}')
+def breaks_are_counted(context: Any, counter: str) -> None:
+    assert context.counted[counter] >= 1, context.counted
+    assert not context.counted['upstreams_ended_under_requests']
--- a/features/steps/gateway_sent_twice_steps.py
+++ b/features/steps/gateway_sent_twice_steps.py
@@ -15,6 +15,7 @@
     ClientRequest,
     ClientResponse,
     Headers,
+    Reachability,
 )
 from bergamotdoor.http.sending import send
 from bergamotdoor.settings.document import Address
@@ -80,8 +81,8 @@
             return ClientFailure(sent=True, detail='reset', reused=True)
         return ClientResponse(status=421, headers=Headers(), body=empty_body())
 
-    async def refuses(self, _: Address) -> bool:
-        return False
+    async def probe(self, _: Address) -> Reachability:
+        return Reachability.OPEN
 
     async def close(self) -> None:
         """Do nothing, since no connection is open."""
--- a/lab/model/network.py
+++ b/lab/model/network.py
@@ -15,6 +15,7 @@
     Headers,
     HttpRequest,
     HttpResponse,
+    Reachability,
 )
 from lab.model.pausing import start_outside
 
@@ -150,9 +151,11 @@
         """Send a request, and wait for the head of the response."""
         return await self._network.send(self._origin, request)
 
-    async def refuses(self, address: Address) -> bool:
-        """Return whether connections to an address are refused."""
-        return not self._network.serves(address)
+    async def probe(self, address: Address) -> Reachability:
+        """Return whether an address accepts or refuses connections."""
+        if self._network.serves(address):
+            return Reachability.OPEN
+        return Reachability.REFUSED
 
     async def close(self) -> None:
         """Do nothing; the client holds no connections."""
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -514,7 +514,7 @@
     Mutation(
         'a new process reads the strikes that are stored',
         'peers/strike_sharing.py',
-        '        directory.on_status = self.take_kept\n',
+        '        self._directory.on_status = self.take_kept\n',
         '',
         _CRASHES,
     ),
