Reproduce requests that are sent on after strikes were forgotten

Callers' requests were sent on to servers under which three had ended.

- Entries restart in turn, and the request arrives at each a moment later: six services end instead of two, since a new process lists the strikes of the others only a second after its start.
- Items are refused a connection by an engine that is gone: each gets a strike for a run that never began, 12 in all.

--- a/features/steps/gateway_crashes_steps.py
+++ b/features/steps/gateway_crashes_steps.py
@@ -31,6 +31,14 @@
     context.plan = CrashPlan(entries)
 
 
+@given(
+    'a site with {entries:d} entries and a request that ends {services:d} '
+    'services'
+)
+def set_up_services(context: Any, entries: int, services: int) -> None:
+    context.plan = CrashPlan(entries, services)
+
+
 @when('it arrives at each entry, {pause_s:d} s apart')
 def arrive_at_each_entry(context: Any, pause_s: int) -> None:
     async def act(site: Site) -> int:
--- a/features/steps/peers_strikes_steps.py
+++ b/features/steps/peers_strikes_steps.py
@@ -15,6 +15,7 @@
     time_crashing_request,
 )
 from lab.site import Site, play
+from lab.store import StoreMode
 
 
 @when('it comes, all entries start again, and it comes {pause_s:d} s later')
@@ -126,3 +127,98 @@
 def check_one_message(context: Any, strikes: int, count: int) -> None:
     assert len(context.messages) == count, context.messages
     assert len(context.messages[0].strikes) == strikes, context.messages
+
+
+async def arrive(site: Site, entry: str) -> None:
+    await send_crashing_request(site, entry, f'at-{entry}')
+
+
+@when(
+    'it arrives at one entry, and at each other one {wait_s:f} s after its '
+    'restart'
+)
+def arrive_after_restarts(context: Any, wait_s: float) -> None:
+    async def act(site: Site) -> None:
+        first, *others = site.entries
+        await arrive(site, first)
+        await asyncio.sleep(0.5)
+        for name in others:
+            await site.kill(name)
+            await site.add_entry(name)
+            await asyncio.sleep(wait_s)
+            await arrive(site, name)
+        context.ends = count_crashes(site)
+
+    context.plan.act = act
+    play(context.plan)
+
+
+@when('it arrives at one entry, and at a new one {wait_s:f} s after its start')
+def arrive_at_new_entry(context: Any, wait_s: float) -> None:
+    async def act(site: Site) -> None:
+        await arrive(site, 'entry-0')
+        await asyncio.sleep(0.5)
+        await site.add_entry('joined')
+        await asyncio.sleep(wait_s)
+        await arrive(site, 'joined')
+        context.ends = count_crashes(site)
+
+    context.plan.act = act
+    play(context.plan)
+
+
+@when(
+    'an entry joins, and {wait_s:d} s later it arrives at another and then '
+    'there'
+)
+def arrive_after_join(context: Any, wait_s: int) -> None:
+    async def act(site: Site) -> None:
+        await asyncio.sleep(1)
+        await site.add_entry('joined')
+        await asyncio.sleep(wait_s)
+        await arrive(site, 'entry-0')
+        await asyncio.sleep(0.5)
+        await arrive(site, 'joined')
+        context.ends = count_crashes(site)
+
+    context.plan.act = act
+    play(context.plan)
+
+
+@when(
+    "it arrives while the store is away, and again after that entry's restart"
+)
+def arrive_without_store(context: Any) -> None:
+    async def act(site: Site) -> None:
+        site.store.mode = StoreMode.BUSY
+        await arrive(site, 'entry-0')
+        await asyncio.sleep(0.5)
+        await site.kill('entry-0')
+        site.store.mode = StoreMode.UP
+        await site.add_entry('entry-0')
+        await asyncio.sleep(2)
+        await arrive(site, 'entry-0')
+        context.ends = count_crashes(site)
+
+    context.plan.act = act
+    play(context.plan)
+
+
+@when('{count:d} copies of it arrive at the same moment')
+def copies_arrive(context: Any, count: int) -> None:
+    async def act(site: Site) -> None:
+        await asyncio.gather(
+            *(
+                send_crashing_request(site, 'entry-0', f'copy-{number}')
+                for number in range(count)
+            )
+        )
+        context.ends = count_crashes(site)
+
+    context.plan.act = act
+    play(context.plan)
+
+
+@then('{count:d} upstreams have ended under it')
+def check_ended(context: Any, count: int) -> None:
+    assert context.ends == count, context.ends
--- a/features/steps/steps_crashes_steps.py
+++ b/features/steps/steps_crashes_steps.py
@@ -19,6 +19,7 @@
     WeightVersion,
 )
 from features.job_scenes import JOB, other_entry, owner_of, submit_job
+from features.support import logged
 from lab.site import Site, play
 from lab.upstreams import register
 from lab.wire import JobItem, job_body
@@ -173,6 +174,36 @@
     play(context.plan)
 
 
+@given(
+    'a site with {engines:d} engines, one of which is gone but still registered'
+)
+def engine_gone(context: Any, engines: int) -> None:
+    context.plan = CrashPlan(engines)
+    context.plan.item = ''
+
+
+@when('a job of {groups:d} groups of {items:d} items runs for {run_s:d} s')
+def runs_past_gone(context: Any, groups: int, items: int, run_s: int) -> None:
+    async def scene(site: Site) -> None:
+        await site.engines['engine-0'].stop()
+        await submit_job(site, item_lengths(groups, items))
+        await site.all_results('entry-0', JOB, run_s)
+        context.known = [
+            tuple(entry._context.quarantine) for entry in site.entries.values()
+        ]
+
+    context.plan.scene = scene
+    with logged('bergamotdoor.gateway') as lines:
+        play(context.plan)
+        context.refused = [line for line in lines if 'not sent to' in line]
+
+
+@then('items were refused a connection, and no entry knows of a strike')
+def no_strikes(context: Any) -> None:
+    assert context.refused
+    assert not any(context.known), context.known
+
+
 def item_spec(
     name: str, path: str = '/p', prompt: str = '', body: bytes = b''
 ) -> ItemSpec:
--- a/features/steps_crashes.feature
+++ b/features/steps_crashes.feature
@@ -48,3 +48,11 @@
     Guards against an item at fault that is counted anew under each id.
 
     Then items of one path and prompt are one request, others are not
+
+  Scenario: an item that was refused a connection gets no strike
+    Guards against strikes for runs that never began: they make harmless items
+    suspects, and hide the strikes of the item at fault.
+
+    Given a site with 3 engines, one of which is gone but still registered
+    When a job of 4 groups of 5 items runs for 6 s
+    Then items were refused a connection, and no entry knows of a strike
