Give no strike to an item that was refused a connection

Callers saw a request sent on to servers under which three had ended.

Cause: a run of an item that could not open a connection ended as BROKEN, like one under which the engine crashed. Calls tell the two apart; items did not.

Such a run is UNREACHED now. The engine is avoided and its load updated as before; no strike is made, since the item never ran there.

--- a/bergamotdoor/jobs/item_queue.py
+++ b/bergamotdoor/jobs/item_queue.py
@@ -50,6 +50,8 @@
     REFUSED = 'refused'
     #: Another incarnation answers at the address of the engine.
     REPLACED = 'replaced'
+    #: No connection to the engine was opened, so it did not get the item.
+    UNREACHED = 'unreached'
     #: The connection or the stream broke.
     BROKEN = 'broken'
     #: The engine answered that the run failed.
@@ -66,6 +68,12 @@
     TOO_OLD = 'too-old'
 
 
+#: Ends after which an item continues at another engine, if there is one.
+_AVOID_AFTER: Final = frozenset(
+    (RunEnd.FAILED, RunEnd.UNREACHED, RunEnd.BROKEN, RunEnd.MOVED)
+)
+
+
 class QueuedItem(msgspec.Struct):
     """State of one item."""
 
@@ -232,7 +240,7 @@
         if _is_lost_after(queued, end, self.max_failures):
             self.record_result(ItemResult(item, ItemState.LOST))
             return
-        if end in {RunEnd.FAILED, RunEnd.BROKEN, RunEnd.MOVED}:
+        if end in _AVOID_AFTER:
             queued.avoid = frozenset((upstream,))
         pause_s = _RETRY_PAUSES_S[
             min(queued.failures, len(_RETRY_PAUSES_S) - 1)
--- a/bergamotdoor/steps/item_outcome.py
+++ b/bergamotdoor/steps/item_outcome.py
@@ -79,5 +79,5 @@
         load.record_refusal(now)
     elif end is RunEnd.REPLACED:
         context.fleet.remove_replaced(upstream)
-    elif end in {RunEnd.BROKEN, RunEnd.FAILED}:
+    elif end in {RunEnd.UNREACHED, RunEnd.BROKEN, RunEnd.FAILED}:
         load.record_failure(now)
--- a/bergamotdoor/steps/item_run.py
+++ b/bergamotdoor/steps/item_run.py
@@ -78,7 +78,7 @@
             run.upstream.upstream,
             response.detail,
         )
-        return RunEnd.BROKEN
+        return RunEnd.BROKEN if response.sent else RunEnd.UNREACHED
     end = _rejection(run, response)
     if end is None:
         end = _process_head(context, run, response)
