Learn the strikes of the other entries before anything is sent

Callers saw a request sent on to servers under which three had ended.

Cause: a process had the strikes of others only from the listing of the entries a second after its start, and from what those had stored; and it got new ones only from entries that had listed it, which they do every 15 s.

A process now lists the records at its start and asks three entries for what they know, before calls are forwarded and items run. An entry whose record is new asks all others, which know it from then on.

--- a/bergamotdoor/entry/startup.py
+++ b/bergamotdoor/entry/startup.py
@@ -17,6 +17,8 @@
 
     MANIFEST = 'manifest'
     UPSTREAMS = 'upstreams'
+    #: The strikes of the other entries.
+    STRIKES = 'strikes'
 
 
 class StartupGate:
@@ -45,6 +47,11 @@
         if not self._missing:
             self._complete.set()
 
+    @property
+    def knows_strikes(self) -> bool:
+        """Whether the strikes of the other entries are known."""
+        return StartupListing.STRIKES not in self._missing
+
     async def wait(self) -> None:
         """Return once all listings are known or the timeout has passed."""
         if self._complete.is_set():
--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -9,9 +9,9 @@
 from bergamotdoor.clock import Clock, LoopClock
 from bergamotdoor.entry.context import Context
 from bergamotdoor.entry.views import ManifestView
+from bergamotdoor.gateway.background_tasks import start_background_tasks
 from bergamotdoor.gateway.inspection import GatewayInspector
 from bergamotdoor.gateway.limits import caller_limits
-from bergamotdoor.gateway.platform_watchers import start_platform_watchers
 from bergamotdoor.gateway.responses import readiness_response
 from bergamotdoor.gateway.servers import Servers
 from bergamotdoor.gateway.wiring import EntryComponents
@@ -94,16 +94,15 @@
         _log.info('gateway: %s starts', self._settings.node)
         await self._servers.start()
         self._components.owner.start()
-        start_platform_watchers(
+        start_background_tasks(
             self._context,
-            self._access.news,
+            self._access,
             self._manifests,
-            self._components.owner,
+            self._components,
             self._tasks,
         )
         self._tasks.start(self._resume_jobs())
         self._tasks.start(self._expire_upstreams())
-        self._start_peer_tasks()
 
     async def stop(self) -> None:
         """Stop as planned, within the grace period.
@@ -198,16 +197,6 @@
         await self._servers.stop_internal()
         await self._client.close()
 
-    def _start_peer_tasks(self) -> None:
-        """Start the tasks that find the other entries and share state."""
-        directory = self._access.directory
-        self._tasks.start(directory.register(self._context.own_entry))
-        self._tasks.start(directory.run())
-        self._context.strikes.start(self._tasks)
-        self._tasks.start(self._context.load_sharing.run(self._tasks))
-        if self._components.usage is not None:
-            self._tasks.start(self._components.usage.run())
-
     def _on_manifest_change(self) -> None:
         manifest = self._manifests.manifest
         if manifest is not None:
--- a/bergamotdoor/peers/directory.py
+++ b/bergamotdoor/peers/directory.py
@@ -111,6 +111,9 @@
         self.entries: dict[NodeId, EntryRecord] = {}
         #: Record of this process; ``None`` if it is not a registered entry.
         self._own_record: EntryRecord | None = None
+        #: Entries that made themselves known since the last listing.
+        self._announced: dict[NodeId, EntryRecord] = {}
+        self._is_listed = False
         self._reader = ObjectReader(_log, 'peers')
         #: Called with each status of a record that has changed.
         self.on_status: OnStatus | None = None
@@ -122,9 +125,16 @@
         own = {} if self._own_record is None else {self._node: self._own_record}
         return {**self.entries, **own}
 
-    async def register(self, entry: EntryRecord) -> None:
-        """Write this entry's record to the store; retry until that is done."""
+    async def register(self, entry: EntryRecord) -> bool:
+        """Write this entry's record to the store; retry until that is done.
+
+        Returns
+        -------
+        bool
+            Whether the record is new, so that other entries may not know it.
+        """
         self._own_record = entry
+        is_new = True
         spec = msgspec.json.encode(entry)
         is_registered = False
         while not is_registered:
@@ -132,11 +142,25 @@
             is_registered = not isinstance(created, Outcome)
             if isinstance(created, Conflict) and created.current is not None:
                 self._notify_status(created.current)
-                is_registered = await self._replace_record(
-                    created.current, spec
-                )
+                is_new = not self._is_current(created.current, entry)
+                is_registered = not is_new or await self._replace_record(spec)
             if not is_registered:
                 await self._clock.sleep(_refresh_pause(0))
+        return is_new
+
+    def add(self, node: NodeId, entry: EntryRecord) -> None:
+        """Add an entry that has made itself known.
+
+        It is kept until the second listing from now on: the next one may be
+        older than its record. Before the first listing, the cached list stays
+        empty: entries that start together would otherwise see different parts
+        of it and choose different sources of news.
+        """
+        if node == self._node:
+            return
+        self._announced[node] = entry
+        if self._is_listed:
+            self.entries[node] = entry
 
     async def run(self) -> None:
         """Refresh the list of entries periodically until cancelled."""
@@ -148,12 +172,27 @@
 
     async def refresh(self) -> None:
         """List the entries; the cached list is kept if the listing fails."""
+        listed = await self.list_entries()
+        if listed is None:
+            return
+        self.entries = {**listed, **self._announced}
+        self._announced.clear()
+        self._is_listed = True
+
+    async def list_entries(self) -> dict[NodeId, EntryRecord] | None:
+        """List the other entries, and leave the cached list as it is.
+
+        Returns
+        -------
+        dict of NodeId to EntryRecord, or None
+            ``None`` if the listing failed.
+        """
         listing = await self._store.listing(ENTRY_KIND, stale=True)
         if isinstance(listing, Outcome):
-            return
+            return None
         for entry in listing.objects:
             self._notify_status(entry)
-        self.entries = {
+        return {
             NodeId(stored.name): record
             for stored in listing.objects
             if stored.name != self._node
@@ -168,17 +207,17 @@
         if stored.status and self.on_status is not None:
             self.on_status(stored.status, own=stored.name == self._node)
 
-    async def _replace_record(self, stored: StoredObject, spec: bytes) -> bool:
-        """Replace the record of an earlier process, if it differs.
+    def _is_current(self, stored: StoredObject, entry: EntryRecord) -> bool:
+        return self._reader.read(stored, _parse_record) == entry
+
+    async def _replace_record(self, spec: bytes) -> bool:
+        """Replace the record of an earlier process.
 
         Returns
         -------
         bool
             Whether the store now holds `spec` as this entry's record.
         """
-        stored_record = self._reader.read(stored, _parse_record)
-        if stored_record == msgspec.json.decode(spec, type=EntryRecord):
-            return True
         _log.info('peers: replacing the earlier record of %s', self._node)
         outcome = await self._store.delete(ENTRY_KIND, self._node)
         if outcome is not Outcome.ABSENT:
--- a/bergamotdoor/peers/messages.py
+++ b/bergamotdoor/peers/messages.py
@@ -10,6 +10,7 @@
 from bergamotdoor.jobs.messages import ItemResult, JobRecord, JobSpec
 from bergamotdoor.jobs.transcript import SavedTranscript
 from bergamotdoor.peers.demand_messages import DemandTold, PacesKnown
+from bergamotdoor.peers.directory import EntryRecord
 from bergamotdoor.peers.duty_messages import DutyHeld, UsageTold
 from bergamotdoor.peers.load_messages import LoadTold
 from bergamotdoor.peers.news_messages import (
@@ -19,7 +20,14 @@
 )
 from bergamotdoor.peers.weight_messages import LoadAnnounced
 from bergamotdoor.settings.document import Address
-from bergamotdoor.types import ItemId, JobId, ModelId, Revision, WeightVersion
+from bergamotdoor.types import (
+    ItemId,
+    JobId,
+    ModelId,
+    NodeId,
+    Revision,
+    WeightVersion,
+)
 
 PEER_PATH: Final = '/peer'
 
@@ -101,6 +109,16 @@
     strikes: tuple[Strike, ...]
 
 
+class AskStrikes(msgspec.Struct, frozen=True, tag=True):
+    """Request of an entry that has started for all strikes.
+
+    The receiver knows the sender from then on.
+    """
+
+    node: NodeId
+    entry: EntryRecord
+
+
 class StoreCall(msgspec.Struct, frozen=True, tag=True):
     """Request to make a call to the store from the receiver's VM."""
 
@@ -120,6 +138,7 @@
     | EngineLoaded
     | LoadAnnounced
     | StrikesLearned
+    | AskStrikes
     | StoreCall
     | UsageTold
     | DutyHeld
@@ -177,4 +196,5 @@
     | KindChanges
     | HistoryGone
     | PacesKnown
+    | StrikesLearned
 )
--- a/bergamotdoor/peers/strike_sharing.py
+++ b/bergamotdoor/peers/strike_sharing.py
@@ -15,7 +15,7 @@
 from bergamotdoor.fleet.quarantine import Quarantine, Strike, newest_strikes
 from bergamotdoor.observe.events import Counted
 from bergamotdoor.peers.directory import ENTRY_KIND
-from bergamotdoor.peers.messages import Done, StrikesLearned
+from bergamotdoor.peers.messages import AskStrikes, Done, StrikesLearned
 from bergamotdoor.stored import Outcome, UnreadableError, reading
 
 if TYPE_CHECKING:
@@ -38,6 +38,8 @@
 _BATCH_DELAY: Final = dt.timedelta(milliseconds=_BATCH_DELAY_MS)
 #: How many strikes an entry keeps in the store, some 100 bytes each.
 _MAX_STORED_STRIKES: Final = 128
+#: How many strikes a new process gets from each entry that it asks, some 50 KB.
+_MAX_SENT_STRIKES: Final = 512
 
 _log = logging.getLogger('bergamotdoor.peers')
 
@@ -105,6 +107,16 @@
             self._send_needed.set()
             self._store_needed.set()
 
+    def answer(self, message: AskStrikes) -> StrikesLearned:
+        """Return the strikes that this process knows to an entry that asks.
+
+        From now on it also gets the new ones.
+        """
+        self._directory.add(message.node, message.entry)
+        return StrikesLearned(
+            newest_strikes(self._quarantine, _MAX_SENT_STRIKES)
+        )
+
     def take(self, message: StrikesLearned) -> None:
         """Record the strikes that another entry has sent."""
         self._take_all(message.strikes, Counted.STRIKE_HEARD)
--- a/bergamotdoor/steps/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -196,10 +196,15 @@
     def _start_items(self) -> None:
         """Start score calls, the earliest due first, and move and start items.
 
+        Nothing starts before the strikes are known: a step may be taken over
+        because of them, and its items be what crashed the engines.
+
         Moves come first: a free slot at a fast engine is for an item that has
         outgrown its length hint at a slow one. The job waits longer for that
         item than for one that has not started.
         """
+        if not self._context.startup.knows_strikes:
+            return
         active = [run for run in self._runs.values() if run.active]
         active.sort(key=_due_at)
         self._scorer.start_calls(active)
--- a/bergamotdoor/steps/peer_service.py
+++ b/bergamotdoor/steps/peer_service.py
@@ -9,6 +9,7 @@
 from bergamotdoor.objects.job_codec import LoadedJob
 from bergamotdoor.peers.messages import (
     AdoptJob,
+    AskStrikes,
     Done,
     ItemBody,
     JobEnded,
@@ -86,6 +87,7 @@
         for message_type, handler in engine_loads.handlers.items():
             self.register(message_type, handler)
         self.register(StrikesLearned, self._add_strikes)
+        self.register(AskStrikes, context.strikes.answer)
 
     async def handle(self, message: PeerRequest) -> PeerReply:
         """Return the reply to a message."""
--- a/features/peers_strikes.feature
+++ b/features/peers_strikes.feature
@@ -6,3 +6,24 @@
     Given a site with 5 entries and a request that ends 12 services
     When it arrives at one entry, and at each other one 0.2 s after its restart
     Then 2 upstreams have ended under it
+
+  Scenario: an entry that joins holds back what ended upstreams before
+    Guards against an entry that was never told, as it came later.
+
+    Given a site with 2 entries and a request that ends 12 services
+    When it arrives at one entry, and at a new one 0.2 s after its start
+    Then 2 upstreams have ended under it
+
+  Scenario: an entry that has joined learns of strikes that come afterwards
+    Guards against senders that list the entries too rarely to know a new one.
+
+    Given a site with 2 entries and a request that ends 12 services
+    When an entry joins, and 6 s later it arrives at another and then there
+    Then 2 upstreams have ended under it
+
+  Scenario: strikes that were not stored are learned from the other entries
+    Guards against strikes that are lost with the entry that saw them.
+
+    Given a site with 2 entries and a request that ends 12 services
+    When it arrives while the store is away, and again after that entry's restart
+    Then 2 upstreams have ended under it
--- a/lab/model/entry.py
+++ b/lab/model/entry.py
@@ -7,6 +7,7 @@
 
 from bergamotdoor.entry.context import Context
 from bergamotdoor.entry.startup import StartupListing
+from bergamotdoor.gateway.background_tasks import start_learning
 from bergamotdoor.gateway.wiring import EntryComponents
 from bergamotdoor.peers import StoreAccess, serve_peer
 from bergamotdoor.tasks import Tasks
@@ -59,8 +60,8 @@
         self._access = StoreAccess(settings, client, clock)
         self._access.rng.seed(seed)
         self._context = Context.create(settings, self._access, client, clock)
-        for listing in StartupListing:
-            self._context.startup.mark_known(listing)
+        self._context.startup.mark_known(StartupListing.MANIFEST)
+        self._context.startup.mark_known(StartupListing.UPSTREAMS)
         self._tasks = Tasks()
         self.components = EntryComponents(
             self._context, self._access, manifests, self._tasks
@@ -116,9 +117,10 @@
 
     async def _start_tasks(self) -> None:
         self.components.owner.start()
-        directory = self._access.directory
-        self._tasks.start(directory.register(self._context.own_entry))
-        self._tasks.start(directory.run())
+        start_learning(
+            self._context, self._access, self.components.owner, self._tasks
+        )
+        self._tasks.start(self._access.directory.run())
         self._tasks.start(self._resume_jobs())
 
     async def _resume_jobs(self) -> None:
