Count upstreams that ended at one moment once a further one confirms them

Callers saw a request sent on to servers under which three had ended. A prompt comes as several items; its copies end up to five engines within 0.1 s, which count as one strike, as ends with a common cause would. Two more ends were needed for a rest of 5 s, and a third one for 2 min.

Two changes of the count. Once a chain of two shows that the first ends were no chance, they count as well, up to three strikes. And an end is held against the request under which most upstreams ended, also if another one at that upstream had a longer chain: with several such prompts in a step, harmless items with two strikes took the blame for an end, and the prompt was sent on at once.

--- a/bergamotdoor/fleet/quarantine.py
+++ b/bergamotdoor/fleet/quarantine.py
@@ -53,6 +53,11 @@
 #: Maximum number of crashed upstreams whose strikes are kept. The one that
 #: was added first is evicted first.
 _MAX_CRASHED_UPSTREAMS: Final = 256
+#: Length of a chain from which crashes at the same moment count as well.
+_CONFIRMED_CHAIN: Final = 2
+#: Number of strikes that a request has at least once so many upstreams crashed
+#: while they ran it, and a chain confirms it.
+_CONFIRMED_STRIKES: Final = 3
 
 
 class Strike(msgspec.Struct, frozen=True):
@@ -167,15 +172,27 @@
         beside another that has a longer chain. Symptom: it is sent on however
         often an upstream crashes while it runs. The first crash beside a
         longer chain is taken for chance, and each further one counts.
+
+        Failure: a request arrives in copies, which crash several upstreams at
+        the same moment. Symptom: these count as one, so three more upstreams
+        crash before an item is held back for more than seconds. Once a crash
+        at another moment confirms the suspicion, the first ones count as well.
         """
         of_request = self._by_request.get(fingerprint, {})
+        if not of_request:
+            return 0
         chain_lengths = [
             max(strike.before + 1, strike.number)
             for strike in of_request.values()
             if self._has_longest_chain(strike)
         ]
         beside_longer_chains = len(of_request) - len(chain_lengths)
-        return max(0, beside_longer_chains - 1, *chain_lengths)
+        chain_length = max(chain_lengths, default=0)
+        strikes = max(beside_longer_chains - 1, chain_length)
+        if chain_length < _CONFIRMED_CHAIN:
+            return strikes
+        explained = self._count_explained(fingerprint)
+        return max(strikes, min(explained, _CONFIRMED_STRIKES))
 
     def remaining_time(
         self, fingerprint: Fingerprint, min_strikes: int, now: dt.timedelta
@@ -218,8 +235,32 @@
         well. Symptom: a harmless request is quarantined. The harmless request
         has the shorter chain, so this crash does not count against it.
         """
-        at_upstream = self._by_upstream[strike.upstream].values()
-        return all(strike.before >= other.before for other in at_upstream)
+        crashes = self._count_crashes(strike.fingerprint)
+        return all(
+            strike.before >= other.before
+            or crashes > self._count_crashes(other.fingerprint)
+            for other in self._by_upstream[strike.upstream].values()
+        )
+
+    def _count_explained(self, fingerprint: Fingerprint) -> int:
+        """Return how many crashes no other request explains better.
+
+        Of the requests that ran at a crashed upstream, the one under which
+        most upstreams crashed is the best explanation. So requests that ran
+        beside it at some of them do not count as confirmed.
+        """
+        crashes = self._count_crashes(fingerprint)
+        return sum(
+            all(
+                self._count_crashes(other) <= crashes
+                for other in self._by_upstream[upstream]
+            )
+            for upstream in self._by_request[fingerprint]
+        )
+
+    def _count_crashes(self, fingerprint: Fingerprint) -> int:
+        """Return how many upstreams crashed while they ran a request."""
+        return len(self._by_request.get(fingerprint, ()))
 
     def _evict_upstream(self, upstream: UpstreamId) -> None:
         for fingerprint in self._by_upstream.pop(upstream):
--- a/features/fleet_quarantine.feature
+++ b/features/fleet_quarantine.feature
@@ -46,6 +46,15 @@
     Given 5 upstreams that crash while they run a request and a suspected one
     Then the request has 0, 1, 2, 3 and 4 strikes after crashes 1 to 5
 
+  Scenario: upstreams that crashed together count once a chain confirms them
+    Guards against a request that arrives in copies, and is sent on after each
+    further crash since the first ones counted as one.
+
+    Given 4 upstreams that crash at once while they run a request in copies
+    And some of them also run another request
+    When one more upstream crashes while it runs both
+    Then the request has 1 strike before and 3 after it, the other one 1 and 2
+
   Scenario: the number of strikes that are kept is bounded
     Given 1000 upstreams that crash, each with a request of its own
     Then at most 256 of them are kept, the latest
--- a/features/steps/fleet_quarantine_steps.py
+++ b/features/steps/fleet_quarantine_steps.py
@@ -5,7 +5,7 @@
 import datetime as dt
 from typing import Any
 
-from behave import given, then
+from behave import given, then, when
 from hypothesis import given as given_cases
 from hypothesis import settings, strategies
 
@@ -148,6 +148,41 @@
     assert context.strike_counts == [0, 1, 2, 3, 4], context.strike_counts
 
 
+@given(
+    '{count:d} upstreams that crash at once while they run a request in copies'
+)
+def crash_under_copies(context: Any, count: int) -> None:
+    context.quarantine = quarantine_of(
+        [strike(number, 0) for number in range(count)]
+    )
+
+
+@given('some of them also run another request')
+def crash_beside_copies(context: Any) -> None:
+    for number in range(2):
+        context.quarantine.add(strike(number, 0, NEW), NOW)
+
+
+@when('one more upstream crashes while it runs both')
+def crash_once_more(context: Any) -> None:
+    context.before = strike_counts(context.quarantine)
+    context.quarantine.add(strike(9, 1), NOW)
+    context.quarantine.add(strike(9, 1, NEW), NOW)
+    context.after = strike_counts(context.quarantine)
+
+
+def strike_counts(quarantine: Quarantine) -> tuple[int, int]:
+    return quarantine.count_strikes(REQUEST), quarantine.count_strikes(NEW)
+
+
+@then('the request has 1 strike before and 3 after it, the other one 1 and 2')
+def check_confirmed(context: Any) -> None:
+    assert (context.before, context.after) == ((1, 1), (3, 2)), (
+        context.before,
+        context.after,
+    )
+
+
 @given('{count:d} upstreams that crash, each with a request of its own')
 def many_crashes(context: Any, count: int) -> None:
     context.count = count
--- a/features/steps/steps_repeated_crashes_steps.py
+++ b/features/steps/steps_repeated_crashes_steps.py
@@ -7,7 +7,7 @@
 import json
 import random
 from collections import defaultdict
-from typing import Any
+from typing import Any, NamedTuple
 
 from behave import given, then, when
 
@@ -27,6 +27,13 @@
 SAME_MOMENT_S = 0.05
 
 
+class Send(NamedTuple):
+    """A request that reached an engine, and ended it."""
+
+    at_s: float
+    engine: str
+
+
 class CrashingSteps:
     """A site and the steps of a trainer, drawn from a seed.
 
@@ -42,8 +49,8 @@
         self._paths = [f'/roll/deadly-{number}' for number in range(count)]
         self._rng = random.Random(seed)
 
-    async def __call__(self, site: Site) -> dict[str, list[float]]:
-        """Return the times at which each path reached an engine."""
+    async def __call__(self, site: Site) -> dict[str, list[Send]]:
+        """Return the requests for each path that reached an engine."""
         await site.start(engines=5, services=0, entries=3)
         for engine in site.engines.values():
             engine.crashes.targets.update(self._paths)
@@ -58,7 +65,7 @@
             await self._submit(site, f'j{number}')
             await asyncio.sleep(STEP_INTERVAL_S)
         await asyncio.sleep(2 * STEP_INTERVAL_S)
-        return self._send_times(site)
+        return self._sends(site)
 
     async def _submit(self, site: Site, name: str) -> None:
         entry = self._rng.choice(list(site.entries))
@@ -92,13 +99,13 @@
                 item['headers']['X-Bergamotdoor-Prompt-Prefix'] = prompt
         return json.dumps(written).encode()
 
-    def _send_times(self, site: Site) -> dict[str, list[float]]:
-        times_s: dict[str, list[float]] = defaultdict(list)
-        for engine in site.engines.values():
+    def _sends(self, site: Site) -> dict[str, list[Send]]:
+        sends: dict[str, list[Send]] = defaultdict(list)
+        for name, engine in site.engines.items():
             for seen in engine.seen:
                 if seen.target in self._paths:
-                    times_s[seen.target].append(round(seen.at_s, 3))
-        return {path: sorted(times) for path, times in times_s.items()}
+                    sends[seen.target].append(Send(round(seen.at_s, 3), name))
+        return {path: sorted(listed) for path, listed in sends.items()}
 
 
 @given("a trainer's steps with {count:d} prompt that ends engines")
@@ -109,7 +116,7 @@
 
 @when('the steps of seeds {first:d} to {last:d} run at a site with 5 engines')
 def run_steps(context: Any, first: int, last: int) -> None:
-    context.send_times_s = {
+    context.sends = {
         seed: play(CrashingSteps(context.count, seed))
         for seed in range(first, last + 1)
     }
@@ -121,17 +128,24 @@
 )
 def check_later_sends(context: Any, most: int, ends: int) -> None:
     too_many = {
-        (seed, path): times_s
-        for seed, by_path in context.send_times_s.items()
-        for path, times_s in by_path.items()
-        if count_later(times_s, ends) > most
+        (seed, path): sends
+        for seed, by_path in context.sends.items()
+        for path, sends in by_path.items()
+        if count_later(sends, ends) > most
     }
     assert not too_many, too_many
 
 
-def count_later(times_s: list[float], ends: int) -> int:
+def count_later(sends: list[Send], ends: int) -> int:
     """Return how many sends came after a number of engines had ended."""
-    if len(times_s) <= ends:
+    end_times_s: list[float] = []
+    last_ends_s: dict[str, float] = {}
+    for send in sends:
+        last_end_s = last_ends_s.get(send.engine, -DOWNTIME_S)
+        if send.at_s - last_end_s >= DOWNTIME_S:
+            last_ends_s[send.engine] = send.at_s
+            end_times_s.append(send.at_s)
+    if len(end_times_s) < ends:
         return 0
-    known_s = times_s[ends - 1] + SAME_MOMENT_S
-    return sum(time_s > known_s for time_s in times_s)
+    known_s = end_times_s[ends - 1] + SAME_MOMENT_S
+    return len([one for one in sends if one.at_s > known_s])
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -30,6 +30,8 @@
 _REVOCATION: Final = 'gateway_revocation'
 _USAGE: Final = 'reporting_usage'
 _NEWS: Final = 'peers_news'
+_STRIKES: Final = 'peers_strikes'
+_QUARANTINE: Final = 'fleet/quarantine.py'
 _CRASHES: Final = 'gateway_crashes'
 _PLACEMENT: Final = 'jobs_placement'
 _LOADS: Final = 'steps_engine_loads'
@@ -471,21 +473,21 @@
     ),
     Mutation(
         'a request under which upstreams ended is quarantined',
-        'fleet/quarantine.py',
+        _QUARANTINE,
         '        excess = self.count_strikes(fingerprint) - min_strikes\n',
         '        excess = -1\n',
         _CRASHES,
     ),
     Mutation(
         'upstreams that end at once under a request count as one strike',
-        'fleet/quarantine.py',
+        _QUARANTINE,
         'max(strike.before + 1, strike.number)',
         'len(of_request)',
         _CRASHES,
     ),
     Mutation(
         'upstreams that end in turn under one request count one strike each',
-        'fleet/quarantine.py',
+        _QUARANTINE,
         'number = max(strikes, 1) if has_common_cause else strikes + 1',
         'number = int(not has_common_cause)',
         'fleet_quarantine',
@@ -499,11 +501,53 @@
     ),
     Mutation(
         'a request that ran beside one with more strikes gets no strike',
-        'fleet/quarantine.py',
-        'return all(strike.before >= other.before for other in at_upstream)',
-        'return bool(at_upstream)',
+        _QUARANTINE,
+        'strike.before >= other.before\n',
+        'True\n',
         'fleet_quarantine',
     ),
+    Mutation(
+        'upstreams that ended at once count after a further one',
+        _QUARANTINE,
+        'return max(strikes, min(explained, _CONFIRMED_STRIKES))',
+        'return strikes',
+        'fleet_quarantine',
+    ),
+    Mutation(
+        'an item that was refused a connection gets no strike',
+        'steps/item_run.py',
+        'return RunEnd.BROKEN if response.sent else RunEnd.UNREACHED',
+        'return RunEnd.BROKEN',
+        'steps_crashes',
+    ),
+    Mutation(
+        'a new process learns the strikes before it sends anything',
+        'gateway/background_tasks.py',
+        '    await learning.learn()\n',
+        '',
+        _STRIKES,
+    ),
+    Mutation(
+        'an entry that joins makes itself known to all others',
+        'peers/strike_learning.py',
+        'if not await directory.register(self._request.entry):',
+        'if await directory.register(self._request.entry):',
+        _STRIKES,
+    ),
+    Mutation(
+        'an entry that asks for strikes is known from then on',
+        'peers/strike_sharing.py',
+        '        self._directory.add(message.node, message.entry)\n',
+        '',
+        _STRIKES,
+    ),
+    Mutation(
+        'a new process asks other entries for what is not stored',
+        'peers/strike_learning.py',
+        'known, min(_MAX_ASKED_FIRST, len(known))',
+        'known, 0',
+        _STRIKES,
+    ),
     Mutation(
         'other entries are notified of new strikes',
         'peers/strike_sharing.py',
