Keep the count of a request that was held back until it is answered

Callers saw a request sent on to servers under which three had ended. A count falls when strikes of others arrive that take the blame for an end: on the landed code 7fec had three strikes, rested for 5 s, and was sent with two.

Counts stay what the known strikes imply, in whatever order they arrive. What decides is the higher of that and the count with which the request was last held back, until an upstream answers it.

A new scenario, of strikes of a longer chain that arrive later, fails without this.

--- a/bergamotdoor/fleet/quarantine.py
+++ b/bergamotdoor/fleet/quarantine.py
@@ -83,6 +83,8 @@
         self._by_request: dict[Fingerprint, dict[UpstreamId, Strike]] = {}
         #: Monotonic time at which the last strike of a request was added.
         self._last_added_at: dict[Fingerprint, dt.timedelta] = {}
+        #: The strikes with which a request was last held back.
+        self._held_strikes: dict[Fingerprint, int] = {}
 
     def __bool__(self) -> bool:
         """Return whether any request has strikes."""
@@ -160,6 +162,7 @@
         """Clear a request's strikes after an upstream has answered it."""
         self._by_request.pop(fingerprint, None)
         self._last_added_at.pop(fingerprint, None)
+        self._held_strikes.pop(fingerprint, None)
 
     def count_strikes(self, fingerprint: Fingerprint) -> int:
         """Return a request's number of strikes: the length of its chain.
@@ -194,6 +197,17 @@
         explained = self._count_explained(fingerprint)
         return max(strikes, min(explained, _CONFIRMED_STRIKES))
 
+    def known_strikes(self, fingerprint: Fingerprint) -> int:
+        """Return the strikes that decide what happens to a request.
+
+        Failure: strikes of other requests arrive, and the request is no longer
+        the one to blame for a crash. Symptom: its count falls after it was
+        held back, and it is held back for 5 s again and again. A request that
+        was held back keeps its count until an upstream answers it.
+        """
+        held = self._held_strikes.get(fingerprint, 0)
+        return max(held, self.count_strikes(fingerprint))
+
     def remaining_time(
         self, fingerprint: Fingerprint, min_strikes: int, now: dt.timedelta
     ) -> dt.timedelta:
@@ -213,9 +227,11 @@
         datetime.timedelta
             Zero if the request may be sent.
         """
-        excess = self.count_strikes(fingerprint) - min_strikes
+        strikes = self.known_strikes(fingerprint)
+        excess = strikes - min_strikes
         if excess < 0:
             return _NO_TIME
+        self._held_strikes[fingerprint] = strikes
         duration = _QUARANTINE_TIMES[min(excess, len(_QUARANTINE_TIMES) - 1)]
         return max(self._last_added_at[fingerprint] + duration - now, _NO_TIME)
 
--- a/bergamotdoor/forwarding/forwarded_call.py
+++ b/bergamotdoor/forwarding/forwarded_call.py
@@ -150,7 +150,7 @@
         if not quarantine:
             return _NO_TIME
         fingerprint = self._call.fingerprint
-        self._attempts.strike_count = quarantine.count_strikes(fingerprint)
+        self._attempts.strike_count = quarantine.known_strikes(fingerprint)
         return quarantine.remaining_time(
             fingerprint, CALL_STRIKE_LIMIT, self._now()
         )
--- a/bergamotdoor/forwarding/upstream_end.py
+++ b/bergamotdoor/forwarding/upstream_end.py
@@ -55,7 +55,7 @@
             Fingerprint of the request.
         """
         quarantine = context.quarantine
-        strikes = quarantine.count_strikes(fingerprint) if quarantine else 0
+        strikes = quarantine.known_strikes(fingerprint) if quarantine else 0
         return cls(upstream, fingerprint, strikes, context.clock.elapsed())
 
 
--- a/bergamotdoor/gateway/inspection.py
+++ b/bergamotdoor/gateway/inspection.py
@@ -168,7 +168,7 @@
         states = [
             QuarantinedState(
                 fingerprint,
-                quarantine.count_strikes(fingerprint),
+                quarantine.known_strikes(fingerprint),
                 quarantine.remaining_time(
                     fingerprint, CALL_STRIKE_LIMIT, now
                 ).total_seconds(),
--- a/bergamotdoor/steps/item_suspects.py
+++ b/bergamotdoor/steps/item_suspects.py
@@ -90,7 +90,7 @@
                 'gateway: item %s in quarantine for %s', spec.item, remaining
             )
             return remaining
-        strikes = quarantine.count_strikes(fingerprint)
+        strikes = quarantine.known_strikes(fingerprint)
         if strikes and self._is_running(fingerprint):
             return _RECHECK_DELAY
         if strikes < _ISOLATION_STRIKES:
@@ -107,7 +107,7 @@
         if not quarantine:
             return False
         fingerprint = item_fingerprint(job, spec)
-        return quarantine.count_strikes(fingerprint) >= _ISOLATION_STRIKES
+        return quarantine.known_strikes(fingerprint) >= _ISOLATION_STRIKES
 
     def engines_without_isolated(
         self, upstreams: tuple[Upstream, ...]
@@ -125,7 +125,7 @@
         if not quarantine:
             return
         fingerprint = item_fingerprint(job, spec)
-        strikes = quarantine.count_strikes(fingerprint)
+        strikes = quarantine.known_strikes(fingerprint)
         if strikes:
             isolated = strikes >= _ISOLATION_STRIKES
             self._running[spec.item] = _Suspect(fingerprint, upstream, isolated)
--- a/features/fleet_quarantine.feature
+++ b/features/fleet_quarantine.feature
@@ -55,6 +55,14 @@
     When one more upstream crashes while it runs both
     Then the request has 1 strike before and 3 after it, the other one 1 and 2
 
+  Scenario: the count of a request that was held back does not fall
+    Guards against strikes of other requests that arrive later and take the
+    blame for a crash.
+
+    Given a request that is held back after a chain of 3 crashes
+    When strikes of a longer chain at the third upstream arrive
+    Then it keeps 3 strikes until an upstream answers it
+
   Scenario: the number of strikes that are kept is bounded
     Given 1000 upstreams that crash, each with a request of its own
     Then at most 256 of them are kept, the latest
--- a/features/steps/fleet_quarantine_steps.py
+++ b/features/steps/fleet_quarantine_steps.py
@@ -183,6 +183,28 @@
     )
 
 
+@given('a request that is held back after a chain of {count:d} crashes')
+def hold_back(context: Any, count: int) -> None:
+    context.quarantine = quarantine_of(
+        [strike(number, number) for number in range(count)]
+    )
+    assert context.quarantine.remaining_time(REQUEST, ITEM_STRIKE_LIMIT, NOW)
+
+
+@when('strikes of a longer chain at the third upstream arrive')
+def add_longer_chain(context: Any) -> None:
+    for number in range(2, 6):
+        context.quarantine.add(strike(number, 5, NEW), NOW)
+
+
+@then('it keeps {count:d} strikes until an upstream answers it')
+def check_kept(context: Any, count: int) -> None:
+    assert context.quarantine.count_strikes(REQUEST) < count
+    assert context.quarantine.known_strikes(REQUEST) == count
+    context.quarantine.clear_strikes(REQUEST)
+    assert not context.quarantine.known_strikes(REQUEST)
+
+
 @given('{count:d} upstreams that crash, each with a request of its own')
 def many_crashes(context: Any, count: int) -> None:
     context.count = count
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -474,7 +474,7 @@
     Mutation(
         'a request under which upstreams ended is quarantined',
         _QUARANTINE,
-        '        excess = self.count_strikes(fingerprint) - min_strikes\n',
+        '        excess = strikes - min_strikes\n',
         '        excess = -1\n',
         _CRASHES,
     ),
@@ -513,6 +513,13 @@
         'return strikes',
         'fleet_quarantine',
     ),
+    Mutation(
+        'the strikes of a request that was held back do not fall',
+        _QUARANTINE,
+        'return max(held, self.count_strikes(fingerprint))',
+        'return self.count_strikes(fingerprint)',
+        'fleet_quarantine',
+    ),
     Mutation(
         'an item that was refused a connection gets no strike',
         'steps/item_run.py',
