Run copies of a suspected request one after the other

Callers saw a request sent on to servers under which three had ended.

Cause: that a call under which a server ended runs at one upstream at a time was seen to within one call only. For items the rule covered those that started after the first end, not the copies that ran already.

The process now counts the runs in flight of each request, calls and items alike. A call with strikes waits while a copy of it runs, within its own time; once a copy is answered, all go on together. An item waits as before, now for copies that began before the first end as well.

The scenario with two copies at one entry failed before: four services ended, of which the last two under copies that knew of the first ends; now three. 574 passed; mutations of both waits are noticed.

--- a/bergamotdoor/entry/context.py
+++ b/bergamotdoor/entry/context.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from bergamotdoor.clock import Clock
+from bergamotdoor.entry.request_runs import RequestRuns
 from bergamotdoor.entry.startup import StartupGate
 from bergamotdoor.fleet.fleet import Fleet
 from bergamotdoor.fleet.loads import Loads
@@ -45,6 +46,8 @@
     load_sharing: LoadSharing
     metrics: Metrics
     startup: StartupGate
+    #: Runs in flight at upstreams, by request.
+    request_runs: RequestRuns
     #: Limits and queues of calls.
     queueing: CallQueueing
 
@@ -95,6 +98,7 @@
             LoadSharing(fleet, loads, metrics, access, settings, clock),
             metrics,
             StartupGate(),
+            RequestRuns(),
             queueing,
         )
 
--- a/bergamotdoor/forwarding/forwarded_call.py
+++ b/bergamotdoor/forwarding/forwarded_call.py
@@ -46,6 +46,7 @@
     ) -> None:
         self._context = context
         self._call = call
+        self._fingerprint = call.fingerprint
         self._service = service
         self._attempts = CallAttempts(call.rules, context.settings.zone)
         self._service_calls = context.queueing.of(service, context.fleet)
@@ -90,6 +91,8 @@
         The call waits in the queue if no upstream has room, or if other calls
         wait. A hedged request never waits.
         """
+        if not self._in_flight:
+            await self._wait_for_copies()
         now = self._now()
         if not self._candidates(now):
             return False
@@ -102,6 +105,17 @@
         await self._place.wait(now + self._attempts.time_left(now))
         return bool(self._in_flight)
 
+    async def _wait_for_copies(self) -> None:
+        """Wait while a copy of the call runs, if the call is suspected."""
+        runs = self._context.request_runs
+        while (
+            self._context.quarantine.known_strikes(self._fingerprint)
+            and runs.is_running(self._fingerprint)
+            and not self._attempts.is_out_of_time(self._now())
+        ):
+            left = self._attempts.time_left(self._now())
+            await runs.wait_for_end(self._fingerprint, left)
+
     def _candidates(self, now: dt.timedelta) -> list[Upstream]:
         """Return the upstreams that may get the call, full ones included."""
         if self._quarantine_time() or not self._attempts.may_begin_attempt(now):
@@ -130,6 +144,7 @@
         # The attempt counts in the load before its task begins. Otherwise
         # calls that start together would all choose the same upstream.
         task = start_counted_call(self._context, upstream, work)
+        self._context.request_runs.track(self._fingerprint, task)
         self._in_flight[task] = now
         return RoomUse.SENT
 
@@ -149,7 +164,7 @@
         quarantine = self._context.quarantine
         if not quarantine:
             return _NO_TIME
-        fingerprint = self._call.fingerprint
+        fingerprint = self._fingerprint
         self._attempts.strike_count = quarantine.known_strikes(fingerprint)
         return quarantine.remaining_time(
             fingerprint, CALL_STRIKE_LIMIT, self._now()
--- a/bergamotdoor/steps/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -24,7 +24,7 @@
     short_time_s,
 )
 from bergamotdoor.observe.events import Counted
-from bergamotdoor.steps.item_request import ItemRun
+from bergamotdoor.steps.item_request import ItemRun, item_fingerprint
 from bergamotdoor.steps.item_run import run_item
 from bergamotdoor.steps.item_suspects import ItemSuspects
 from bergamotdoor.steps.job_run import RunningItem, RunState
@@ -102,6 +102,7 @@
                     queued.spec,
                     route,
                     upstream,
+                    item_fingerprint(run.spec, queued.spec),
                     run.items.transcript(queued),
                     progress,
                 )
@@ -262,6 +263,7 @@
         load = self._context.loads.of(upstream)
         load.record_sent(self._context.clock.elapsed())
         task = start_counted(load, self._run_item(run, queued, item))
+        self._context.request_runs.track(item.fingerprint, task)
         # Added after the callback that counts the slot as free, so it runs
         # after that one.
         task.add_done_callback(lambda _: self._on_item_end())
--- a/bergamotdoor/steps/item_request.py
+++ b/bergamotdoor/steps/item_request.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import datetime as dt
-from typing import TYPE_CHECKING, Final
+from typing import Final
 
 import msgspec
 
@@ -15,9 +15,7 @@
 from bergamotdoor.jobs.progress import Progress
 from bergamotdoor.jobs.transcript import Transcript
 from bergamotdoor.platform import headers as names
-
-if TYPE_CHECKING:
-    from bergamotdoor.types import Fingerprint
+from bergamotdoor.types import Fingerprint
 
 #: The longest pause between two pieces of a stream, and the longest wait for
 #: the first piece. Engines under load pause for a few hundred milliseconds.
@@ -33,6 +31,7 @@
     spec: ItemSpec
     route: Route
     upstream: Upstream
+    fingerprint: Fingerprint
     transcript: Transcript
     progress: Progress
 
--- a/bergamotdoor/steps/item_run.py
+++ b/bergamotdoor/steps/item_run.py
@@ -15,7 +15,7 @@
 from bergamotdoor.jobs.messages import ItemResult, ItemState
 from bergamotdoor.platform import headers as names
 from bergamotdoor.steps.item_outcome import record_outcome
-from bergamotdoor.steps.item_request import item_fingerprint, item_request
+from bergamotdoor.steps.item_request import item_request
 from bergamotdoor.types import WeightVersion
 
 if TYPE_CHECKING:
@@ -45,9 +45,7 @@
         The completed text, or the reason why there is none.
     """
     load = context.loads.of(run.upstream.upstream)
-    observed = ObservedRun.begin(
-        context, run.upstream, item_fingerprint(run.job, run.spec)
-    )
+    observed = ObservedRun.begin(context, run.upstream, run.fingerprint)
     end = await _run_at_engine(context, run)
     now = context.clock.elapsed()
     _log.info(
@@ -65,7 +63,7 @@
     if end is RunEnd.BROKEN:
         await record_break(context, observed)
     elif isinstance(end, ItemResult):
-        context.quarantine.clear_strikes(observed.fingerprint)
+        context.quarantine.clear_strikes(run.fingerprint)
     return end
 
 
--- a/bergamotdoor/steps/item_suspects.py
+++ b/bergamotdoor/steps/item_suspects.py
@@ -4,8 +4,7 @@
 
 import datetime as dt
 import logging
-from collections import Counter
-from typing import TYPE_CHECKING, Final, NamedTuple
+from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.fleet.quarantine import ITEM_STRIKE_LIMIT
 from bergamotdoor.observe.events import Counted
@@ -15,7 +14,7 @@
     from bergamotdoor.entry.context import Context
     from bergamotdoor.fleet.upstreams import Upstream
     from bergamotdoor.jobs.messages import ItemSpec, JobSpec
-    from bergamotdoor.types import Fingerprint, ItemId, UpstreamId
+    from bergamotdoor.types import ItemId, UpstreamId
 
 #: From this many strikes on, an item is isolated: it runs at an engine that
 #: runs no other isolated item.
@@ -31,7 +30,7 @@
 
 
 class ItemSuspects:
-    """The suspected items that run now, and the limits on starting more.
+    """Limits on starting suspected items.
 
     An item is a suspect if an engine ended while it ran the item.
 
@@ -54,10 +53,8 @@
 
     def __init__(self, context: Context) -> None:
         self._context = context
-        #: Suspects that run now.
-        self._running: dict[ItemId, _Suspect] = {}
-        #: How many isolated suspects run at each engine.
-        self._isolated_count: Counter[UpstreamId] = Counter()
+        #: The engines of the isolated suspects that run now.
+        self._isolated: dict[ItemId, UpstreamId] = {}
 
     def wait_time(
         self,
@@ -91,7 +88,7 @@
             )
             return remaining
         strikes = quarantine.known_strikes(fingerprint)
-        if strikes and self._is_running(fingerprint):
+        if strikes and self._context.request_runs.is_running(fingerprint):
             return _RECHECK_DELAY
         if strikes < _ISOLATION_STRIKES:
             return _NO_WAIT
@@ -113,40 +110,16 @@
         self, upstreams: tuple[Upstream, ...]
     ) -> tuple[Upstream, ...]:
         """Return those engines that run no isolated suspect."""
-        return tuple(
-            one for one in upstreams if not self._isolated_count[one.upstream]
-        )
+        occupied = set(self._isolated.values())
+        return tuple(one for one in upstreams if one.upstream not in occupied)
 
     def record_item_start(
         self, job: JobSpec, spec: ItemSpec, upstream: UpstreamId
     ) -> None:
-        """Record that an item starts at an engine, if it is a suspect."""
-        quarantine = self._context.quarantine
-        if not quarantine:
-            return
-        fingerprint = item_fingerprint(job, spec)
-        strikes = quarantine.known_strikes(fingerprint)
-        if strikes:
-            isolated = strikes >= _ISOLATION_STRIKES
-            self._running[spec.item] = _Suspect(fingerprint, upstream, isolated)
-            self._isolated_count[upstream] += isolated
+        """Record that an item starts at an engine, if it is isolated."""
+        if self.is_isolated(job, spec):
+            self._isolated[spec.item] = upstream
 
     def record_item_end(self, item: ItemId) -> None:
-        """Record that the run of an item has ended, suspect or not."""
-        suspect = self._running.pop(item, None)
-        if suspect is not None:
-            self._isolated_count[suspect.upstream] -= suspect.isolated
-
-    def _is_running(self, fingerprint: Fingerprint) -> bool:
-        return any(
-            suspect.fingerprint == fingerprint
-            for suspect in self._running.values()
-        )
-
-
-class _Suspect(NamedTuple):
-    """A suspected item that runs at an engine."""
-
-    fingerprint: Fingerprint
-    upstream: UpstreamId
-    isolated: bool
+        """Record that the run of an item has ended, isolated or not."""
+        self._isolated.pop(item, None)
--- a/features/gateway_crashes.feature
+++ b/features/gateway_crashes.feature
@@ -154,3 +154,11 @@
     Given a site with 2 entries and a request that ends the upstreams it reaches
     When an upstream ends under it with 6 other calls in progress
     Then the other entry knows of 7 strikes from 1 message
+
+  Scenario: copies of a request that arrive together run one after the other
+    Guards against copies that each go on to the next upstream after the first
+    end is known.
+
+    Given a site with 1 entries and a request that ends 12 services
+    When 2 copies of it arrive at the same moment
+    Then 3 upstreams have ended under it
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -527,6 +527,20 @@
         'return RunEnd.BROKEN',
         'steps_crashes',
     ),
+    Mutation(
+        'copies of a suspected call run one after the other',
+        'forwarding/forwarded_call.py',
+        'and runs.is_running(self._fingerprint)\n',
+        'and False\n',
+        _CRASHES,
+    ),
+    Mutation(
+        'copies of a suspected item run one after the other',
+        'steps/item_suspects.py',
+        'if strikes and self._context.request_runs.is_running(fingerprint):',
+        'if False:',
+        'steps_crashes',
+    ),
     Mutation(
         'a new process learns the strikes before it sends anything',
         'gateway/background_tasks.py',
