Count the failed runs of an item for the next owner of its job, too

An item that an engine answers with 500 runs again, as often as its route allows; its failures were kept by the owner and neither handed on nor saved, so each next owner began at none.

They are part of the saved texts now, also of items without any event, and a new failure is a reason to save. Lost are those since the last save, 1.5 s, if an owner is killed.

--- a/bergamotdoor/jobs/item_queue.py
+++ b/bergamotdoor/jobs/item_queue.py
@@ -14,6 +14,7 @@
 import enum
 import heapq
 from collections import Counter
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -68,6 +69,7 @@
     TOO_OLD = 'too-old'
 
 
+_NO_FAILURES: Final[Mapping[ItemId, int]] = MappingProxyType({})
 #: Ends after which an item continues at another engine, if there is one.
 _AVOID_AFTER: Final = frozenset(
     (RunEnd.FAILED, RunEnd.UNREACHED, RunEnd.BROKEN, RunEnd.MOVED)
@@ -100,9 +102,16 @@
         The job.
     ledger
         Results that are stored already. Their items do not run again.
+    failures
+        How many runs of an item failed at earlier owners of the job.
     """
 
-    def __init__(self, spec: JobSpec, ledger: Ledger) -> None:
+    def __init__(
+        self,
+        spec: JobSpec,
+        ledger: Ledger,
+        failures: Mapping[ItemId, int] = _NO_FAILURES,
+    ) -> None:
         #: Number of failed runs after which an item is lost; set from the
         #: job's route.
         self.max_failures = 1
@@ -120,7 +129,9 @@
         self._open_in_group: Counter[GroupId] = Counter()
         for order, item in enumerate(_long_items_first(spec.items)):
             if item.item not in ledger:
-                self._items[item.item] = QueuedItem(item, order)
+                self._items[item.item] = QueuedItem(
+                    item, order, failures=failures.get(item.item, 0)
+                )
                 self._waiting.append((order, item.item))
                 self._open_in_group[item.group] += 1
         #: The engine that has each group's prompt in its cache.
--- a/bergamotdoor/jobs/open_items.py
+++ b/bergamotdoor/jobs/open_items.py
@@ -56,7 +56,8 @@
         partial: dict[ItemId, SavedTranscript],
         on_finished: Callable[[], None],
     ) -> None:
-        self.item_queue = ItemQueue(spec, ledger)
+        failures = {item: saved.failures for item, saved in partial.items()}
+        self.item_queue = ItemQueue(spec, ledger, failures)
         #: Complete texts that have no score.
         self.score_queue = ScoreQueue()
         self._specs = {item.item: item for item in spec.items}
@@ -171,16 +172,21 @@
     ) -> dict[ItemId, SavedTranscript]:
         """Return the texts from which the next owner can continue, by item.
 
+        Failure: an item fails at each engine, and its owner changes. Symptom:
+        each owner runs it as often as its route allows. So the failures of an
+        item are part of its saved text, also if that is empty.
+
         Parameters
         ----------
         min_events
             Minimum number of events of a text that is not complete. Shorter
-            ones are left out.
+            ones are left out, unless the item has failed.
         """
         saved = {
-            item: transcript.to_saved()
-            for item, transcript in self._transcripts.items()
-            if transcript.event_count >= min_events
+            queued.spec.item: self.transcript(queued).to_saved(queued.failures)
+            for queued in self.item_queue.unfinished()
+            if queued.failures
+            or self.event_count(queued.spec.item) >= min_events
         }
         saved.update(
             (one.spec.item, one.to_saved()) for one in self.score_queue
--- a/bergamotdoor/jobs/transcript.py
+++ b/bergamotdoor/jobs/transcript.py
@@ -40,6 +40,8 @@
     score: str = ''
     #: How many times the score call of the text was answered with a failure.
     score_failures: int = 0
+    #: How many runs of the item the engines answered with a failure.
+    failures: int = 0
 
 
 class Transcript:
@@ -64,17 +66,23 @@
         transcript = cls()
         transcript._texts = list(saved.texts)
         transcript._versions = set(saved.versions)
-        transcript.last_number = saved.last_number
+        if saved.texts:
+            transcript.last_number = saved.last_number
         return transcript
 
-    def to_saved(self) -> SavedTranscript:
+    def to_saved(self, failures: int = 0) -> SavedTranscript:
         """Return this transcript in its stored form.
 
-        The transcript must have at least one event.
+        Parameters
+        ----------
+        failures
+            How many runs of the item the engines answered with a failure.
         """
-        assert self.last_number is not None
         return SavedTranscript(
-            tuple(self._texts), self.versions, self.last_number
+            tuple(self._texts),
+            self.versions,
+            self.last_number or 0,
+            failures=failures,
         )
 
     @property
--- a/bergamotdoor/steps/item_saving.py
+++ b/bergamotdoor/steps/item_saving.py
@@ -42,7 +42,10 @@
     while run.active:
         await clock.sleep(_SAVE_INTERVAL)
         saved = run.items.saved_transcripts(_MIN_EVENTS)
-        if run.active and _count_new_events(saved, last_saved) >= _MIN_EVENTS:
+        is_new = _count_new_events(
+            saved, last_saved
+        ) >= _MIN_EVENTS or _count_failures(saved) > _count_failures(last_saved)
+        if run.active and is_new:
             last_saved = saved
             await store.keep_partial(run.spec.job, saved)
 
@@ -56,3 +59,7 @@
     return sum(
         len(one.texts) - before.get(item, 0) for item, one in saved.items()
     )
+
+
+def _count_failures(saved: dict[ItemId, SavedTranscript]) -> int:
+    return sum(one.failures for one in saved.values())
--- a/features/steps/steps_crashes_steps.py
+++ b/features/steps/steps_crashes_steps.py
@@ -204,6 +204,66 @@
     assert not any(context.known), context.known
 
 
+@given(
+    'a site with {engines:d} engines and a job in which one item always fails'
+)
+def failing_item(context: Any, engines: int) -> None:
+    context.plan = CrashPlan(engines)
+    context.plan.item = ''
+
+
+@when(
+    'its owner is {ended} after {count:d} failures, where the route allows '
+    '{allowed:d}'
+)
+def owner_ended(context: Any, ended: str, count: int, allowed: int) -> None:
+    async def scene(site: Site) -> None:
+        site.routes[0]['max_attempts'] = allowed
+        site.put_manifest()
+        await asyncio.sleep(2.5)
+        for engine in site.engines.values():
+            engine.always_fail.add(CRASHING_ITEM)
+        # The other item is too short for a save of its own.
+        await submit_job(site, [[1, ITEM_EVENTS]])
+        async with asyncio.timeout(10):
+            while count_failures(site) < count:
+                await asyncio.sleep(0.01)
+        owner = owner_of(site)
+        reader = other_entry(site, owner)
+        if ended == 'stopped':
+            stopping = asyncio.create_task(site.entries.pop(owner).stop())
+        else:
+            await site.kill(owner)
+            stopping = asyncio.create_task(asyncio.sleep(0))
+        context.listed = await site.all_results(reader, JOB, 30)
+        await stopping
+        context.failures = count_failures(site)
+
+    context.plan.scene = scene
+    play(context.plan)
+
+
+def count_failures(site: Site) -> int:
+    return sum(one.failures[CRASHING_ITEM] for one in site.engines.values())
+
+
+@then('the item fails {count:d} times, and is listed as lost')
+def item_lost(context: Any, count: int) -> None:
+    check_lost(context)
+    assert context.failures == count, context.failures
+
+
+@then('the item fails {most:d} times at most, and is listed as lost')
+def item_lost_at_most(context: Any, most: int) -> None:
+    check_lost(context)
+    assert context.failures <= most, context.failures
+
+
+def check_lost(context: Any) -> None:
+    states = {one['id']: one['state'] for one in context.listed}
+    assert states.get(CRASHING_ITEM) == 'lost', states
+
+
 def item_spec(
     name: str, path: str = '/p', prompt: str = '', body: bytes = b''
 ) -> ItemSpec:
--- a/features/steps_crashes.feature
+++ b/features/steps_crashes.feature
@@ -56,3 +56,19 @@
     Given a site with 3 engines, one of which is gone but still registered
     When a job of 4 groups of 5 items runs for 6 s
     Then items were refused a connection, and no entry knows of a strike
+
+  Scenario: failures of an item count for all owners of its job
+    Guards against an item that fails at each run, and is sent on as often as
+    its route allows by each owner in turn.
+
+    Given a site with 2 engines and a job in which one item always fails
+    When its owner is stopped after 2 failures, where the route allows 3
+    Then the item fails 3 times, and is listed as lost
+
+  Scenario: saved failures of an item count for the next owner
+    Guards against the same after the loss of an owner, but for what failed
+    since the last save.
+
+    Given a site with 2 engines and a job in which one item always fails
+    When its owner is killed after 5 failures, where the route allows 6
+    Then the item fails 8 times at most, and is listed as lost
--- a/lab/upstreams.py
+++ b/lab/upstreams.py
@@ -302,7 +302,8 @@
     ) -> HttpResponse:
         """Stream the events of an item."""
         request_id = headers[f'{_HEADER_PREFIX}request-id']
-        if self.mode is UpstreamMode.FAILING:
+        failing = self.mode is UpstreamMode.FAILING
+        if failing or request_id in self.always_fail:
             self.failures[request_id] += 1
             return HttpResponse(status=int(HTTPStatus.INTERNAL_SERVER_ERROR))
         if self.mode is UpstreamMode.IMPOSSIBLE:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -30,6 +30,7 @@
 _REVOCATION: Final = 'gateway_revocation'
 _USAGE: Final = 'reporting_usage'
 _NEWS: Final = 'peers_news'
+_ITEM_CRASHES: Final = 'steps_crashes'
 _STRIKES: Final = 'peers_strikes'
 _QUARANTINE: Final = 'fleet/quarantine.py'
 _CRASHES: Final = 'gateway_crashes'
@@ -497,7 +498,7 @@
         'steps/item_request.py',
         'content = prompt.encode() if prompt else spec.body',
         'content = spec.body',
-        'steps_crashes',
+        _ITEM_CRASHES,
     ),
     Mutation(
         'a request that ran beside one with more strikes gets no strike',
@@ -525,7 +526,7 @@
         'steps/item_run.py',
         'return RunEnd.BROKEN if response.sent else RunEnd.UNREACHED',
         'return RunEnd.BROKEN',
-        'steps_crashes',
+        _ITEM_CRASHES,
     ),
     Mutation(
         'copies of a suspected call run one after the other',
@@ -539,7 +540,21 @@
         'steps/item_suspects.py',
         'if strikes and self._context.request_runs.is_running(fingerprint):',
         'if False:',
-        'steps_crashes',
+        _ITEM_CRASHES,
+    ),
+    Mutation(
+        'failed runs of an item count for its next owner, too',
+        'jobs/open_items.py',
+        'ItemQueue(spec, ledger, failures)',
+        'ItemQueue(spec, ledger)',
+        _ITEM_CRASHES,
+    ),
+    Mutation(
+        'failed runs of an item are saved at intervals',
+        'steps/item_saving.py',
+        'or _count_failures(saved) > _count_failures(last_saved)\n',
+        'or False\n',
+        _ITEM_CRASHES,
     ),
     Mutation(
         'a new process learns the strikes before it sends anything',
@@ -602,7 +617,7 @@
         'steps/item_suspects.py',
         '        if remaining:\n',
         '        if False:\n',
-        'steps_crashes',
+        _ITEM_CRASHES,
     ),
     Mutation(
         'short items leave the fast engines to long ones',
