Send strikes to entries that are listed only after them

Callers saw a request sent on to servers under which three had ended.

Processes without strikes send nothing.

--- a/bergamotdoor/peers/directory.py
+++ b/bergamotdoor/peers/directory.py
@@ -91,6 +91,13 @@
         """
 
 
+class OnEntries(Protocol):
+    """Callback for entries that this process did not know."""
+
+    def __call__(self, entries: Mapping[NodeId, EntryRecord]) -> None:
+        """Handle entries that are new or have a new record."""
+
+
 class Directory:
     """Cached list of the entries that are registered in the store.
 
@@ -118,6 +125,8 @@
         #: Called with each status of a record that has changed.
         self.on_status: OnStatus | None = None
         self._last_statuses: dict[str, bytes] = {}
+        #: Called with entries that were not known before.
+        self.on_entries: OnEntries | None = None
 
     @property
     def with_own(self) -> dict[NodeId, EntryRecord]:
@@ -160,7 +169,7 @@
             return
         self._announced[node] = entry
         if self._is_listed:
-            self.entries[node] = entry
+            self._use_entries({**self.entries, node: entry})
 
     async def run(self) -> None:
         """Refresh the list of entries periodically until cancelled."""
@@ -175,7 +184,7 @@
         listed = await self.list_entries()
         if listed is None:
             return
-        self.entries = {**listed, **self._announced}
+        self._use_entries({**listed, **self._announced})
         self._announced.clear()
         self._is_listed = True
 
@@ -199,6 +208,17 @@
             and (record := self._reader.read(stored, _parse_record)) is not None
         }
 
+    def _use_entries(self, entries: dict[NodeId, EntryRecord]) -> None:
+        known = self.entries
+        self.entries = entries
+        new = {
+            node: entry
+            for node, entry in entries.items()
+            if known.get(node) != entry
+        }
+        if new and self.on_entries is not None:
+            self.on_entries(new)
+
     def _notify_status(self, stored: StoredObject) -> None:
         """Call `on_status` if the status of a record has changed."""
         if self._last_statuses.get(stored.name) == stored.status:
--- a/bergamotdoor/peers/strike_sharing.py
+++ b/bergamotdoor/peers/strike_sharing.py
@@ -8,6 +8,7 @@
 import asyncio
 import datetime as dt
 import logging
+from collections import deque
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -19,9 +20,12 @@
 from bergamotdoor.stored import Outcome, UnreadableError, reading
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from bergamotdoor.clock import Clock
     from bergamotdoor.observe.metrics import Metrics
     from bergamotdoor.peers.access import StoreAccess
+    from bergamotdoor.peers.directory import EntryRecord
     from bergamotdoor.settings.document import Address
     from bergamotdoor.tasks import Tasks
     from bergamotdoor.types import NodeId
@@ -91,12 +95,23 @@
         self._clock = clock
         self._metrics = metrics
         self._unsent: list[Strike] = []
+        #: The strikes that this process has observed, the last ones.
+        self._observed: deque[Strike] = deque(maxlen=_MAX_SENT_STRIKES)
         self._send_needed = asyncio.Event()
         self._store_needed = asyncio.Event()
         self._directory.on_status = self.take_kept
 
     def start(self, tasks: Tasks) -> None:
-        """Start the tasks that send and store strikes."""
+        """Start the tasks that send and store strikes.
+
+        Failure: upstreams crash before this process has listed the other
+        entries, or before it knows one that has joined. Symptom: that entry
+        learns of the strikes only when it next lists the records. Entries that
+        were not known get what this process has observed so far.
+        """
+        self._directory.on_entries = lambda entries: self._send_observed(
+            entries, tasks
+        )
         tasks.start(self._store_strikes())
         tasks.start(self._send_to_all(tasks))
 
@@ -104,6 +119,7 @@
         """Record a strike that this process has observed."""
         if self._quarantine.add(strike, self._clock.elapsed()):
             self._unsent.append(strike)
+            self._observed.append(strike)
             self._send_needed.set()
             self._store_needed.set()
 
@@ -157,10 +173,24 @@
             # All requests that ran at an upstream fail within milliseconds.
             await self._clock.sleep(_BATCH_DELAY)
             self._send_needed.clear()
-            message = StrikesLearned(tuple(self._unsent))
+            unsent = tuple(self._unsent)
             self._unsent.clear()
-            for entry in self._directory.entries.values():
-                tasks.start(self._send_to(entry.address, message))
+            self._send(unsent, self._directory.entries, tasks)
+
+    def _send_observed(
+        self, entries: Mapping[NodeId, EntryRecord], tasks: Tasks
+    ) -> None:
+        if self._observed:
+            self._send(tuple(self._observed), entries, tasks)
+
+    def _send(
+        self,
+        strikes: tuple[Strike, ...],
+        entries: Mapping[NodeId, EntryRecord],
+        tasks: Tasks,
+    ) -> None:
+        for entry in entries.values():
+            tasks.start(self._send_to(entry.address, StrikesLearned(strikes)))
 
     async def _send_to(self, address: Address, message: StrikesLearned) -> None:
         for _ in range(_MAX_SEND_ATTEMPTS):
--- a/features/peers_strikes.feature
+++ b/features/peers_strikes.feature
@@ -34,3 +34,11 @@
     Given a site with 2 entries and a request that ends 12 services
     When it arrives at one entry, and at the other, which started without store
     Then 2 upstreams have ended under it
+
+  Scenario: strikes reach entries that are listed only after them
+    Guards against an entry that sees upstreams end in its first second, before
+    it knows whom to tell.
+
+    Given a site with 2 entries and a request that ends 12 services
+    When it arrives at an entry 0.1 s after its start, and 2 s later at another
+    Then 2 upstreams have ended under it
--- a/features/steps/peers_strikes_steps.py
+++ b/features/steps/peers_strikes_steps.py
@@ -213,6 +213,25 @@
     play(context.plan)
 
 
+@when(
+    'it arrives at an entry {wait_s:f} s after its start, and {later_s:d} s '
+    'later at another'
+)
+def arrive_at_start(context: Any, wait_s: float, later_s: int) -> None:
+    async def act(site: Site) -> None:
+        await asyncio.sleep(1)
+        await site.kill('entry-0')
+        await site.add_entry('entry-0')
+        await asyncio.sleep(wait_s)
+        await arrive(site, 'entry-0')
+        await asyncio.sleep(later_s)
+        await arrive(site, 'entry-1')
+        context.ends = count_crashes(site)
+
+    context.plan.act = act
+    play(context.plan)
+
+
 def delay_replies(entry: Any, delay_s: float) -> None:
     """Have an entry reply late to the messages of other entries."""
     service = entry._components.peer_service
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -577,6 +577,13 @@
         '',
         _STRIKES,
     ),
+    Mutation(
+        'entries that were not known are sent what was observed before',
+        'peers/strike_sharing.py',
+        '        if self._observed:\n',
+        '        if False:\n',
+        _STRIKES,
+    ),
     Mutation(
         'a new process asks other entries for what is not stored',
         'peers/strike_learning.py',
