--- a/review/2/run.py
+++ b/review/2/run.py
@@ -28,7 +28,7 @@
 CANCEL_S = 3.0
 CONTACT_S = 3.0
 #: Age of answers to calls with ``allow_stale``: "seconds old".
-STALE_S = 3.0
+STALE_S = 2.5
 #: The longest freeze; the dose of ``node_freeze`` in ltc-desk is 4 s.
 LONGEST_FREEZE_S = 4.0
 ROUNDS = 4
@@ -228,7 +228,7 @@
 
 async def read_again(reader: product.Program, job: str) -> None:
     """Read about twice a second, as clients do."""
-    await asyncio.sleep(0.3)
+    await asyncio.sleep(0.8)
     while True:
         await read(reader, job)
         await asyncio.sleep(0.5)
