Report a store call as unclear if only its second attempt was rejected

What callers saw: a trainer was answered 503 at each attempt ("nothing of this job runs"), yet the job was in the store, and all its items ran after the entries had been restarted.

Cause: the store carried out the write that creates the job, reset the kept connection and went down. `send` made the second attempt, and the caller of the store took the 503 to that attempt for the answer to both. It did not look at `sent_before`, unlike the calls to upstreams. So the outcome was "not done" instead of "unclear".

Change: a rejection of the second attempt is UNCLEAR if the first one may have reached the store. 404, 409 and 410 tell the state of an object and still count: callers compare a conflict with what they wrote. The model of the store has an outage that begins with the answer to a write; its faults of writes share one struct.

--- a/bergamotdoor/objects/client.py
+++ b/bergamotdoor/objects/client.py
@@ -59,6 +59,10 @@
 _REFUSAL_STATUSES: Final = frozenset(
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
 )
+#: With these statuses the store tells the state of the object or its history.
+_STATE_STATUSES: Final = frozenset(
+    (HTTPStatus.NOT_FOUND, HTTPStatus.CONFLICT, HTTPStatus.GONE)
+)
 
 _log = logging.getLogger('bergamotdoor.objects')
 
@@ -69,6 +73,22 @@
     status: int
     body: bytes
 
+    @property
+    def is_rejection(self) -> bool:
+        """Whether the store promises that this call had no effect.
+
+        With 429 and 503 it promises that it did nothing. After any other
+        server error the call may have been carried out.
+        """
+        if self.status in _REFUSAL_STATUSES:
+            return True
+        return (
+            self.status not in _STATE_STATUSES
+            and HTTPStatus.MULTIPLE_CHOICES
+            <= self.status
+            < HTTPStatus.INTERNAL_SERVER_ERROR
+        )
+
 
 class Caller(Protocol):
     """Transport of calls to the store, direct or through other processes."""
@@ -125,6 +145,11 @@
 
         NOT_DONE says that the call was not sent, UNCLEAR that it may have
         been carried out.
+
+        Failure: the store carries out a write and goes down, so the kept
+        connection is reset and the second attempt is rejected. Symptom: a
+        trainer is told that nothing of its job runs, and the job runs later.
+        A rejection of the second attempt says nothing about the first one.
         """
         request = ClientRequest(
             address=self.address,
@@ -144,7 +169,17 @@
         except (BodyBrokenError, BodyTooLargeError) as error:
             _log.warning('objects: %s %s: %r', method, path, error)
             return Outcome.UNCLEAR
-        return Answer(response.status, body_bytes)
+        answer = Answer(response.status, body_bytes)
+        if response.sent_before and answer.is_rejection:
+            _log.warning(
+                'objects: %s %s: status %d for the second attempt, the first '
+                'one got no response',
+                method,
+                path,
+                response.status,
+            )
+            return Outcome.UNCLEAR
+        return answer
 
     async def watch(self, path: str, timeout: dt.timedelta) -> Answer | Outcome:
         """Send a watch, with one timeout for both of its attempts.
@@ -344,11 +379,4 @@
     if response.status == HTTPStatus.GONE:
         return Outcome.HISTORY_GONE
     _log.warning('objects: %s %s: status %d', method, path, response.status)
-    # With a refusal, because of the rate limit or an outage, the store
-    # promises that it did nothing. After any other server error the call may
-    # have been carried out.
-    if response.status in _REFUSAL_STATUSES:
-        return Outcome.NOT_DONE
-    if response.status < HTTPStatus.INTERNAL_SERVER_ERROR:
-        return Outcome.NOT_DONE
-    return Outcome.UNCLEAR
+    return Outcome.NOT_DONE if response.is_rejection else Outcome.UNCLEAR
--- a/features/gateway_jobs.feature
+++ b/features/gateway_jobs.feature
@@ -41,6 +41,13 @@
     Given a site whose store loses its responses when a job is submitted
     Then the job is accepted and every item is listed once
 
+  Scenario: a job that was created before an outage is not refused
+    Guards against a 503 for a job that runs after the outage: the store
+    creates the job, resets the connection, and rejects the second attempt.
+
+    Given a site whose store creates a job and then refuses calls
+    Then the job is not refused, and it runs once the entries are restarted
+
   Scenario: the owner is killed in the middle of a step
     The entry that runs the steps of a trainer crashes. The next read finds
     that it is gone, and the entry that serves the read takes over the job.
--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -52,13 +52,34 @@
     assert len(context.results) == 2, context.results
 
 
+@given('a site whose store creates a job and then refuses calls')
+def submit_before_outage(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        site.store.write_faults.outage_kind = 'jobs'
+        context.reply = await site.submit('entry-0', JOB, [[2, 2]])
+        site.store.mode = StoreMode.UP
+        for name in tuple(site.entries):
+            await site.kill(name)
+            await site.add_entry(name)
+        context.results = await site.all_results('entry-1', JOB)
+
+    play(scene)
+
+
+@then('the job is not refused, and it runs once the entries are restarted')
+def created_job_is_not_refused(context: Any) -> None:
+    assert len(context.results) == 2, context.results
+    assert context.reply.status == 504, context.reply.status
+
+
 @given('a site whose store loses its responses when a job is submitted')
 def submit_while_losing_responses(context: Any) -> None:
     context.groups = [[2, 2], [3]]
 
     async def scene(site: Site) -> None:
         await site.start()
-        site.store.lose_answers = 2
+        site.store.write_faults.unanswered = 2
         await submit_job(site, context.groups)
         await read_at_each_entry(context, site)
 
@@ -100,7 +121,7 @@
     async def scene(site: Site) -> None:
         await site.start()
         await submit_job(site, [[2, 2], [4, 4], [60, 3]])
-        site.store.delay_writes = 2
+        site.store.write_faults.delayed = 2
         await read_at_each_entry(context, site)
         assert len(context.listed[0]) == 6, context.listed
 
--- a/features/steps/reporting_usage_steps.py
+++ b/features/steps/reporting_usage_steps.py
@@ -285,7 +285,7 @@
         ]
         await site.kill(holder(site))
         site.receiver.mode = ReceiverMode.UP
-        site.store.lose_answers = 1
+        site.store.write_faults.unanswered = 1
 
     context.result = context.plan.run(30, act)
 
@@ -306,11 +306,11 @@
 
 
 async def lose_store_answers(site: Site) -> None:
-    site.store.lose_answers = 3
+    site.store.write_faults.unanswered = 3
 
 
 async def delay_store_writes(site: Site) -> None:
-    site.store.delay_writes = 3
+    site.store.write_faults.delayed = 3
 
 
 STORE_FAULTS = {
--- a/features/steps/steps_capacity_planner_steps.py
+++ b/features/steps/steps_capacity_planner_steps.py
@@ -427,7 +427,7 @@
         write = planner._store.write
 
         async def write_without_answer(*args: Any) -> Any:
-            site.store.lose_answers = 2
+            site.store.write_faults.unanswered = 2
             setattr(planner._store, 'write', write)  # noqa: B010
             return await write(*args)
 
--- a/lab/aimed_faults.py
+++ b/lab/aimed_faults.py
@@ -165,4 +165,6 @@
         self._store.kind_s['jobs'] = self._rng.uniform(*_LISTING_DELAY_RANGE_S)
 
     def _delay_writes(self) -> None:
-        self._store.delay_writes += self._rng.randint(0, _MAX_DELAYED_WRITES)
+        self._store.write_faults.delayed += self._rng.randint(
+            0, _MAX_DELAYED_WRITES
+        )
--- a/lab/store.py
+++ b/lab/store.py
@@ -10,6 +10,8 @@
 from typing import TYPE_CHECKING, Final, NamedTuple
 from urllib.parse import parse_qs, unquote
 
+import msgspec
+
 from bergamotdoor.http.messages import Headers, HttpRequest, HttpResponse
 from bergamotdoor.http.server import HttpServer
 from bergamotdoor.settings.process import HttpLimits
@@ -60,6 +62,18 @@
     wait_s: float
 
 
+class WriteFaults(msgspec.Struct):
+    """What goes wrong with the next writes."""
+
+    #: How many are applied but get no response.
+    unanswered: int = 0
+    #: How many get no response and are applied later.
+    delayed: int = 0
+    #: The kind whose next write is the last one before an outage: it is
+    #: applied, its connection is reset, and then the store is busy.
+    outage_kind: str = ''
+
+
 class Store:
     """A server of objects over the protocol, with switches for faults."""
 
@@ -70,11 +84,7 @@
         self.mode = StoreMode.UP
         #: While this is set, watches report no changes.
         self.deaf = False
-        #: The number of next writes that are applied but get no response.
-        self.lose_answers = 0
-        #: The number of next writes that get no response and are applied
-        #: later.
-        self.delay_writes = 0
+        self.write_faults = WriteFaults()
         #: The time that each call takes.
         self.answer_s = ANSWER_S
         #: The extra time that each listing takes.
@@ -136,7 +146,12 @@
         )
         if request.method == 'GET':
             return await self._read(_parse_query(parts, query))
-        return self._write(WriteCall(request.method, parts, body))
+        response = self._write(WriteCall(request.method, parts, body))
+        if parts[0] == self.write_faults.outage_kind:
+            self.write_faults.outage_kind = ''
+            self.mode = StoreMode.BUSY
+            await reset_connection()
+        return response
 
     async def _read(self, query: _ReadQuery) -> HttpResponse:
         known = self.table.of_kind(query.kind)
@@ -212,14 +227,14 @@
         ]
 
     def _write(self, call: WriteCall) -> HttpResponse:
-        if self.delay_writes:
-            self.delay_writes -= 1
+        if self.write_faults.delayed:
+            self.write_faults.delayed -= 1
             loop = asyncio.get_running_loop()
             loop.call_later(_WRITE_DELAY_S, self._apply_write, call)
             return cut_off()
         response = self._apply_write(call)
-        if self.lose_answers:
-            self.lose_answers -= 1
+        if self.write_faults.unanswered:
+            self.write_faults.unanswered -= 1
             return cut_off()
         return response
 
@@ -240,6 +255,17 @@
     return HttpResponse(status=int(status), body=json.dumps(body).encode())
 
 
+async def reset_connection() -> None:
+    """Reset the connection of the present request, without a response.
+
+    It is called by the request's handler, which does not continue.
+    """
+    connection_task = asyncio.current_task()
+    assert connection_task is not None
+    connection_task.cancel()
+    await asyncio.Event().wait()
+
+
 def cut_off() -> HttpResponse:
     """Return a response whose connection ends before it is complete."""
     return HttpResponse(
--- a/lab/store_faults.py
+++ b/lab/store_faults.py
@@ -58,8 +58,12 @@
 
     async def lose_answers(self) -> None:
         """Lose the responses of some writes, and delay some other writes."""
-        self._store.lose_answers += self._rng.randint(0, _MAX_LOST_RESPONSES)
-        self._store.delay_writes += self._rng.randint(0, _MAX_DELAYED_WRITES)
+        self._store.write_faults.unanswered += self._rng.randint(
+            0, _MAX_LOST_RESPONSES
+        )
+        self._store.write_faults.delayed += self._rng.randint(
+            0, _MAX_DELAYED_WRITES
+        )
 
     async def forget(self) -> None:
         """Drop the history of changes and cut the watches."""
