Report a relayed store call as unclear if its second attempt was rejected

Cause: calls between entries go through `send` as well. The other entry makes the call, its kept connection is reset, and the store rejects the call of the second attempt. `PeerClient.ask` returned that reply without `sent_before`.

Evidence: found by going through the callers of `send`. The others: calls to upstreams look at `sent_before`; items may run more than once; usage reports and orders to engines are sent once, on new connections or without a second attempt; other messages between entries are idempotent or arbitrated by conditional writes.

Change: `PeerClient.exchange` returns the reply with `sent_before`, and the relay reports a call without an effect as unclear if it may have been made before. Nothing changes between the processes.

--- a/bergamotdoor/peers/client.py
+++ b/bergamotdoor/peers/client.py
@@ -40,6 +40,17 @@
 _log = logging.getLogger('bergamotdoor.peers')
 
 
+class PeerExchange(msgspec.Struct, frozen=True):
+    """What came of a request to another entry."""
+
+    #: ``None`` if the entry can't be reached, doesn't reply in time, or sends
+    #: a reply that can't be read.
+    reply: PeerReply | None
+    #: Whether the entry may have handled the request before, on a connection
+    #: that failed. The reply is to the second attempt then.
+    sent_before: bool = False
+
+
 class PeerClient:
     """Client for requests to other entries.
 
@@ -76,6 +87,18 @@
             ``None`` if the entry can't be reached, doesn't reply in time, or
             sends a reply that can't be read.
         """
+        return (await self.exchange(address, message, wait)).reply
+
+    async def exchange(
+        self,
+        address: Address,
+        message: PeerRequest,
+        wait: dt.timedelta = _NO_WAIT,
+    ) -> PeerExchange:
+        """Send a message as ``ask`` does; return what came of all attempts.
+
+        It is for messages whose effect the sender has to know.
+        """
         response = await send(
             self._client,
             ClientRequest(
@@ -89,17 +112,18 @@
         name = type(message).__name__
         if not isinstance(response, ClientResponse):
             _log.info('peers: no reply to %s: %s', name, response.detail)
-            return None
+            return PeerExchange(None)
         try:
             body = await response.read_body(_MAX_BODY_BYTES)
-            return codec.decode_reply(body)
+            reply = codec.decode_reply(body)
         except (
             BodyBrokenError,
             BodyTooLargeError,
             msgspec.MsgspecError,
         ) as error:
             _log.warning('peers: reply to %s is malformed: %s', name, error)
-            return None
+            return PeerExchange(None)
+        return PeerExchange(reply, response.sent_before)
 
 
 async def serve_peer(
--- a/bergamotdoor/peers/relay.py
+++ b/bergamotdoor/peers/relay.py
@@ -27,6 +27,7 @@
     from bergamotdoor.clock import Clock
     from bergamotdoor.peers.client import PeerClient
     from bergamotdoor.peers.directory import Directory
+    from bergamotdoor.peers.messages import PeerReply
     from bergamotdoor.settings.document import Address
 
     _CallResult: TypeAlias = Answer | Outcome
@@ -87,13 +88,23 @@
         Answer or Outcome
             ``NOT_DONE`` if the call surely had no effect, ``UNCLEAR`` if it
             may have had one.
+
+        Notes
+        -----
+        Failure: the entry has made the call, its connection is reset, and the
+        store rejects the call of the second attempt. Symptom: a write that
+        took effect is reported as rejected.
         """
-        reply = await self._peers.ask(address, call, timeout)
-        if not isinstance(reply, StoreReply):
-            return Outcome.UNCLEAR
-        if reply.status is None:
-            return Outcome.UNCLEAR if reply.unclear else Outcome.NOT_DONE
-        return Answer(reply.status, reply.body)
+        exchange = await self._peers.exchange(address, call, timeout)
+        answer = _answer_in(exchange.reply)
+        has_no_effect = answer is Outcome.NOT_DONE or (
+            isinstance(answer, Answer) and answer.is_rejection
+        )
+        return (
+            Outcome.UNCLEAR
+            if exchange.sent_before and has_no_effect
+            else answer
+        )
 
 
 class RelayingCaller:
@@ -273,6 +284,15 @@
     return isinstance(found, Answer) and found.status not in _REFUSAL_STATUSES
 
 
+def _answer_in(reply: PeerReply | None) -> Answer | Outcome:
+    """Return the store's answer in the reply to a relayed call."""
+    if not isinstance(reply, StoreReply):
+        return Outcome.UNCLEAR
+    if reply.status is None:
+        return Outcome.UNCLEAR if reply.unclear else Outcome.NOT_DONE
+    return Answer(reply.status, reply.body)
+
+
 def _has_usable_answer(task: _CallTask) -> bool:
     return task.done() and usable(task.result())
 
--- a/features/peers_relay.feature
+++ b/features/peers_relay.feature
@@ -38,3 +38,16 @@
     Given a store that accepts calls through other entries only
     When one of them does not answer a call, and the other paths refuse it
     Then it is not known whether that call took effect
+
+  Scenario Outline: a relayed call that was made twice is not told as refused
+    Guards against a write that took effect and is reported as rejected: the
+    other entry made it, its connection was reset, and only the second attempt
+    was rejected.
+
+    Given an entry that makes a relayed call, resets it, and then <replies>
+    Then it is not known whether the relayed call took effect
+
+    Examples:
+      | replies                   |
+      | replies with status 503   |
+      | replies that nothing sent |
--- a/features/steps/peers_relay_steps.py
+++ b/features/steps/peers_relay_steps.py
@@ -5,25 +5,44 @@
 import asyncio
 import datetime as dt
 import random
-from typing import TYPE_CHECKING, Any
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Any, Final
 
 from behave import given, then, when
 
+from bergamotdoor.http.messages import (
+    ClientFailure,
+    ClientRequest,
+    ClientResponse,
+    Headers,
+    Reachability,
+)
 from bergamotdoor.objects.client import Answer
+from bergamotdoor.peers import codec
+from bergamotdoor.peers.client import PeerClient
 from bergamotdoor.peers.directory import Directory, EntryRecord
-from bergamotdoor.peers.relay import RelayingCaller
+from bergamotdoor.peers.messages import StoreCall, StoreReply
+from bergamotdoor.peers.relay import PeerRelay, RelayingCaller
 from bergamotdoor.stored import Outcome
 from bergamotdoor.types import NodeId
 from lab.site import at
 from lab.virtual import run_virtual, virtual_clock
 
 if TYPE_CHECKING:
-    from bergamotdoor.peers.messages import StoreCall
+    from collections.abc import AsyncIterator, Mapping
+
     from bergamotdoor.settings.document import Address
 
 CALL_INTERVAL_S = 0.1
 REFUSED = Answer(503, b'')
 DONE = Answer(200, b'')
+#: Replies to the second attempt of a relayed call.
+SECOND_REPLIES: Final[Mapping[str, StoreReply]] = MappingProxyType(
+    {
+        'replies with status 503': StoreReply(503, b''),
+        'replies that nothing sent': StoreReply(None, b''),
+    }
+)
 
 
 class StorePaths:
@@ -176,3 +195,41 @@
     context.paths.direct_s = 0.1
     assert run_virtual(make_call(context.caller)) == DONE
     assert context.paths.relayed == before
+
+
+class ResettingEntry:
+    """Client of an entry that resets the first call and answers the second."""
+
+    def __init__(self, reply: StoreReply) -> None:
+        self._reply = reply
+        self._sends = 0
+
+    async def send(self, _: ClientRequest) -> ClientResponse | ClientFailure:
+        self._sends += 1
+        if self._sends == 1:
+            return ClientFailure(sent=True, detail='reset', reused=True)
+        return ClientResponse(
+            status=200, headers=Headers(), body=self._encoded_reply()
+        )
+
+    async def probe(self, _: Address) -> Reachability:
+        return Reachability.OPEN
+
+    async def close(self) -> None:
+        """Do nothing, since no connection is open."""
+
+    async def _encoded_reply(self) -> AsyncIterator[bytes]:
+        yield codec.encode(self._reply)
+
+
+@given('an entry that makes a relayed call, resets it, and then {replies}')
+def reset_relayed_call(context: Any, replies: str) -> None:
+    context.entry = ResettingEntry(SECOND_REPLIES[replies])
+
+
+@then('it is not known whether the relayed call took effect')
+def check_relayed_unclear(context: Any) -> None:
+    relay = PeerRelay(PeerClient(context.entry))
+    call = StoreCall('POST', '/x', b'', 1000)
+    found = asyncio.run(relay.call(at(9000), call, dt.timedelta(seconds=1)))
+    assert found is Outcome.UNCLEAR, found
