Let requests in progress use the grace period of a planned stop

What callers saw: after a planned stop, calls and streams in progress were reset 6.5 s after the signal, of 8 s of grace. Their upstreams would have answered 0.1 s later. Calls that may run only once had begun to run, so their callers got no answer and may not ask again.

Cause: 1.5 s of the grace were reserved for the last writes. There are none in the store at the end; a stop only sends its last counts of usage to other entries, which time out after 0.4 s.

All three examples of the new scenario "a request that ends within the grace period is answered" failed on the code before and pass now: calls and streams that end 6.6 s, and calls that end 7.3 s after the stop began.

Change: 0.6 s are reserved: for the last messages and the end of all tasks.

Measured: "an entry stops in time although no other one accepts its jobs" still ends within the grace; stop, series, handoff, job and call features pass.

--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -30,9 +30,10 @@
 #: readiness once a second and stops sending callers after two failed probes.
 _ROTATION_EXIT_S: Final = 2.2
 _ROTATION_EXIT: Final = dt.timedelta(seconds=_ROTATION_EXIT_S)
-#: The part of the grace period that is reserved for the last writes.
-_STOP_MARGIN_S: Final = 1.5
-_STOP_MARGIN: Final = dt.timedelta(seconds=_STOP_MARGIN_S)
+#: The part of the grace period that is reserved for the last messages to
+#: other entries, which time out after 0.4 s, and for the end of all tasks.
+_STOP_MARGIN_MS: Final = 600
+_STOP_MARGIN: Final = dt.timedelta(milliseconds=_STOP_MARGIN_MS)
 _RESUME_RETRY_MS: Final = 300
 _RESUME_RETRY: Final = dt.timedelta(milliseconds=_RESUME_RETRY_MS)
 _EXPIRY_INTERVAL_MS: Final = 500
@@ -109,6 +110,11 @@
 
         The entry first leaves the balancer's rotation and hands off its
         jobs, then completes the calls that are in progress.
+
+        Failure: calls in progress are cut off well before the platform ends
+        the process. Symptom: a call that may run only once, and whose
+        upstream would have answered in time, gets no answer. So the calls
+        have the grace period but for a short margin.
         """
         _log.info('gateway: %s stops', self._settings.node)
         stop_by = self._clock.elapsed() + self._settings.grace - _STOP_MARGIN
--- a/features/gateway_stop.feature
+++ b/features/gateway_stop.feature
@@ -1,4 +1,19 @@
-Feature: a planned stop ends within the grace period
+Feature: a planned stop completes what is in progress, within the grace period
+
+  Scenario Outline: a request that ends within the grace period is answered
+    Guards against a stop that cuts off requests in progress, which may run
+    only once, long before the platform ends the process.
+
+    Given an entry with <requests> that end <ends_s> s after its planned stop
+    When the entry is stopped with these requests in progress
+    Then each request is answered completely
+    And the stop ends within the grace period
+
+    Examples:
+      | requests | ends_s |
+      | calls    | 6.6    |
+      | streams  | 6.6    |
+      | calls    | 7.3    |
 
   Scenario: an entry stops in time although no other one accepts its jobs
     The platform kills a process that has not ended within its grace period.
--- a/features/steps/gateway_stop_steps.py
+++ b/features/steps/gateway_stop_steps.py
@@ -8,10 +8,71 @@
 from behave import given, then, when
 
 from lab.site import Site, play
-from lab.wire import DESKS, HOST, route
+from lab.upstreams import EVENT_S
+from lab.wire import DESKS, ENGINES, HOST, route
 
 LONG_TIMEOUT_MS = 20_000
 LONG_WORK_S = 12
+#: How long after a planned stop begins requests arrive, in seconds.
+ARRIVALS_S = (-1, -0.5, 0, 0.5, 1.1)
+BOUNDS = {'timeout_ms': LONG_TIMEOUT_MS, 'goal_ms': LONG_TIMEOUT_MS}
+
+
+@given('an entry with {requests} that end {ends_s:f} s after its planned stop')
+def set_up_requests(context: Any, requests: str, ends_s: float) -> None:
+    context.requests = requests
+    context.ends_s = ends_s
+
+
+@when('the entry is stopped with these requests in progress')
+def stop_with_requests(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        site.routes.append(route(HOST, '/long/', 'unsafe', DESKS, **BOUNDS))
+        site.routes.append(route(HOST, '/tell/', 'stream', ENGINES, **BOUNDS))
+        await site.start(engines=2, services=2, entries=2)
+        loop = asyncio.get_running_loop()
+        stops_at_s = loop.time() + 2
+        ends_at_s = stops_at_s + context.ends_s
+        requests = [
+            asyncio.create_task(
+                send_until(site, context.requests, stops_at_s + at_s, ends_at_s)
+            )
+            for at_s in ARRIVALS_S
+        ]
+        await asyncio.sleep(stops_at_s - loop.time())
+        entry = site.entries.pop('entry-0')
+        await entry.stop()
+        context.took_s = loop.time() - stops_at_s
+        context.grace_s = entry._settings.grace.total_seconds()
+        context.replies = await asyncio.gather(*requests)
+
+    play(scene)
+
+
+async def send_until(
+    site: Site, kind: str, at_s: float, ends_at_s: float
+) -> Any:
+    """Send a request whose upstream completes it at a given moment."""
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(at_s - loop.time())
+    work_s = ends_at_s - loop.time()
+    is_stream = kind == 'streams'
+    for service in site.services.values():
+        service.work_s = work_s
+    return await site.ask(
+        'entry-0',
+        'POST',
+        f'/tell/{at_s}' if is_stream else f'/long/{at_s}',
+        str(int(work_s / EVENT_S)).encode(),
+        timeout_s=LONG_WORK_S,
+        Request_Id=f'{kind}-{at_s}',
+    )
+
+
+@then('each request is answered completely')
+def requests_are_answered(context: Any) -> None:
+    statuses = [reply and reply.status for reply in context.replies]
+    assert statuses == [200 for _ in ARRIVALS_S], statuses
 
 
 @given('an entry that runs a job and has a long call open')
@@ -32,8 +93,7 @@
 
 
 async def measure_stop(site: Site) -> tuple[float, float]:
-    bounds = {'timeout_ms': LONG_TIMEOUT_MS, 'goal_ms': LONG_TIMEOUT_MS}
-    site.routes.append(route(HOST, '/long/', 'safe', DESKS, **bounds))
+    site.routes.append(route(HOST, '/long/', 'safe', DESKS, **BOUNDS))
     await site.start(services=1, entries=4)
     site.services['desk-0'].work_s = LONG_WORK_S
     await site.submit('entry-0', 'job', [[200, 200]])
