Leave the rotation in time, however long the jobs take to hand off

What callers saw: a call that came 3 s or more after the planned stop of an entry began could still be accepted there, and was reset at the end of the grace period.

Cause: the entry stopped accepting callers only after its jobs were handed off. If the entries that it asks are alive and do not answer, that takes up to 4.2 s.

Evidence: the new scenario "callers are refused in time although no other entry takes the jobs" connects 3.2 s after the stop began; the call was answered on the code before, and the connection is refused now.

Change: the handoff runs beside the wait for the balancer, and beside the calls in progress, until it ends or the time for these is over.

--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -39,6 +39,8 @@
 _EXPIRY_INTERVAL_MS: Final = 500
 _EXPIRY_INTERVAL: Final = dt.timedelta(milliseconds=_EXPIRY_INTERVAL_MS)
 
+_NO_TIME: Final = dt.timedelta()
+
 _log = logging.getLogger('bergamotdoor.gateway')
 
 
@@ -66,6 +68,8 @@
         self._clock = clock or LoopClock()
         self._client = HttpClient(self._clock)
         self._tasks = Tasks()
+        #: Tasks that a planned stop completes, as time allows.
+        self._stop_tasks = Tasks()
         self._stopping = False
         self._access = StoreAccess(settings, self._client, self._clock)
         self._context = Context.create(
@@ -108,22 +112,26 @@
     async def stop(self) -> None:
         """Stop as planned, within the grace period.
 
-        The entry first leaves the balancer's rotation and hands off its
-        jobs, then completes the calls that are in progress.
+        The entry first leaves the balancer's rotation, then completes the
+        calls that are in progress. It hands off its jobs meanwhile.
 
         Failure: calls in progress are cut off well before the platform ends
         the process. Symptom: a call that may run only once, and whose
         upstream would have answered in time, gets no answer. So the calls
         have the grace period but for a short margin.
+
+        Failure: no other entry answers when the jobs are handed off. Symptom:
+        callers are accepted for seconds after the rotation was left, and
+        their calls are cut off at the end. So the handoff delays nothing.
         """
         _log.info('gateway: %s stops', self._settings.node)
         stop_by = self._clock.elapsed() + self._settings.grace - _STOP_MARGIN
         # What still waits at that time is refused, not cut off.
         self._context.queueing.closes_at = stop_by
+        self._stop_tasks.start(self._components.handoff.hand_off_jobs())
         await self._leave_rotation()
-        # Handing off the jobs may have taken longer than _ROTATION_EXIT.
-        drain = stop_by - self._clock.elapsed()
-        await self._servers.callers.stop(max(drain, dt.timedelta()))
+        await self._servers.callers.stop(self._time_until(stop_by))
+        await self._stop_tasks.finish(self._time_until(stop_by))
         if self._components.usage is not None:
             await self._components.usage.close()
         await self._shut_down()
@@ -144,7 +152,8 @@
         """Stop at once without a drain, as a crash would; for tests only."""
         await self._components.owner.stop()
         await self._tasks.stop()
-        await self._servers.callers.stop(dt.timedelta())
+        await self._stop_tasks.stop()
+        await self._servers.callers.stop(_NO_TIME)
         await self._shut_down()
 
     async def callers(self, request: HttpRequest) -> HttpResponse:
@@ -192,10 +201,10 @@
         self._stopping = True
         self._components.news_source.closed = True
         self._servers.callers.end_connections()
-        began = self._clock.elapsed()
-        await self._components.handoff.hand_off_jobs()
-        spent = self._clock.elapsed() - began
-        await self._clock.sleep(_ROTATION_EXIT - spent)
+        await self._clock.sleep(_ROTATION_EXIT)
+
+    def _time_until(self, time: dt.timedelta) -> dt.timedelta:
+        return max(time - self._clock.elapsed(), _NO_TIME)
 
     async def _shut_down(self) -> None:
         await self._components.owner.stop()
--- a/bergamotdoor/tasks.py
+++ b/bergamotdoor/tasks.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import datetime as dt
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
+_NO_TIME: Final = dt.timedelta()
+
 _log = logging.getLogger('bergamotdoor.tasks')
 
 
@@ -25,6 +28,18 @@
         task.add_done_callback(self._handle_end)
         return task
 
+    async def finish(self, timeout: dt.timedelta) -> None:
+        """Wait until all tasks have ended; cancel those that take longer.
+
+        Parameters
+        ----------
+        timeout
+            How long to wait before the tasks are cancelled.
+        """
+        if self._tasks and timeout > _NO_TIME:
+            await asyncio.wait(self._tasks, timeout=timeout.total_seconds())
+        await self.stop()
+
     async def stop(self) -> None:
         """Cancel all tasks and wait until they have ended."""
         running = tuple(self._tasks)
--- a/features/gateway_stop.feature
+++ b/features/gateway_stop.feature
@@ -25,3 +25,12 @@
     And the other entries accept connections and never respond
     When the entry is stopped as planned
     Then the stop ends within the grace period
+
+  Scenario: callers are refused in time although no other entry takes the jobs
+    Guards against a stop that accepts callers for as long as it offers its
+    jobs to silent entries: a call that came late was cut off at the end.
+
+    Given an entry that runs a job and has a long call open
+    And the other entries accept connections and never respond
+    When a caller connects 3.2 s after the planned stop of the entry began
+    Then the connection of the late caller is refused
--- a/features/steps/gateway_stop_steps.py
+++ b/features/steps/gateway_stop_steps.py
@@ -87,32 +87,62 @@
 
 @when('the entry is stopped as planned')
 def stop_entry(context: Any) -> None:
-    took_s, grace_s = play(measure_stop)
-    context.took_s = took_s
-    context.grace_s = grace_s
+    stop_and_connect(context, 0)
 
 
-async def measure_stop(site: Site) -> tuple[float, float]:
+@when(
+    'a caller connects {late_s:f} s after the planned stop of the entry began'
+)
+def stop_and_connect(context: Any, late_s: float) -> None:
+    async def scene(site: Site) -> None:
+        owner, long_call = await run_job_and_long_call(site)
+        entry = site.entries.pop(owner)
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        late_call = asyncio.create_task(call_late(site, owner, late_s))
+        await entry.stop()
+        context.took_s = loop.time() - began_s
+        context.grace_s = entry._settings.grace.total_seconds()
+        context.late_reply = await late_call
+        long_call.cancel()
+
+    play(scene)
+
+
+async def run_job_and_long_call(
+    site: Site,
+) -> tuple[str, asyncio.Task[Any]]:
+    """Have an entry own a job and forward a call; return its name, the call.
+
+    The other entries do not respond to it.
+    """
     site.routes.append(route(HOST, '/long/', 'safe', DESKS, **BOUNDS))
     await site.start(services=1, entries=4)
     site.services['desk-0'].work_s = LONG_WORK_S
     await site.submit('entry-0', 'job', [[200, 200]])
     await asyncio.sleep(1)
-    owner = site.store.table.specs('jobs')['job']['owner']
-    entry = site.entries.pop(owner)
-    for other in site.entries.values():
-        setattr(  # noqa: B010
-            other._components.peer_service, 'handle', wait_forever
-        )
+    owner = str(site.store.table.specs('jobs')['job']['owner'])
+    for name, other in site.entries.items():
+        if name != owner:
+            setattr(  # noqa: B010
+                other._components.peer_service, 'handle', wait_forever
+            )
     long_call = asyncio.create_task(
         site.ask(owner, 'GET', '/long/1', timeout_s=LONG_WORK_S, Request_Id='1')
     )
     await asyncio.sleep(0.2)
-    loop = asyncio.get_running_loop()
-    began_s = loop.time()
-    await entry.stop()
-    long_call.cancel()
-    return loop.time() - began_s, entry._settings.grace.total_seconds()
+    return owner, long_call
+
+
+async def call_late(site: Site, entry: str, late_s: float) -> Any:
+    """Send a call a while after the planned stop of an entry began."""
+    await asyncio.sleep(late_s)
+    return await site.ask(entry, 'GET', '/book/late', Request_Id='late')
+
+
+@then('the connection of the late caller is refused')
+def late_caller_is_refused(context: Any) -> None:
+    assert context.late_reply is None, context.late_reply
 
 
 async def wait_forever(_message: Any) -> Any:
