Complete the messages about jobs at a planned stop

An entry that confirms a job's end and is stopped right after it dropped the message to the job's owner if the owner did not answer at once. The owner ran the job on until it found the end in the store.

Cause: messages about jobs (an end, a new job for its owner, a check that a job runs) are background tasks, and a stop cancelled all of these as soon as no call was in progress.

Change: these messages, and the handoff of jobs, are tasks that a planned stop completes as time allows.

--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -69,7 +69,7 @@
         self._client = HttpClient(self._clock)
         self._tasks = Tasks()
         #: Tasks that a planned stop completes, as time allows.
-        self._stop_tasks = Tasks()
+        self._final_tasks = Tasks()
         self._stopping = False
         self._access = StoreAccess(settings, self._client, self._clock)
         self._context = Context.create(
@@ -79,7 +79,11 @@
             self._on_manifest_change, self._context.startup
         )
         self._components = EntryComponents(
-            self._context, self._access, self._manifests, self._tasks
+            self._context,
+            self._access,
+            self._manifests,
+            self._tasks,
+            self._final_tasks,
         )
         self._inspector = GatewayInspector(
             self._context,
@@ -123,15 +127,19 @@
         Failure: no other entry answers when the jobs are handed off. Symptom:
         callers are accepted for seconds after the rotation was left, and
         their calls are cut off at the end. So the handoff delays nothing.
+
+        Failure: the entry confirms the end of a job, and stops while the
+        job's owner does not answer. Symptom: the owner runs the job on for
+        seconds. Messages about jobs are sent to their end, as time allows.
         """
         _log.info('gateway: %s stops', self._settings.node)
         stop_by = self._clock.elapsed() + self._settings.grace - _STOP_MARGIN
         # What still waits at that time is refused, not cut off.
         self._context.queueing.closes_at = stop_by
-        self._stop_tasks.start(self._components.handoff.hand_off_jobs())
+        self._final_tasks.start(self._components.handoff.hand_off_jobs())
         await self._leave_rotation()
         await self._servers.callers.stop(self._time_until(stop_by))
-        await self._stop_tasks.finish(self._time_until(stop_by))
+        await self._final_tasks.finish(self._time_until(stop_by))
         if self._components.usage is not None:
             await self._components.usage.close()
         await self._shut_down()
@@ -152,7 +160,7 @@
         """Stop at once without a drain, as a crash would; for tests only."""
         await self._components.owner.stop()
         await self._tasks.stop()
-        await self._stop_tasks.stop()
+        await self._final_tasks.stop()
         await self._servers.callers.stop(_NO_TIME)
         await self._shut_down()
 
--- a/bergamotdoor/gateway/wiring.py
+++ b/bergamotdoor/gateway/wiring.py
@@ -39,6 +39,8 @@
         The view of the manifest.
     tasks
         The background tasks of the process.
+    final_tasks
+        The tasks that a planned stop completes, as time allows.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         access: StoreAccess,
         manifests: ManifestView,
         tasks: Tasks,
+        final_tasks: Tasks,
     ) -> None:
         self.store = JobStore(context.store)
         self.owner = JobOwner(context, self.store, manifests)
@@ -55,7 +58,7 @@
             self.finder,
             access.peers,
             access.directory,
-            tasks,
+            final_tasks,
             context.clock,
             context.settings.zone,
         )
--- a/bergamotdoor/steps/peer_notifier.py
+++ b/bergamotdoor/steps/peer_notifier.py
@@ -64,7 +64,7 @@
     directory
         Addresses of the other entries.
     tasks
-        Background tasks of the process.
+        Tasks that send the messages. A planned stop completes them.
     clock
         Clock for the pauses between attempts.
     zone
--- a/features/gateway_stop.feature
+++ b/features/gateway_stop.feature
@@ -34,3 +34,11 @@
     And the other entries accept connections and never respond
     When a caller connects 3.2 s after the planned stop of the entry began
     Then the connection of the late caller is refused
+
+  Scenario: the owner of an ended job is told although the teller stops
+    Guards against a planned stop that drops the message that a job has ended,
+    while the job's owner does not answer: the owner ran the job on.
+
+    Given a job whose owner does not answer other entries for 3 s
+    When another entry confirms the job's end and is stopped at once
+    Then the owner has ended the job when the entry has stopped
--- a/features/steps/gateway_stop_steps.py
+++ b/features/steps/gateway_stop_steps.py
@@ -7,6 +7,14 @@
 
 from behave import given, then, when
 
+from bergamotdoor.types import JobId
+from features.job_scenes import (
+    JOB,
+    end_job_at,
+    other_entry,
+    owner_of,
+    submit_job,
+)
 from lab.site import Site, play
 from lab.upstreams import EVENT_S
 from lab.wire import DESKS, ENGINES, HOST, route
@@ -152,3 +160,36 @@
 @then('the stop ends within the grace period')
 def stop_ends_in_time(context: Any) -> None:
     assert context.took_s < context.grace_s, context.took_s
+
+
+@given('a job whose owner does not answer other entries for {silent_s:d} s')
+def set_up_silent_owner(context: Any, silent_s: int) -> None:
+    context.silent_s = silent_s
+
+
+@when("another entry confirms the job's end and is stopped at once")
+def end_and_stop(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        await submit_job(site, [[200, 200]])
+        owner = owner_of(site)
+        service = site.entries[owner]._components.peer_service
+        answer = service.handle
+        setattr(service, 'handle', wait_forever)  # noqa: B010
+        # The owner does not find the end in the store by itself.
+        site.store.kind_s['jobs'] = LONG_WORK_S
+        loop = asyncio.get_running_loop()
+        loop.call_later(context.silent_s, setattr, service, 'handle', answer)
+        teller = other_entry(site, owner)
+        await end_job_at(site, teller)
+        await site.entries.pop(teller).stop()
+        run = site.entries[owner]._components.owner.get(JobId(JOB))
+        assert run is not None
+        context.ended = run.ended
+
+    play(scene)
+
+
+@then('the owner has ended the job when the entry has stopped')
+def owner_has_ended(context: Any) -> None:
+    assert context.ended
--- a/lab/model/entry.py
+++ b/lab/model/entry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import datetime as dt
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.entry.context import Context
@@ -22,8 +23,10 @@
     from bergamotdoor.settings.document import Address
     from bergamotdoor.settings.node import NodeSettings
 
-#: Time from the request to stop until the process ends.
+#: Time from the request to stop until the process ends, if no message to
+#: another entry is still unsent.
 _STOP_DURATION_S: Final = 2.5
+_FINAL_TASKS_TIMEOUT: Final = dt.timedelta(seconds=5)
 #: Time between two tries to resume the jobs of the previous process.
 _RESUME_INTERVAL_S: Final = 0.3
 
@@ -63,8 +66,13 @@
         self._context.startup.mark_known(StartupListing.MANIFEST)
         self._context.startup.mark_known(StartupListing.UPSTREAMS)
         self._tasks = Tasks()
+        self._final_tasks = Tasks()
         self.components = EntryComponents(
-            self._context, self._access, manifests, self._tasks
+            self._context,
+            self._access,
+            manifests,
+            self._tasks,
+            self._final_tasks,
         )
         self.stopping = False
         #: Number of times that the process was paused or killed.
@@ -132,6 +140,7 @@
         await self.components.handoff.hand_off_jobs()
         spent_s = asyncio.get_running_loop().time() - began_s
         await asyncio.sleep(max(_STOP_DURATION_S - spent_s, 0))
+        await self._final_tasks.finish(_FINAL_TASKS_TIMEOUT)
         await self.components.owner.stop()
         await self._tasks.stop()
         self.kill()
