Hand off a job that is adopted while the process stops

What callers saw: nothing on record; found by asking what waits when an owner stops. An entry that is loading or storing a job when its stop begins adopted it after the other jobs were handed off. It ran the job until it ended, and no entry ran it from then on until a reader asked for it.

Cause: the handoff takes the jobs that run when the stop begins. Loading a job from the store can take longer than that.

Change: a stopping owner passes each job that it still adopts to the handoff.

--- a/bergamotdoor/gateway/wiring.py
+++ b/bergamotdoor/gateway/wiring.py
@@ -63,7 +63,11 @@
             context.settings.zone,
         )
         self.handoff = job_handoff.JobHandoff(
-            self.owner, self.notifier, self.store, context.clock
+            self.owner,
+            self.notifier,
+            self.store,
+            context.clock,
+            final_tasks,
         )
         self.news_source = NewsSource(
             context.store, context.clock, tasks, access.sharing
--- a/bergamotdoor/steps/job_handoff.py
+++ b/bergamotdoor/steps/job_handoff.py
@@ -29,6 +29,7 @@
     from bergamotdoor.steps.job_run import JobRun
     from bergamotdoor.steps.owner import JobOwner
     from bergamotdoor.steps.peer_notifier import PeerNotifier
+    from bergamotdoor.tasks import Tasks
 
 #: How long a stopping owner serves the readers of a job during its handoff,
 #: before it drops the job. Failure: neither the store nor other entries
@@ -44,6 +45,11 @@
 class JobHandoff:
     """Hands off the jobs of a stopping process to other entries.
 
+    Failure: a process loads or stores a job when its stop begins. Symptom: it
+    adopts the job after the others were handed off, runs it until it ends,
+    and no process runs it from then on until a reader asks for it. So such a
+    job is handed off as soon as it is adopted.
+
     Parameters
     ----------
     owner
@@ -54,6 +60,8 @@
         Store in which the partial transcripts of the items are saved.
     clock
         Clock for the duration in the log.
+    tasks
+        Tasks that a planned stop completes.
     """
 
     def __init__(
@@ -62,11 +70,13 @@
         notifier: PeerNotifier,
         store: JobStore,
         clock: Clock,
+        tasks: Tasks,
     ) -> None:
         self._owner = owner
         self._notifier = notifier
         self._store = store
         self._clock = clock
+        owner.on_late_adoption = lambda run: tasks.start(self._hand_off(run))
 
     async def hand_off_jobs(self) -> None:
         """Stop all items and hand off their jobs.
--- a/bergamotdoor/steps/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -75,6 +75,9 @@
         self.stopping = False
         #: Called with each job whose items this process begins to run.
         self.on_adoption: Callable[[JobRun], None] = _ignore
+        #: Called with each job that this process has adopted although it
+        #: stops: the job was being loaded or stored when the stop began.
+        self.on_late_adoption: Callable[[JobRun], object] = _ignore
         self._wake = asyncio.Event()
 
     def start(self) -> None:
@@ -144,9 +147,7 @@
             self._context, self._store, found, loaded, now + time_allowed
         )
         self._runs[found.job] = run
-        self._context.metrics.count(Counted.JOB_OWNED)
-        if found.record.term > 1:
-            self._context.metrics.count(Counted.JOB_TAKEN_OVER)
+        _count_adoption(self._context, found)
         if found.status.ended or found.job in self._early_ends:
             run.end()
         else:
@@ -163,6 +164,8 @@
             len(loaded.spec.items),
             len(loaded.ledger),
         )
+        if self.stopping and run.active:
+            self.on_late_adoption(run)
         self.wake_up()
         return run
 
@@ -267,6 +270,12 @@
     """Do nothing; stands for a callback that is not set."""
 
 
+def _count_adoption(context: Context, found: FoundJob) -> None:
+    context.metrics.count(Counted.JOB_OWNED)
+    if found.record.term > 1:
+        context.metrics.count(Counted.JOB_TAKEN_OVER)
+
+
 def _is_active(run: JobRun) -> bool:
     return run.active
 
--- a/features/planned_stops.feature
+++ b/features/planned_stops.feature
@@ -51,3 +51,10 @@
     Given a site whose job is submitted again while its next owner loads it
     Then the next owner lists the 2 results that had been read
     And nothing that was listed ran again
+
+  Scenario: a job that is adopted during a planned stop is handed off
+    Guards against an owner that stops while it loads a job: it adopted the
+    job too late for the handoff, and once it had ended no entry ran the job.
+
+    Given a site whose next owner stops while it takes 1.4 s to load a job
+    Then all 4 items run at its end, without a reader
--- a/features/steps/planned_stops_steps.py
+++ b/features/steps/planned_stops_steps.py
@@ -14,6 +14,7 @@
     lengths_of,
     other_entry,
     owner_of,
+    running_requests,
     submit_job,
     take_over_at,
 )
@@ -255,3 +256,29 @@
 def not_run_again(context: Any) -> None:
     for result in context.read['results']:
         assert context.runs[result['id']] == 1, context.runs
+
+
+@given('a site whose next owner stops while it takes {load:g} s to load a job')
+def stop_while_loading(context: Any, load: float) -> None:
+    async def scene(site: Site) -> None:
+        await site.start(entries=3)
+        await submit_job(site, GROUPS)
+        await asyncio.sleep(0.7)
+        first = owner_of(site)
+        second = other_entry(site, first)
+        await site.kill(first)
+        site.store.list_s = load
+        reading = asyncio.create_task(site.results(second, JOB))
+        await asyncio.sleep(0.1)
+        assert owner_of(site) == second
+        await site.entries.pop(second).stop()
+        await reading
+        await asyncio.sleep(0.1)
+        context.running = running_requests(site)
+
+    play(scene)
+
+
+@then('all {count:d} items run at its end, without a reader')
+def run_without_reader(context: Any, count: int) -> None:
+    assert len(context.running) == count, context.running
