Send and store the last strikes before a planned stop ends

What callers saw: nothing on record; found by asking what waits when an entry stops. An upstream ends under the last call of a stopping entry, and the call ends one upstream more than it should when it is repeated at another entry.

Cause: strikes are collected for 50 ms before they are sent. The process ends as soon as its last call is answered, and the strikes with it.

Evidence: "an entry that stops tells what ended under its last call": 3 upstreams ended under the request on the code before, 2 now.

--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -11,7 +11,7 @@
 from bergamotdoor.entry.views import ManifestView
 from bergamotdoor.gateway.background_tasks import start_background_tasks
 from bergamotdoor.gateway.inspection import GatewayInspector
-from bergamotdoor.gateway.limits import caller_limits
+from bergamotdoor.gateway.planned_stop import PlannedStop
 from bergamotdoor.gateway.responses import readiness_response
 from bergamotdoor.gateway.servers import Servers
 from bergamotdoor.gateway.wiring import EntryComponents
@@ -26,14 +26,6 @@
     from bergamotdoor.settings.document import Address
     from bergamotdoor.settings.node import NodeSettings
 
-#: How long a stopping entry still serves new callers. The balancer probes its
-#: readiness once a second and stops sending callers after two failed probes.
-_ROTATION_EXIT_S: Final = 2.2
-_ROTATION_EXIT: Final = dt.timedelta(seconds=_ROTATION_EXIT_S)
-#: The part of the grace period that is reserved for the last messages to
-#: other entries, which time out after 0.4 s, and for the end of all tasks.
-_STOP_MARGIN_MS: Final = 600
-_STOP_MARGIN: Final = dt.timedelta(milliseconds=_STOP_MARGIN_MS)
 _RESUME_RETRY_MS: Final = 300
 _RESUME_RETRY: Final = dt.timedelta(milliseconds=_RESUME_RETRY_MS)
 _EXPIRY_INTERVAL_MS: Final = 500
@@ -114,34 +106,16 @@
         self._tasks.start(self._expire_upstreams())
 
     async def stop(self) -> None:
-        """Stop as planned, within the grace period.
-
-        The entry first leaves the balancer's rotation, then completes the
-        calls that are in progress. It hands off its jobs meanwhile.
-
-        Failure: calls in progress are cut off well before the platform ends
-        the process. Symptom: a call that may run only once, and whose
-        upstream would have answered in time, gets no answer. So the calls
-        have the grace period but for a short margin.
-
-        Failure: no other entry answers when the jobs are handed off. Symptom:
-        callers are accepted for seconds after the rotation was left, and
-        their calls are cut off at the end. So the handoff delays nothing.
-
-        Failure: the entry confirms the end of a job, and stops while the
-        job's owner does not answer. Symptom: the owner runs the job on for
-        seconds. Messages about jobs are sent to their end, as time allows.
-        """
+        """Stop as planned, within the grace period."""
         _log.info('gateway: %s stops', self._settings.node)
-        stop_by = self._clock.elapsed() + self._settings.grace - _STOP_MARGIN
-        # What still waits at that time is refused, not cut off.
-        self._context.queueing.closes_at = stop_by
-        self._final_tasks.start(self._components.handoff.hand_off_jobs())
-        await self._leave_rotation()
-        await self._servers.callers.stop(self._time_until(stop_by))
-        await self._final_tasks.finish(self._time_until(stop_by))
-        if self._components.usage is not None:
-            await self._components.usage.close()
+        self._stopping = True
+        planned_stop = PlannedStop(
+            self._context,
+            self._components,
+            self._servers.callers,
+            self._final_tasks,
+        )
+        await planned_stop.run(self._settings.grace)
         await self._shut_down()
 
     def use_settings(self, settings: NodeSettings) -> None:
@@ -205,15 +179,6 @@
             raise ValueError(f'settings: no address for {name}')
         return address
 
-    async def _leave_rotation(self) -> None:
-        self._stopping = True
-        self._components.news_source.closed = True
-        self._servers.callers.end_connections()
-        await self._clock.sleep(_ROTATION_EXIT)
-
-    def _time_until(self, time: dt.timedelta) -> dt.timedelta:
-        return max(time - self._clock.elapsed(), _NO_TIME)
-
     async def _shut_down(self) -> None:
         await self._components.owner.stop()
         await self._tasks.stop()
@@ -223,7 +188,7 @@
     def _on_manifest_change(self) -> None:
         manifest = self._manifests.manifest
         if manifest is not None:
-            self._servers.callers.use_limits(caller_limits(manifest.limits))
+            self._servers.use_caller_limits(manifest.limits)
             if self._components.usage is not None:
                 self._components.usage.wanted = bool(manifest.accounts)
         self._components.owner.wake_up()
--- a/bergamotdoor/gateway/servers.py
+++ b/bergamotdoor/gateway/servers.py
@@ -6,12 +6,13 @@
 import datetime as dt
 from typing import TYPE_CHECKING, Protocol
 
-from bergamotdoor.gateway.limits import INTERNAL_LIMITS
+from bergamotdoor.gateway.limits import INTERNAL_LIMITS, caller_limits
 from bergamotdoor.http import HttpServer
 
 if TYPE_CHECKING:
     import socket
 
+    from bergamotdoor.calls.manifest import CallerLimits
     from bergamotdoor.clock import Clock
     from bergamotdoor.http.messages import Handler, HttpRequest, HttpResponse
     from bergamotdoor.settings.document import Address
@@ -70,6 +71,10 @@
         for server in (*self._internal, self.callers):
             await server.start()
 
+    def use_caller_limits(self, limits: CallerLimits) -> None:
+        """Use a manifest's limits for callers that connect from now on."""
+        self.callers.use_limits(caller_limits(limits))
+
     async def stop_internal(self) -> None:
         """Stop all servers but the one for callers."""
         await asyncio.gather(
--- a/bergamotdoor/peers/strike_sharing.py
+++ b/bergamotdoor/peers/strike_sharing.py
@@ -123,6 +123,23 @@
             self._send_needed.set()
             self._store_needed.set()
 
+    async def flush(self) -> None:
+        """Send and store at once what would be sent and stored soon.
+
+        Failure: an upstream ends under the last call of a process that stops.
+        Symptom: the process has ended before the strike is sent, and the call
+        ends another upstream when it is repeated elsewhere.
+        """
+        unsent = StrikesLearned(tuple(self._unsent))
+        if unsent.strikes:
+            await asyncio.gather(
+                self._put_status(),
+                *(
+                    self._peers.ask(entry.address, unsent)
+                    for entry in self._directory.entries.values()
+                ),
+            )
+
     def answer(self, message: AskStrikes) -> StrikesLearned:
         """Return the strikes that this process knows to an entry that asks.
 
@@ -202,13 +219,17 @@
         while True:
             await self._store_needed.wait()
             self._store_needed.clear()
-            stored = _StoredStrikes(
-                newest_strikes(self._quarantine, _MAX_STORED_STRIKES)
-            )
-            written = await self._store.put_status(
-                ENTRY_KIND, self._node, msgspec.json.encode(stored)
-            )
-            if isinstance(written, Outcome):
+            if not await self._put_status():
                 # The entry's record may not have been created yet.
                 self._store_needed.set()
                 await self._clock.sleep(_RETRY_PAUSE)
+
+    async def _put_status(self) -> bool:
+        """Store the newest strikes; return whether that succeeded."""
+        stored = _StoredStrikes(
+            newest_strikes(self._quarantine, _MAX_STORED_STRIKES)
+        )
+        written = await self._store.put_status(
+            ENTRY_KIND, self._node, msgspec.json.encode(stored)
+        )
+        return not isinstance(written, Outcome)
--- a/features/peers_strikes.feature
+++ b/features/peers_strikes.feature
@@ -42,3 +42,10 @@
     Given a site with 2 entries and a request that ends 12 services
     When it arrives at an entry 0.1 s after its start, and 2 s later at another
     Then 2 upstreams have ended under it
+
+  Scenario: an entry that stops tells what ended under its last call
+    Guards against a planned stop that ends before the last strike is sent.
+
+    Given a site with 2 entries and a request that ends 12 services
+    When it arrives 2.15 s after an entry's planned stop began, and at the other
+    Then 2 upstreams have ended under it
--- a/features/steps/peers_strikes_steps.py
+++ b/features/steps/peers_strikes_steps.py
@@ -265,6 +265,23 @@
     play(context.plan)
 
 
+@when(
+    "it arrives {late_s:f} s after an entry's planned stop began, and at the "
+    'other'
+)
+def arrive_during_stop(context: Any, late_s: float) -> None:
+    async def act(site: Site) -> None:
+        stopping = asyncio.create_task(site.entries.pop('entry-0').stop())
+        await asyncio.sleep(late_s)
+        await send_crashing_request(site, 'entry-0', 'call-0')
+        await stopping
+        await send_crashing_request(site, 'entry-1', 'call-1')
+        context.ends = count_crashes(site)
+
+    context.plan.act = act
+    play(context.plan)
+
+
 @when('{count:d} copies of it arrive at the same moment')
 def copies_arrive(context: Any, count: int) -> None:
     async def act(site: Site) -> None:
