Refuse a call that waits for its copy when the entry stops

What callers saw: nothing on record; found by asking what waits when an entry stops. A suspected call waits while a copy of it runs. It was never sent, and it was cut off at the end of the stop where it should have been told to go elsewhere.

Cause: only calls in the queue knew by when the process stops. Besides, calls were refused at the moment at which the connections were reset, too late for the refusal to be read.

Evidence: "a call that waits for its copy is refused when the entry stops": no answer on the code before, 503 now.

Change: one bound of the service's calls says for how long a call may still be sent. It holds in the queue, for copies, and before each attempt. It ends 0.1 s before the last calls are cut off.

--- a/bergamotdoor/forwarding/forwarded_call.py
+++ b/bergamotdoor/forwarding/forwarded_call.py
@@ -25,6 +25,9 @@
     from bergamotdoor.fleet.upstreams import Upstream
     from bergamotdoor.types import ServiceId
 
+#: Interval at which a call that waits for its copy checks its own time.
+_COPY_CHECK_INTERVAL_MS: Final = 50
+_COPY_CHECK_INTERVAL: Final = dt.timedelta(milliseconds=_COPY_CHECK_INTERVAL_MS)
 _NO_TIME: Final = dt.timedelta()
 
 
@@ -111,15 +114,26 @@
         while (
             self._context.quarantine.known_strikes(self._fingerprint)
             and runs.is_running(self._fingerprint)
-            and not self._attempts.is_out_of_time(self._now())
+            and self._time_to_send(self._now()) > _NO_TIME
         ):
-            left = self._attempts.time_left(self._now())
-            await runs.wait_for_end(self._fingerprint, left)
+            # The process may begin to stop meanwhile.
+            await runs.wait_for_end(self._fingerprint, _COPY_CHECK_INTERVAL)
+
+    def _time_to_send(self, now: dt.timedelta) -> dt.timedelta:
+        send_by = now + self._attempts.time_left(now)
+        return self._service_calls.time_to_send(send_by, now)
 
     def _candidates(self, now: dt.timedelta) -> list[Upstream]:
-        """Return the upstreams that may get the call, full ones included."""
+        """Return the upstreams that may get the call, full ones included.
+
+        Failure: a process stops while a call waits for its copy to end.
+        Symptom: the call is cut off, or sent too late to be answered. It is
+        refused instead, so that its caller goes to another process.
+        """
         if self._quarantine_time() or not self._attempts.may_begin_attempt(now):
             return []
+        if self._time_to_send(now) <= _NO_TIME:
+            return []
         fleet = self._context.fleet
         return self._attempts.untried(fleet.of_service(self._service))
 
--- a/bergamotdoor/gateway/planned_stop.py
+++ b/bergamotdoor/gateway/planned_stop.py
@@ -23,6 +23,10 @@
 #: the end of all tasks.
 _STOP_MARGIN_MS: Final = 600
 _STOP_MARGIN: Final = dt.timedelta(milliseconds=_STOP_MARGIN_MS)
+#: Calls that were not sent by so long before the last calls are cut off are
+#: refused, so that their callers receive the refusal in time.
+_REFUSAL_TIME_MS: Final = 100
+_REFUSAL_TIME: Final = dt.timedelta(milliseconds=_REFUSAL_TIME_MS)
 _NO_TIME: Final = dt.timedelta()
 
 
@@ -79,8 +83,7 @@
             Time until the platform ends the process.
         """
         stop_by = self._clock.elapsed() + grace - _STOP_MARGIN
-        # What still waits at that time is refused, not cut off.
-        self._context.queueing.closes_at = stop_by
+        self._context.queueing.closes_at = stop_by - _REFUSAL_TIME
         self._components.news_source.closed = True
         self._final_tasks.start(self._components.handoff.hand_off_jobs())
         self._callers.end_connections()
--- a/bergamotdoor/queueing/service_calls.py
+++ b/bergamotdoor/queueing/service_calls.py
@@ -130,6 +130,26 @@
             return with_room
         return limits.for_probe(candidates, now)
 
+    def time_to_send(
+        self, send_by: dt.timedelta, now: dt.timedelta
+    ) -> dt.timedelta:
+        """Return for how long a call may still be sent.
+
+        A call that is sent later would not be answered before its time limit,
+        or before the process stops.
+
+        Parameters
+        ----------
+        send_by
+            Monotonic time by which the call must be sent in any case.
+        now
+            The monotonic time.
+        """
+        closes_at = self._queueing.closes_at
+        if closes_at is None:
+            return send_by - now
+        return min(send_by, closes_at - self._usual_latency()) - now
+
     def send_hedge(
         self, send: Callable[[], RoomUse], now: dt.timedelta
     ) -> bool:
@@ -234,7 +254,7 @@
 
     def _offer_room(self, ticket: Ticket, now: dt.timedelta) -> RoomUse:
         # A call whose time is over must not take the slot of another.
-        if self._time_left(ticket, now) < _NO_TIME:
+        if self.time_to_send(ticket.send_by, now) < _NO_TIME:
             self._refuse(ticket, RefusalReason.LATE, 0, now)
             return RoomUse.ENDED
         use = ticket.on_room()
@@ -263,7 +283,7 @@
     ) -> RefusalReason | None:
         if not capacity.slots:
             return RefusalReason.NO_UPSTREAM
-        is_late = capacity.wait(ahead) > self._time_left(ticket, now)
+        is_late = capacity.wait(ahead) > self.time_to_send(ticket.send_by, now)
         return RefusalReason.LATE if is_late else None
 
     def _refuse(
@@ -282,17 +302,11 @@
                 reason,
                 length,
                 capacity.wait(ahead),
-                self._time_left(ticket, now),
+                self.time_to_send(ticket.send_by, now),
                 capacity.wait(length),
             )
         )
 
-    def _time_left(self, ticket: Ticket, now: dt.timedelta) -> dt.timedelta:
-        closes_at = self._queueing.closes_at
-        if closes_at is None:
-            return ticket.send_by - now
-        return min(ticket.send_by, closes_at - self._usual_latency()) - now
-
     def _usual_latency(self) -> dt.timedelta:
         return usual_latency(self._upstreams(), self._queueing.loads)
 
--- a/features/gateway_stop.feature
+++ b/features/gateway_stop.feature
@@ -42,3 +42,11 @@
     Given a job whose owner does not answer other entries for 3 s
     When another entry confirms the job's end and is stopped at once
     Then the owner has ended the job when the entry has stopped
+
+  Scenario: a call that waits for its copy is refused when the entry stops
+    Guards against a stop that cuts off a suspected call which was never sent:
+    it waited for another copy of it to end.
+
+    Given an entry with a long call that is suspected, and a copy of it
+    When the entry is stopped as planned with both in progress
+    Then the copy is refused with 503 before the stop ends
--- a/features/steps/gateway_stop_steps.py
+++ b/features/steps/gateway_stop_steps.py
@@ -7,7 +7,9 @@
 
 from behave import given, then, when
 
-from bergamotdoor.types import JobId
+from bergamotdoor.calls.fingerprint import request_fingerprint
+from bergamotdoor.fleet.quarantine import Strike
+from bergamotdoor.types import JobId, UpstreamId
 from features.job_scenes import (
     JOB,
     end_job_at,
@@ -193,3 +195,42 @@
 @then('the owner has ended the job when the entry has stopped')
 def owner_has_ended(context: Any) -> None:
     assert context.ended
+
+
+@given('an entry with a long call that is suspected, and a copy of it')
+def set_up_copy(context: Any) -> None:
+    context.target = '/long/copied'
+
+
+@when('the entry is stopped as planned with both in progress')
+def stop_with_copy(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        site.routes.append(route(HOST, '/long/', 'safe', DESKS, **BOUNDS))
+        await site.start()
+        for service in site.services.values():
+            service.work_s = LONG_WORK_S
+        entry = site.entries.pop('entry-0')
+        fingerprint = request_fingerprint('GET', HOST, context.target, b'')
+        entry._context.strikes.add(Strike(fingerprint, UpstreamId('gone')))
+        calls = []
+        for number in range(2):
+            call = site.ask(
+                'entry-0',
+                'GET',
+                context.target,
+                timeout_s=LONG_WORK_S,
+                Request_Id=f'copy-{number}',
+            )
+            calls.append(asyncio.create_task(call))
+            await asyncio.sleep(0.1)
+        await entry.stop()
+        context.replies = await asyncio.gather(*calls)
+
+    play(scene)
+
+
+@then('the copy is refused with 503 before the stop ends')
+def copy_is_refused(context: Any) -> None:
+    _, copy = context.replies
+    assert copy, 'the copy was cut off'
+    assert copy.status == 503, copy.status
