Answer store calls for other entries during a planned stop

What callers saw: nothing on record; found by asking what waits when an entry stops. An entry that makes a call to the store for another one cut that call off at its end. The other entry could not tell whether its write took effect, so a trainer may be told that its job may run although it does not.

Cause: a stop drained the requests of callers, and cancelled those of other entries.

Change: requests of other entries that have begun get up to a second, the time limit of a store call, within the grace period.

--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -115,7 +115,8 @@
             self._servers.callers,
             self._final_tasks,
         )
-        await planned_stop.run(self._settings.grace)
+        drain = await planned_stop.run(self._settings.grace)
+        await self._servers.stop_internal(drain)
         await self._shut_down()
 
     def use_settings(self, settings: NodeSettings) -> None:
@@ -136,6 +137,7 @@
         await self._tasks.stop()
         await self._final_tasks.stop()
         await self._servers.callers.stop(_NO_TIME)
+        await self._servers.stop_internal(_NO_TIME)
         await self._shut_down()
 
     async def callers(self, request: HttpRequest) -> HttpResponse:
@@ -182,7 +184,6 @@
     async def _shut_down(self) -> None:
         await self._components.owner.stop()
         await self._tasks.stop()
-        await self._servers.stop_internal()
         await self._client.close()
 
     def _on_manifest_change(self) -> None:
--- a/bergamotdoor/gateway/planned_stop.py
+++ b/bergamotdoor/gateway/planned_stop.py
@@ -7,6 +7,8 @@
 import datetime as dt
 from typing import TYPE_CHECKING, Final
 
+from bergamotdoor.objects.client import CALL_TIMEOUT
+
 if TYPE_CHECKING:
     from bergamotdoor.entry.context import Context
     from bergamotdoor.gateway.wiring import EntryComponents
@@ -49,6 +51,10 @@
     owner does not answer. Symptom: the owner runs the job on for seconds.
     Messages about jobs are sent to their end, as time allows.
 
+    Failure: the entry stops while it makes a call to the store for another
+    entry. Symptom: that one can't tell whether its write took effect. A call
+    that was begun is answered, as time allows.
+
     Parameters
     ----------
     context
@@ -74,13 +80,18 @@
         self._callers = callers
         self._final_tasks = final_tasks
 
-    async def run(self, grace: dt.timedelta) -> None:
+    async def run(self, grace: dt.timedelta) -> dt.timedelta:
         """Complete the work in progress; the process may end afterwards.
 
         Parameters
         ----------
         grace
             Time until the platform ends the process.
+
+        Returns
+        -------
+        datetime.timedelta
+            How long requests of other entries may still take.
         """
         stop_by = self._clock.elapsed() + grace - _STOP_MARGIN
         self._context.queueing.closes_at = stop_by - _REFUSAL_TIME
@@ -91,6 +102,7 @@
         await self._callers.stop(self._time_until(stop_by))
         await self._final_tasks.finish(self._time_until(stop_by))
         await self._send_last_messages()
+        return min(self._time_until(stop_by), CALL_TIMEOUT)
 
     async def _send_last_messages(self) -> None:
         """Send what other entries need to know of the last calls."""
--- a/bergamotdoor/gateway/servers.py
+++ b/bergamotdoor/gateway/servers.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import datetime as dt
 from typing import TYPE_CHECKING, Protocol
 
 from bergamotdoor.gateway.limits import INTERNAL_LIMITS, caller_limits
 from bergamotdoor.http import HttpServer
 
 if TYPE_CHECKING:
+    import datetime as dt
     import socket
 
     from bergamotdoor.calls.manifest import CallerLimits
@@ -75,11 +75,15 @@
         """Use a manifest's limits for callers that connect from now on."""
         self.callers.use_limits(caller_limits(limits))
 
-    async def stop_internal(self) -> None:
-        """Stop all servers but the one for callers."""
-        await asyncio.gather(
-            *(server.stop(dt.timedelta()) for server in self._internal)
-        )
+    async def stop_internal(self, drain: dt.timedelta) -> None:
+        """Stop all servers but the one for callers.
+
+        Parameters
+        ----------
+        drain
+            Time after which the requests still in progress are cancelled.
+        """
+        await asyncio.gather(*(server.stop(drain) for server in self._internal))
 
 
 def _make_server(
--- a/features/gateway_stop.feature
+++ b/features/gateway_stop.feature
@@ -50,3 +50,11 @@
     Given an entry with a long call that is suspected, and a copy of it
     When the entry is stopped as planned with both in progress
     Then the copy is refused with 503 before the stop ends
+
+  Scenario: a store call for another entry is answered during a planned stop
+    Guards against a stop that cuts off a call it makes to the store for
+    another entry, which then can't tell whether its write took effect.
+
+    Given an entry whose call to the store takes 0.8 s
+    When the entry is stopped 2.1 s before another entry relays a call there
+    Then the other entry gets the answer of the store
--- a/features/steps/gateway_stop_steps.py
+++ b/features/steps/gateway_stop_steps.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import datetime as dt
 from typing import Any
 
 from behave import given, then, when
 
 from bergamotdoor.calls.fingerprint import request_fingerprint
 from bergamotdoor.fleet.quarantine import Strike
+from bergamotdoor.peers.messages import StoreCall, StoreReply
 from bergamotdoor.types import JobId, UpstreamId
 from features.job_scenes import (
     JOB,
@@ -234,3 +236,33 @@
     _, copy = context.replies
     assert copy, 'the copy was cut off'
     assert copy.status == 503, copy.status
+
+
+@given('an entry whose call to the store takes {answer_s:f} s')
+def set_up_slow_store(context: Any, answer_s: float) -> None:
+    context.answer_s = answer_s
+
+
+@when(
+    'the entry is stopped {wait_s:f} s before another entry relays a call there'
+)
+def relay_during_stop(context: Any, wait_s: float) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        stopping_entry = site.entries.pop('entry-0')
+        site.store.answer_s = context.answer_s
+        stopping = asyncio.create_task(stopping_entry.stop())
+        await asyncio.sleep(wait_s)
+        call = StoreCall('GET', '/-/objects/config', b'', 1000)
+        peers = site.entries['entry-1']._access.peers
+        address = stopping_entry._context.own_address
+        context.reply = await peers.ask(address, call, dt.timedelta(seconds=1))
+        await stopping
+
+    play(scene)
+
+
+@then('the other entry gets the answer of the store')
+def relayed_call_is_answered(context: Any) -> None:
+    assert isinstance(context.reply, StoreReply), context.reply
+    assert context.reply.status == 200, context.reply
