Keep a graceful stop going when SIGTERM is repeated

What callers saw: nothing on record; found by asking what waits when a process stops. A second SIGTERM during the grace period ended the process at once, with all requests in progress.

Cause: any second signal counted as a person who does not want to wait.

Evidence: "a repeated SIGTERM does not cut a graceful stop short" ended at the second signal on the code before.

Change: only SIGINT ends a stopping process at once; its scenario stands as it was. The platform ends a process that takes too long by SIGKILL.

--- a/bergamotdoor/cli/serving.py
+++ b/bergamotdoor/cli/serving.py
@@ -38,9 +38,13 @@
 class StopSignals:
     """Handler of the signals that stop the process.
 
-    The first signal requests a graceful stop. The second one ends the
-    process at once, since its sender doesn't want to wait any longer for
-    the graceful stop.
+    The first signal requests a graceful stop. A SIGINT after it ends the
+    process at once, since a person doesn't want to wait any longer for the
+    graceful stop.
+
+    Failure: the platform repeats SIGTERM during a graceful stop. Symptom: all
+    requests in progress are cut off. A repeated SIGTERM changes nothing; the
+    platform ends a process that takes too long by SIGKILL.
 
     Parameters
     ----------
@@ -62,7 +66,8 @@
     def receive(self, number: signal.Signals) -> None:
         """Handle one signal."""
         if self._stop_requested.is_set():
-            self._end_now(_SIGNAL_EXIT_BASE + number)
+            if number is signal.SIGINT:
+                self._end_now(_SIGNAL_EXIT_BASE + number)
             return
         _log.info('cli: %s received, stopping gracefully', number.name)
         self._stop_requested.set()
--- a/features/cli_main.feature
+++ b/features/cli_main.feature
@@ -55,6 +55,13 @@
     When a daemon of the command line gets SIGTERM after 5 and SIGINT after 6 seconds
     Then the daemon of the command line was ended at 6 seconds with code 130
 
+  Scenario: a repeated SIGTERM does not cut a graceful stop short
+    Guards against requests in progress that are cut off since the platform
+    sends its signal twice.
+
+    When a daemon of the command line gets SIGTERM after 5 and SIGTERM after 6 seconds
+    Then the daemon of the command line was started and stopped, with code 0
+
   Scenario: a daemon of the command line can be stopped while it starts
     # The platform is down and the start waits for it. The stop must not
     # wait for the platform as well.
--- a/features/steps/cli_main_steps.py
+++ b/features/steps/cli_main_steps.py
@@ -195,6 +195,15 @@
     run_daemon(context, FakeDaemon(1, 9), signals_by_s)
 
 
+@when(
+    'a daemon of the command line gets SIGTERM after 5 '
+    'and SIGTERM after 6 seconds'
+)
+def repeat_signal(context: Any) -> None:
+    signals_by_s = {5: signal.SIGTERM, 6: signal.SIGTERM}
+    run_daemon(context, FakeDaemon(1, 3), signals_by_s)
+
+
 @when(
     'a daemon of the command line whose start hangs '
     'gets SIGTERM after 5 seconds'
