Stop former owners of a job in time, and tell them of its end

What callers saw: an entry that was paused for 2.3 s, and replaced as the owner of a batch job, sent the job's items to engines for up to 4 s after it had resumed. The trainer had ended the job before, and the end was confirmed.

Cause: a former owner learned of a takeover, and of an end, by a listing of the store each 2 s that may be seconds old. The end was told to the newest owner only, and the takeover to nobody.

Both examples of the new scenario "a former owner runs nothing of a job that has ended" failed on the code before: with messages between the entries, and without any, while the store's old answers are 3 s old.

Change: - An owner with active jobs reads the current records each 1.5 s, and 0.3 s after a failed read. - A job's record names its last former owners. They are told of a takeover once the new owner has loaded the job, and of the job's end, as often as the newest owner is. - A process that notices that it was paused starts no item before it has read the records, for a second at most if the store does not answer. Processes of earlier releases ignore the new fields.

The model of the store gives old answers to calls that allow for them.

--- a/bergamotdoor/entry/context.py
+++ b/bergamotdoor/entry/context.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Final
 
 import msgspec
 
@@ -27,6 +27,11 @@
     from bergamotdoor.peers.access import StoreAccess
 
 
+#: How many former owners of a job are told of its end. An owner is replaced
+#: only if it does not answer, and a job lasts for seconds.
+_MAX_FORMER_OWNERS: Final = 4
+
+
 class Context(msgspec.Struct, frozen=True):
     """Shared state and services of one entry process."""
 
@@ -114,8 +119,28 @@
             self.own_address, self.settings.zone, self.settings.link_mbps
         )
 
-    def own_record(self, record: JobRecord) -> JobRecord:
-        """Return a copy of a job's record with this process as the owner."""
+    def own_record(
+        self, record: JobRecord, *, replaces_owner: bool
+    ) -> JobRecord:
+        """Return the next record of a job, with this process as the owner.
+
+        Parameters
+        ----------
+        record
+            The record of the present owner.
+        replaces_owner
+            Whether that owner does not know that it is replaced.
+        """
+        former = (
+            (*record.former, record.address)
+            if replaces_owner
+            else record.former
+        )
+        others = [one for one in former if one != self.own_address]
         return msgspec.structs.replace(
-            record, owner=self.settings.node, address=self.own_address
+            record,
+            owner=self.settings.node,
+            address=self.own_address,
+            term=record.term + 1,
+            former=tuple(others[-_MAX_FORMER_OWNERS:]),
         )
--- a/bergamotdoor/jobs/messages.py
+++ b/bergamotdoor/jobs/messages.py
@@ -111,6 +111,9 @@
     parts: int
     #: Client account of the job; empty if it has none.
     account: AccountId = AccountId('')
+    #: Addresses of former owners that may not know that they were replaced,
+    #: the last ones.
+    former: tuple[Address, ...] = ()
 
 
 class JobStatus(msgspec.Struct, frozen=True):
--- a/bergamotdoor/peers/messages.py
+++ b/bergamotdoor/peers/messages.py
@@ -30,6 +30,7 @@
 )
 
 PEER_PATH: Final = '/peer'
+NO_MODEL: Final = ModelId('')
 
 
 class ReadResults(msgspec.Struct, frozen=True, tag=True):
@@ -83,11 +84,18 @@
 
 
 class JobOwned(msgspec.Struct, frozen=True, tag=True):
-    """Notification of who owns a job; saves the receivers a store read."""
+    """Notification of who owns a job.
+
+    It saves the receivers a store read, and stops a former owner.
+    """
 
     job: JobId
     record: JobRecord
+    #: Model of a job that was just submitted; ``NO_MODEL`` for a job that was
+    #: taken over, which need not be the newest one of its model.
     model: ModelId
+    #: Revision of the record; 0 if an earlier release sent the message.
+    revision: Revision = Revision(0)
 
 
 class EngineLoaded(msgspec.Struct, frozen=True, tag=True):
--- a/bergamotdoor/steps/job_finder.py
+++ b/bergamotdoor/steps/job_finder.py
@@ -17,6 +17,8 @@
 from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from bergamotdoor.entry.context import Context
     from bergamotdoor.jobs.messages import JobRecord
     from bergamotdoor.objects.job_codec import FoundJob, LoadedJob
@@ -53,6 +55,9 @@
         self._context = context
         self._store = store
         self._owner = owner
+        #: Called with each job that this process has taken over and loaded.
+        #: A former owner that is alive may run the job until then.
+        self.on_takeover: Callable[[FoundJob], None] = _ignore
         self._records: dict[JobId, JobRecord] = {}
         #: Addresses of the owners of each model's newest job.
         self._newest_owners: dict[ModelId, Address] = {}
@@ -154,10 +159,13 @@
             job,
             found.record.owner,
         )
-        claimed = await self._claim(found)
+        claimed = await self._claim(found, replaces_owner=True)
         if isinstance(claimed, Outcome):
             return claimed
-        return await self.adopt(claimed)
+        run = await self.adopt(claimed)
+        if not isinstance(run, Outcome):
+            self.on_takeover(claimed)
+        return run
 
     async def adopt(self, found: FoundJob) -> JobRun | Outcome:
         """Load a job from the store and run it; an ended job is only served.
@@ -190,19 +198,20 @@
         loaded
             The job's body, results and partial transcripts.
         """
-        claimed = await self._claim(found)
+        claimed = await self._claim(found, replaces_owner=False)
         if isinstance(claimed, Outcome):
             return claimed
         return self._owner.adopt(claimed, loaded)
 
-    async def _claim(self, found: FoundJob) -> FoundJob | Outcome:
+    async def _claim(
+        self, found: FoundJob, *, replaces_owner: bool
+    ) -> FoundJob | Outcome:
         """Become a job's owner in the store; NOT_DONE if that failed."""
         if self._owner.stopping:
             return Outcome.NOT_DONE
-        next_term = msgspec.structs.replace(
-            found.record, term=found.record.term + 1
+        own = self._context.own_record(
+            found.record, replaces_owner=replaces_owner
         )
-        own = self._context.own_record(next_term)
         claimed = await self._store.claim(found, own)
         if isinstance(claimed, Outcome):
             return claimed
@@ -217,3 +226,7 @@
         if not isinstance(found, Outcome):
             self.cache_record(job, found.record)
         return found
+
+
+def _ignore(found: FoundJob) -> None:
+    """Do nothing; stands for a callback that is not set."""
--- a/bergamotdoor/steps/job_handoff.py
+++ b/bergamotdoor/steps/job_handoff.py
@@ -20,7 +20,7 @@
 from bergamotdoor.jobs.ledger import Ledger
 from bergamotdoor.jobs.messages import JobStatus
 from bergamotdoor.objects.job_codec import FoundJob, LoadedJob
-from bergamotdoor.peers.messages import TakeOver
+from bergamotdoor.peers.messages import JobOwned, TakeOver
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
@@ -121,11 +121,10 @@
     )
 
 
-def found_job_in(message: TakeOver | AdoptJob) -> FoundJob:
+def found_job_in(message: TakeOver | AdoptJob | JobOwned) -> FoundJob:
     """Return the job's record that a message carries."""
-    return FoundJob(
-        message.spec.job, message.record, JobStatus(), message.revision
-    )
+    job = message.job if isinstance(message, JobOwned) else message.spec.job
+    return FoundJob(job, message.record, JobStatus(), message.revision)
 
 
 def loaded_job_in(message: TakeOver) -> LoadedJob:
--- a/bergamotdoor/steps/job_submission.py
+++ b/bergamotdoor/steps/job_submission.py
@@ -87,10 +87,10 @@
         self._owner.end(job)
         # This process may run the job, or may have run it before, although
         # another entry is its owner now.
-        if found is not None:
-            self._finder.cache_record(job, found.record)
-        if found is None or not self._finder.is_own(found.record):
-            self._notifier.notify_of_end(job)
+        record = None if found is None else found.record
+        if record is not None:
+            self._finder.cache_record(job, record)
+        self._notifier.notify_of_end(job, record)
         return None
 
     def _first_record(self, spec: JobSpec) -> JobRecord:
--- a/bergamotdoor/steps/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -11,10 +11,10 @@
 from bergamotdoor.steps.dispatcher import Dispatcher
 from bergamotdoor.steps.item_saving import save_open_items
 from bergamotdoor.steps.job_run import JobRun, RunState
+from bergamotdoor.steps.ownership import OwnershipCheck
 from bergamotdoor.steps.result_writer import ResultWriter
 from bergamotdoor.steps.scorer import Scorer
 from bergamotdoor.steps.step_planner import StepPlanner
-from bergamotdoor.stored import Outcome
 from bergamotdoor.tasks import Tasks
 
 if TYPE_CHECKING:
@@ -29,10 +29,6 @@
 #: Interval at which running items are checked, and items that wait for the
 #: end of a pause or of a quarantine.
 _TICK_INTERVAL_S: Final = 0.1
-#: Interval at which the owner checks in the store whether its jobs were ended
-#: or taken over by a process that could not notify it. A stale list costs a
-#: tenth of a store call.
-_STORE_CHECK_INTERVAL_S: Final = 2
 #: How long a job may have no route. It may have been submitted by a route
 #: that this process does not know yet. After this time every manifest is in
 #: force at every entry, so the route was removed.
@@ -67,6 +63,9 @@
         #: Forecasts of the open jobs.
         self.planner = StepPlanner(context, manifests)
         self._scorer = Scorer(context, manifests, self.wake_up)
+        self._ownership = OwnershipCheck(
+            store, context.clock, self.apply_record
+        )
         self._runs: dict[JobId, JobRun] = {}
         #: Jobs whose end was reported while this process did not have them.
         self._early_ends: tuple[JobId, ...] = ()
@@ -83,7 +82,7 @@
     def start(self) -> None:
         """Start the background tasks."""
         self._tasks.start(self._run_items())
-        self._tasks.start(self._check_store())
+        self._tasks.start(self._ownership.run(self._retain_jobs))
 
     async def stop(self) -> None:
         """Stop all items at once, and wait for the background tasks."""
@@ -111,6 +110,31 @@
         """Drop a job that another process owns from now on."""
         self._runs.pop(job, None)
 
+    def apply_record(self, found: FoundJob) -> None:
+        """End a job that has ended, or stop it if another process owns it.
+
+        Parameters
+        ----------
+        found
+            The job's record as it is stored, or as its owner announced it.
+        """
+        run = self._runs.get(found.job)
+        if run is None:
+            return
+        if found.status.ended:
+            self.end(found.job)
+        if found.record.owner == self._context.settings.node:
+            run.update_record(found)
+        elif found.record.term > run.stored_job.record.term:
+            _log.info(
+                'gateway: job %s is owned by %s, term %d',
+                found.job,
+                found.record.owner,
+                found.record.term,
+            )
+            run.stop()
+            self.drop_job(found.job)
+
     def wake_up(self) -> None:
         """Start waiting items now, since slots or routes may have changed."""
         self._wake.set()
@@ -200,13 +224,17 @@
         """Start score calls, the earliest due first, and move and start items.
 
         Nothing starts before the strikes are known: a step may be taken over
-        because of them, and its items be what crashed the engines.
+        because of them, and its items be what crashed the engines. Nor does
+        anything while another process may own the jobs.
 
         Moves come first: a free slot at a fast engine is for an item that has
         outgrown its length hint at a slow one. The job waits longer for that
         item than for one that has not started.
         """
-        if not self._context.startup.knows_strikes:
+        if (
+            self._ownership.is_suspended
+            or not self._context.startup.knows_strikes
+        ):
             return
         active = [run for run in self._runs.values() if run.active]
         active.sort(key=_due_at)
@@ -242,28 +270,11 @@
                 )
                 run.mark_open_items_lost()
 
-    async def _check_store(self) -> None:
-        """Apply ends and takeovers that the store has, at an interval."""
-        while True:
-            await asyncio.sleep(_STORE_CHECK_INTERVAL_S)
-            self._runs = dict(_retained(self._runs, self._context))
-            self.planner.retain_jobs(self._runs)
-            if not _any_active(self._runs):
-                continue
-            jobs = await self._store.all_jobs(stale=True)
-            if not isinstance(jobs, Outcome):
-                self._apply_stored_jobs(jobs)
-
-    def _apply_stored_jobs(self, jobs: tuple[FoundJob, ...]) -> None:
-        for found in jobs:
-            run = self._runs.get(found.job)
-            if run is None:
-                continue
-            if found.status.ended:
-                self.end(found.job)
-            if found.record.term > run.stored_job.record.term:
-                run.stop()
-                self.drop_job(found.job)
+    def _retain_jobs(self) -> bool:
+        """Drop jobs that no client reads; return whether any is active."""
+        self._runs = dict(_retained(self._runs, self._context))
+        self.planner.retain_jobs(self._runs)
+        return _any_active(self._runs)
 
 
 def _ignore(run: JobRun) -> None:
--- a/bergamotdoor/steps/peer_notifier.py
+++ b/bergamotdoor/steps/peer_notifier.py
@@ -10,6 +10,7 @@
 
 from bergamotdoor.peers.directory import home_order
 from bergamotdoor.peers.messages import (
+    NO_MODEL,
     AdoptJob,
     Done,
     EngineLoaded,
@@ -21,7 +22,7 @@
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
-    from bergamotdoor.jobs.messages import JobSpec
+    from bergamotdoor.jobs.messages import JobRecord, JobSpec
     from bergamotdoor.objects.job_codec import FoundJob
     from bergamotdoor.peers.client import PeerClient
     from bergamotdoor.peers.directory import Directory
@@ -32,11 +33,12 @@
     from bergamotdoor.tasks import Tasks
     from bergamotdoor.types import JobId, ModelId, ZoneId
 
-#: How often the end of a job is sent to its owner, and the pause between two
-#: attempts. After the last one the owner finds the end in the store.
-_END_NOTICE_ATTEMPTS: Final = 5
-_END_NOTICE_PAUSE_MS: Final = 300
-_END_NOTICE_PAUSE: Final = dt.timedelta(milliseconds=_END_NOTICE_PAUSE_MS)
+#: How often an owner is told that its job has ended, or that it was replaced,
+#: and the pause between two attempts. After the last one the owner finds it in
+#: the store.
+_NOTICE_ATTEMPTS: Final = 5
+_NOTICE_PAUSE_MS: Final = 300
+_NOTICE_PAUSE: Final = dt.timedelta(milliseconds=_NOTICE_PAUSE_MS)
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
 
 #: How long an entry may take to accept a handoff. Loading a job from the
@@ -86,6 +88,7 @@
         self._peers = peers
         self._tasks = tasks
         self._clock = clock
+        finder.on_takeover = self.notify_former_owners
 
     def send_to_preferred_owner(self, found: FoundJob, spec: JobSpec) -> None:
         """Send a new job to its preferred owner.
@@ -114,10 +117,21 @@
         ask the store once a job: 800 calls in half a minute with four
         trainers and 27 entries.
         """
-        message = JobOwned(found.job, found.record, model)
+        message = JobOwned(found.job, found.record, model, found.revision)
         for entry in self.directory.entries.values():
             self._tasks.start(self._send(entry.address, message))
 
+    def notify_former_owners(self, found: FoundJob) -> None:
+        """Notify the former owners of a job that this process has taken over.
+
+        Failure: only the next reader's entry learns of a takeover. Symptom:
+        the former owner, which was paused, runs the job until its next check
+        of the store.
+        """
+        message = JobOwned(found.job, found.record, NO_MODEL, found.revision)
+        for former in found.record.former:
+            self._tasks.start(self._send_until_done(former, message))
+
     def forward_engine_loaded(
         self, message: EngineLoaded | LoadAnnounced
     ) -> None:
@@ -153,9 +167,21 @@
             if accepted:
                 return
 
-    def notify_of_end(self, job: JobId) -> None:
-        """Notify a job's owner that the job was ended."""
-        self._tasks.start(self._notify_of_end(job))
+    def notify_of_end(self, job: JobId, record: JobRecord | None) -> None:
+        """Notify the other owners of a job that the job was ended.
+
+        Parameters
+        ----------
+        job
+            The job.
+        record
+            Its record, with the former owners, which may not know that they
+            were replaced; ``None`` if it is unreadable.
+        """
+        if record is None or not self._finder.is_own(record):
+            self._tasks.start(self._notify_owner_of_end(job))
+        for former in () if record is None else record.former:
+            self._tasks.start(self._send_until_done(former, JobEnded(job)))
 
     async def _send(
         self, address: Address, message: JobOwned | EngineLoaded | LoadAnnounced
@@ -177,14 +203,22 @@
         if reply is None:
             await self._finder.take_over(found.job, found.record)
 
-    async def _notify_of_end(self, job: JobId) -> None:
-        for _ in range(_END_NOTICE_ATTEMPTS):
+    async def _send_until_done(
+        self, address: Address, message: JobOwned | JobEnded
+    ) -> None:
+        for _ in range(_NOTICE_ATTEMPTS):
+            if isinstance(await self._peers.ask(address, message), Done):
+                return
+            await self._clock.sleep(_NOTICE_PAUSE)
+
+    async def _notify_owner_of_end(self, job: JobId) -> None:
+        for _ in range(_NOTICE_ATTEMPTS):
             record = await self._finder.find_record(job)
             if not isinstance(record, Outcome):
                 reply = await self._peers.ask(record.address, JobEnded(job))
                 if isinstance(reply, Done):
                     return
-            await self._clock.sleep(_END_NOTICE_PAUSE)
+            await self._clock.sleep(_NOTICE_PAUSE)
         _log.warning(
             'gateway: job %s: its owner could not be notified of its end', job
         )
--- a/bergamotdoor/steps/peer_service.py
+++ b/bergamotdoor/steps/peer_service.py
@@ -8,6 +8,7 @@
 from bergamotdoor.jobs.ledger import Ledger, page_limit_bytes
 from bergamotdoor.objects.job_codec import LoadedJob
 from bergamotdoor.peers.messages import (
+    NO_MODEL,
     AdoptJob,
     AskStrikes,
     Done,
@@ -82,7 +83,7 @@
         self._handlers: dict[type[Any], Callable[[Any], PeerReply | None]] = {}
         self.register(AdoptJob, self._adopt)
         self.register(JobEnded, self._end)
-        self.register(JobOwned, self._cache_owner)
+        self.register(JobOwned, self._apply_owner)
         engine_loads = EngineLoads(context, notifier, owner.wake_up)
         for message_type, handler in engine_loads.handlers.items():
             self.register(message_type, handler)
@@ -128,8 +129,11 @@
     def _end(self, message: JobEnded) -> None:
         self._owner.end(message.job)
 
-    def _cache_owner(self, message: JobOwned) -> None:
-        self._finder.cache_record(message.job, message.record, message.model)
+    def _apply_owner(self, message: JobOwned) -> None:
+        model = None if message.model == NO_MODEL else message.model
+        self._finder.cache_record(message.job, message.record, model)
+        if not self._finder.is_own(message.record):
+            self._owner.apply_record(found_job_in(message))
 
     async def _read(self, message: ReadResults | ReadBody) -> PeerReply:
         """Return a page or a body of a job, if this process owns the job."""
--- a/features/gateway_takeovers.feature
+++ b/features/gateway_takeovers.feature
@@ -55,3 +55,17 @@
 
     Given a site whose job is ended while its next owner takes 1.4 s to load it
     Then no engine works on its items half a second later
+
+  Scenario Outline: a former owner runs nothing of a job that has ended
+    Guards against an owner that was replaced, and is told neither of the
+    takeover nor of the job's end. It read of them in an answer of the store
+    that was seconds old, and ran the job for over 3 s after its end.
+
+    Given a site whose owner was replaced, and <news> from then on
+    When the job is ended at a third entry
+    Then no item reaches an engine later than 3 s after the end
+
+    Examples:
+      | news                                            |
+      | receives the messages of other entries          |
+      | receives nothing, and its store answers are old |
--- a/features/steps/gateway_takeovers_steps.py
+++ b/features/steps/gateway_takeovers_steps.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Any
 
-from behave import given, then
+from behave import given, then, when
 
 from bergamotdoor.peers.directory import EntryRecord
 from features.job_scenes import (
@@ -21,6 +21,13 @@
 from lab.site import Site, at, play
 from lab.store import Store, StoreMode
 
+#: How old the answers of the store are to calls that allow for old ones.
+STALE_S = 3
+#: Time after the confirmed end of a job in which its items may still start.
+END_EFFECT_S = 3
+#: More items than the engines run until then.
+MANY_ITEMS = [[20, 20, 20, 20] for _ in range(40)]
+
 
 @given('a site whose job has a second owner and is ended at a third entry')
 def ended_elsewhere(context: Any) -> None:
@@ -197,3 +204,45 @@
         context.running = running_requests(site)
 
     play(scene)
+
+
+@given('a site whose owner was replaced, and {news} from then on')
+def replaced_owner(context: Any, news: str) -> None:
+    context.is_silent = news.startswith('receives nothing')
+
+
+@when('the job is ended at a third entry')
+def end_at_third(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        site.store.stale_s = STALE_S
+        await site.start(entries=3)
+        await submit_job(site, MANY_ITEMS)
+        first = owner_of(site)
+        second, third = (name for name in sorted(site.ports) if name != first)
+        if context.is_silent:
+            setattr(  # noqa: B010
+                site.entries[first]._components.peer_service,
+                'handle',
+                wait_forever,
+            )
+        await take_over_at(site, second)
+        await end_job_at(site, third)
+        ended_s = asyncio.get_running_loop().time()
+        await asyncio.sleep(STALE_S + END_EFFECT_S)
+        context.late_items = [
+            seen.request
+            for engine in site.engines.values()
+            for seen in engine.seen
+            if seen.at_s > ended_s + END_EFFECT_S
+        ]
+
+    play(scene)
+
+
+async def wait_forever(_message: Any) -> Any:
+    await asyncio.Event().wait()
+
+
+@then('no item reaches an engine later than 3 s after the end')
+def no_late_items(context: Any) -> None:
+    assert not context.late_items, context.late_items
--- a/lab/objects.py
+++ b/lab/objects.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import enum
 import json
-from typing import TYPE_CHECKING, Any, NamedTuple
+from collections import deque
+from typing import TYPE_CHECKING, Any, Final, NamedTuple
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -12,7 +14,7 @@
 #: An object as the protocol writes it: metadata, spec and status.
 Stored = dict[str, Any]
 
-_FIRST_REVISION = 7
+_FIRST_REVISION: Final = 7
 
 
 class Refusal(enum.Enum):
@@ -91,6 +93,15 @@
             name: stored['spec'] for name, stored in self.of_kind(kind).items()
         }
 
+    def copy(self) -> ObjectTable:
+        """Return a table with the present objects, without their history."""
+        copied = ObjectTable()
+        copied.objects = {
+            kind: dict(objects) for kind, objects in self.objects.items()
+        }
+        copied.revision = self.revision
+        return copied
+
     def forget(self) -> None:
         """Drop the history of changes."""
         self.forgotten = self.revision
@@ -117,7 +128,7 @@
             return WriteResult(None, stored)
         sent = json.loads(call.body)
         if len(call.parts) > 2:
-            stored['status'] = sent['status']
+            self.objects[kind][name] = {**stored, 'status': sent['status']}
             return WriteResult(None, self.put(kind, name, stored['spec']))
         return self._replace(kind, stored, sent)
 
@@ -140,3 +151,41 @@
         self, kind: str, *, removed: bool, stored: Stored
     ) -> None:
         self.history.append(Written(self.revision, kind, removed, dict(stored)))
+
+
+class PastTables:
+    """Earlier states of a table, for calls that allow for old answers."""
+
+    def __init__(self) -> None:
+        #: States, with the loop times until which they were current.
+        self._tables: deque[tuple[float, ObjectTable]] = deque()
+
+    def keep(self, table: ObjectTable, age_s: float) -> None:
+        """Keep the state of a table that is about to change.
+
+        Parameters
+        ----------
+        table
+            The table.
+        age_s
+            How long its state may be asked for; 0 if it is never asked for.
+        """
+        if not age_s:
+            return
+        now_s = asyncio.get_running_loop().time()
+        self._tables.append((now_s, table.copy()))
+        while self._tables[0][0] < now_s - age_s:
+            self._tables.popleft()
+
+    def find(self, age_s: float) -> ObjectTable | None:
+        """Return the state of some time ago; ``None`` if it is still current.
+
+        Parameters
+        ----------
+        age_s
+            How long ago, at most as long as states are kept.
+        """
+        then_s = asyncio.get_running_loop().time() - age_s
+        return next(
+            (table for until_s, table in self._tables if until_s > then_s), None
+        )
--- a/lab/store.py
+++ b/lab/store.py
@@ -15,7 +15,7 @@
 from bergamotdoor.http.messages import Headers, HttpRequest, HttpResponse
 from bergamotdoor.http.server import HttpServer
 from bergamotdoor.settings.process import HttpLimits
-from lab.objects import ObjectTable, Stored, WriteCall
+from lab.objects import ObjectTable, PastTables, Stored, WriteCall
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -60,6 +60,7 @@
     after: str
     since: int | None
     wait_s: float
+    may_be_stale: bool
 
 
 class WriteFaults(msgspec.Struct):
@@ -91,6 +92,9 @@
         self.list_s = float()
         #: The extra time that listings of a kind take, by kind.
         self.kind_s: dict[str, float] = {}
+        #: How old the answers to calls are that allow for old ones.
+        self.stale_s = float()
+        self._past = PastTables()
         self._objects_changed = asyncio.Event()
         self._watches_cut = asyncio.Event()
         self._watches_ended = asyncio.Event()
@@ -107,12 +111,14 @@
 
     def put(self, kind: str, name: str, spec: object) -> Stored:
         """Write an object as operators, trainers and engines do."""
+        self._past.keep(self.table, self.stale_s)
         stored = self.table.put(kind, name, spec)
         self._notify_watches()
         return stored
 
     def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
+        self._past.keep(self.table, self.stale_s)
         self.table.remove(kind, name)
         self._notify_watches()
 
@@ -154,7 +160,10 @@
         return response
 
     async def _read(self, query: _ReadQuery) -> HttpResponse:
-        known = self.table.of_kind(query.kind)
+        table = self.table
+        if query.may_be_stale and self.stale_s:
+            table = self._past.find(self.stale_s) or table
+        known = table.of_kind(query.kind)
         if query.name:
             stored = known.get(query.name)
             if stored is None:
@@ -166,7 +175,7 @@
         page = {
             'items': [known[name] for name in names[:_PAGE_SIZE]],
             'more_pages': len(names) > _PAGE_SIZE,
-            'as_of': self.table.revision,
+            'as_of': table.revision,
         }
         # The page is built before the delay, so it can be outdated when it
         # arrives.
@@ -239,6 +248,7 @@
         return response
 
     def _apply_write(self, call: WriteCall) -> HttpResponse:
+        self._past.keep(self.table, self.stale_s)
         outcome = self.table.write(call)
         self._notify_watches()
         if outcome.refusal is not None:
@@ -284,6 +294,7 @@
         after=values_by_name.get('after', ''),
         since=None if since is None else int(since),
         wait_s=int(values_by_name.get('wait_ms', 0)) / 1000,
+        may_be_stale='allow_stale' in values_by_name,
     )
 
 
