Have the store of the model give old answers where calls allow for them

It now answers such calls with the state of 3 s ago.

The trace: an entry read the store 6 ms before the job was created, and its 404 arrived at the very moment of the acceptance. The rule counts a denial later than a bound after the acceptance. The check compared with the acceptance as known when the response arrived; it now compares with the one known when the request was sent, and is as strict otherwise.

--- a/lab/model/trainer.py
+++ b/lab/model/trainer.py
@@ -92,10 +92,11 @@
         """
         after = max(len(witness.read) - back, 0)
         pauses = entry.pauses
+        was_accepted = witness.accepted
         page = await self.page(entry, after, _PAGE_WAIT_MS)
         now_s = asyncio.get_running_loop().time()
         if page == HTTPStatus.NOT_FOUND:
-            witness.see_denied()
+            witness.see_denied(was_accepted=was_accepted)
         elif isinstance(page, dict) and entry.pauses == pauses:
             witness.see_page(after, page, now_s)
 
@@ -136,6 +137,7 @@
         A response that an entry gave across a pause or a kill is not checked.
         """
         pauses = entry.pauses
+        was_accepted = witness.accepted
         target = f'{names.BODY_PATH}{JOB}?id={item}'
         response = await _send_request(entry, 'GET', target)
         if response is None or entry.pauses != pauses:
@@ -143,18 +145,19 @@
         if response.status == HTTPStatus.OK:
             witness.see_body(item, _body_bytes(response))
         elif response.status == HTTPStatus.NOT_FOUND:
-            witness.see_body(item, None)
+            witness.see_body_denied(item, was_accepted=was_accepted)
 
     async def end(self, entry: ModelEntry, witness: Witness) -> None:
         """Request at an entry that the job ends."""
         target = f'{names.RESULTS_PATH}{JOB}'
+        was_accepted = witness.accepted
         response = await _send_request(entry, 'DELETE', target)
         if response is None:
             return
         if response.status == HTTPStatus.OK:
             witness.see_end(asyncio.get_running_loop().time())
         elif response.status == HTTPStatus.NOT_FOUND:
-            witness.see_denied()
+            witness.see_denied(was_accepted=was_accepted)
 
     def _remove_call(self, task: asyncio.Task[None]) -> None:
         self._calls.discard(task)
--- a/lab/model/witness.py
+++ b/lab/model/witness.py
@@ -140,18 +140,36 @@
             )
         self.checked += 1
 
-    def see_denied(self) -> None:
-        """Check a response which says that there is no such job."""
-        if self.accepted:
+    def see_denied(self, *, was_accepted: bool) -> None:
+        """Check a response which says that there is no such job.
+
+        Parameters
+        ----------
+        was_accepted
+            Whether the job was accepted before the request was sent. An entry
+            that read the store before may deny it at the same moment.
+        """
+        if was_accepted:
             self._record_broken(Promise.ACCEPTED, 'no such job')
 
-    def see_body(self, item: str, body: bytes | None) -> None:
-        """Check the body of an item; ``None`` if the entry denied it."""
+    def see_body(self, item: str, body: bytes) -> None:
+        """Check the body of an item."""
+        self.checked += 1
+        if body != str(self.lengths[item]).encode():
+            self._record_broken(Promise.BODY, f'{body!r} of item {item}')
+
+    def see_body_denied(self, item: str, *, was_accepted: bool) -> None:
+        """Check a response which says that an item has no body.
+
+        Parameters
+        ----------
+        item
+            The item.
+        was_accepted
+            Whether the job was accepted before the request was sent.
+        """
         self.checked += 1
-        if body is not None:
-            if body != str(self.lengths[item]).encode():
-                self._record_broken(Promise.BODY, f'{body!r} of item {item}')
-        elif self.accepted and item not in self.listed and not self.ended:
+        if was_accepted and item not in self.listed and not self.ended:
             self._record_broken(
                 Promise.BODY, f'item {item} is not listed, yet denied'
             )
--- a/lab/model/world.py
+++ b/lab/model/world.py
@@ -42,6 +42,8 @@
 #: after their start.
 _STARTUP_S: Final = 1.2
 _SCORER_NAME: Final = 'scorer'
+#: How old the answers of the store are to calls that allow for old ones.
+_STALE_S: Final = 3
 _JOB_DUE_MS: Final = 7500
 _SCORE_TIMEOUT_MS: Final = 1500
 _ROUTES: Final = (
@@ -74,6 +76,7 @@
         self.plan = plan
         self._clock = virtual_clock()
         self._store = Store(_address_at(_STORE_PORT), self._clock)
+        self._store.stale_s = _STALE_S
         self.engines = {
             f'engine-{number}': ModelEngine(self._check_item_start)
             for number in range(_ENGINE_COUNT)
