Keep what the new owner of a job has saved from its former owner

What callers saw: nothing on record; found by going through what a former owner does. An owner that was paused and replaced saved what its items had over what the new owner had saved since. The next owner would generate texts again, and run an item that fails everywhere more often than its route allows.

Cause: open items were saved whatever the revision of their object.

Evidence: "a former owner does not overwrite what the new owner has saved" loaded 1 failure in place of 2 when the condition is taken out, 2 with it.

Change: a save has the term of its owner, and is written at the revision of the last save only. After a conflict, what a later term has saved is kept; else the save is repeated at the present revision. The first save of a job that was not loaded from the store takes one call more.

--- a/bergamotdoor/objects/client.py
+++ b/bergamotdoor/objects/client.py
@@ -278,11 +278,26 @@
         )
 
     async def put_status(
-        self, kind: str, name: str, status: bytes
+        self,
+        kind: str,
+        name: str,
+        status: bytes,
+        revision: Revision | None = None,
     ) -> StoredObject | Conflict | Outcome:
-        """Replace an object's status at any revision."""
+        """Replace an object's status.
+
+        Parameters
+        ----------
+        kind, name
+            The object.
+        status
+            The encoded status.
+        revision
+            The revision at which the object must still be; ``None`` replaces
+            the status at any revision.
+        """
         self.counts.add(CallType.WRITE, kind)
-        body = store_wire.status_body(name, status)
+        body = store_wire.status_body(name, status, revision)
         return await self._write(
             'PUT', store_paths.status_path(kind, name), body
         )
--- a/bergamotdoor/objects/job_codec.py
+++ b/bergamotdoor/objects/job_codec.py
@@ -70,10 +70,12 @@
     read_at: dt.timedelta | None = None
 
 
-class _Partial(msgspec.Struct):
+class Checkpoint(msgspec.Struct, frozen=True):
     """Saved transcripts of items that have not finished."""
 
     items: dict[ItemId, SavedTranscript]
+    #: Term of the owner that saved them; 0 if an earlier release did.
+    term: int = 0
 
 
 class _Part(msgspec.Struct):
@@ -154,8 +156,11 @@
         return Outcome.ABSENT
     items = tuple(item for part in parts for item in part.items)
     spec = msgspec.structs.replace(parts[0].head, items=items)
+    first_part = next(numbered(listing, part_name))
     return LoadedJob(
-        spec, Ledger(_decode_records(listing)), _decode_partial(listing)
+        spec,
+        Ledger(_decode_records(listing)),
+        checkpoint_of(first_part).items,
     )
 
 
@@ -169,17 +174,16 @@
     return map(record_of, numbered(listing, record_name))
 
 
-def _decode_partial(listing: Listing) -> dict[ItemId, SavedTranscript]:
-    """Return the saved transcripts of unfinished items.
+def checkpoint_of(first_part: StoredObject) -> Checkpoint:
+    """Return the transcripts in the status of a job's first part.
 
-    The result is empty if they can't be decoded: items without a saved
-    transcript start from the beginning.
+    There are none if they can't be decoded: items without a saved transcript
+    start from the beginning.
     """
-    first_part = next(numbered(listing, part_name))
     try:
         with reading(f'status of {first_part.name}'):
-            partial = msgspec.json.decode(
-                first_part.status or b'null', type=_Partial | None
+            checkpoint = msgspec.json.decode(
+                first_part.status or b'null', type=Checkpoint | None
             )
     except UnreadableError as error:
         _log.warning(
@@ -187,8 +191,8 @@
             'from the beginning: %s',
             error,
         )
-        return {}
-    return {} if partial is None else partial.items
+        return Checkpoint({})
+    return checkpoint or Checkpoint({})
 
 
 def record_of(stored: StoredObject) -> ResultRecord:
@@ -203,6 +207,7 @@
         return msgspec.json.decode(stored.spec, type=ResultRecord)
 
 
-def partial_body(partial: dict[ItemId, SavedTranscript]) -> bytes:
+def checkpoint_body(checkpoint: Checkpoint) -> bytes:
     """Encode saved transcripts, the longest that fit into one object."""
-    return msgspec.json.encode(_Partial(dict(_select_fitting(partial))))
+    fitting = dict(_select_fitting(checkpoint.items))
+    return msgspec.json.encode(Checkpoint(fitting, checkpoint.term))
--- a/bergamotdoor/objects/job_store.py
+++ b/bergamotdoor/objects/job_store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from itertools import islice
 from typing import TYPE_CHECKING, Final
 
 import msgspec
@@ -15,16 +16,19 @@
     ResultRecord,
 )
 from bergamotdoor.objects.job_codec import (
+    Checkpoint,
     FoundJob,
     LoadedJob,
+    checkpoint_body,
+    checkpoint_of,
     found_job,
     loaded_job,
-    partial_body,
     record_of,
     split,
 )
 from bergamotdoor.objects.job_names import (
     JOB_KIND,
+    numbered,
     part_name,
     parts_kind,
     record_name,
@@ -36,11 +40,11 @@
     StoredObject,
     UnreadableError,
 )
+from bergamotdoor.types import Revision
 
 if TYPE_CHECKING:
-    from bergamotdoor.jobs.transcript import SavedTranscript
     from bergamotdoor.objects.client import ObjectClient
-    from bergamotdoor.types import ItemId, JobId
+    from bergamotdoor.types import JobId
 
 #: Attempts of a call with an unclear outcome before UNCLEAR is returned, and
 #: the pause after each.
@@ -49,6 +53,10 @@
 #: Timeout for each part of a new job. A store that is sixty times slower than
 #: usual needs a quarter of it, the slowest link another quarter.
 _PART_TIMEOUT_S: Final = 0.9
+#: No object has this revision, so a write at it returns the present object.
+_UNKNOWN_REVISION: Final = Revision(0)
+#: For how many jobs the revision of the last save is remembered.
+_MAX_REVISIONS: Final = 256
 
 _log = logging.getLogger('bergamotdoor.objects')
 _reader: Final = ObjectReader(_log, 'objects')
@@ -74,6 +82,8 @@
 
     def __init__(self, store: ObjectClient) -> None:
         self._store = store
+        #: Revisions at which this process last saw the first parts of jobs.
+        self._saved_at: dict[JobId, Revision] = {}
 
     async def submit(
         self, spec: JobSpec, record: JobRecord
@@ -188,6 +198,8 @@
         listing = await self._store.listing(parts_kind(job))
         if isinstance(listing, Outcome):
             return listing
+        for first_part in islice(numbered(listing, part_name), 1):
+            self._remember_revision(job, first_part.revision)
         try:
             return loaded_job(listing)
         except UnreadableError as error:
@@ -252,23 +264,48 @@
         found = await self._store.get(parts_kind(job), record_name(number))
         return found if isinstance(found, Outcome) else _decode_record(found)
 
-    async def keep_partial(
-        self, job: JobId, partial: dict[ItemId, SavedTranscript]
-    ) -> None:
-        """Save the transcripts of unfinished items.
+    async def save(self, job: JobId, checkpoint: Checkpoint) -> None:
+        """Save the transcripts of unfinished items, unless a later owner has.
 
         A failure is only logged: items without a saved transcript start from
         the beginning after a takeover, which costs time but no results.
+
+        Failure: a former owner, which was paused, saves what it has after the
+        new owner has saved more. Symptom: the next owner generates texts
+        again, and runs an item that fails everywhere more often than its route
+        allows. So the status is written at the revision of the last save only,
+        and what a later term has saved is kept.
         """
-        outcome = await self._store.put_status(
-            parts_kind(job), part_name(0), partial_body(partial)
-        )
-        if not isinstance(outcome, StoredObject):
+        outcome = await self._write_checkpoint(job, checkpoint)
+        if isinstance(outcome, Conflict) and outcome.current is not None:
+            current = outcome.current
+            self._remember_revision(job, current.revision)
+            if checkpoint_of(current).term <= checkpoint.term:
+                outcome = await self._write_checkpoint(job, checkpoint)
+        if isinstance(outcome, StoredObject):
+            self._remember_revision(job, outcome.revision)
+        else:
             _log.info(
                 'objects: job %s: transcripts of unfinished items not saved',
                 job,
             )
 
+    async def _write_checkpoint(
+        self, job: JobId, checkpoint: Checkpoint
+    ) -> StoredObject | Conflict | Outcome:
+        return await self._store.put_status(
+            parts_kind(job),
+            part_name(0),
+            checkpoint_body(checkpoint),
+            self._saved_at.get(job, _UNKNOWN_REVISION),
+        )
+
+    def _remember_revision(self, job: JobId, revision: Revision) -> None:
+        self._saved_at.pop(job, None)
+        self._saved_at[job] = revision
+        if len(self._saved_at) > _MAX_REVISIONS:
+            self._saved_at.pop(next(iter(self._saved_at)))
+
     async def _create_part(
         self, kind: str, name: str, body: bytes
     ) -> StoredObject | Conflict | Outcome:
--- a/bergamotdoor/platform/store_paths.py
+++ b/bergamotdoor/platform/store_paths.py
@@ -16,10 +16,9 @@
     return OBJECTS_PATH + quote(kind, safe='')
 
 
-def object_path(kind: str, name: str, revision: Revision | None = None) -> str:
-    """Return the path of an object, conditional on a revision if given."""
-    path = f'{kind_path(kind)}/{quote(name, safe="")}'
-    return path if revision is None else f'{path}?rev={revision}'
+def object_path(kind: str, name: str) -> str:
+    """Return the path of an object."""
+    return f'{kind_path(kind)}/{quote(name, safe="")}'
 
 
 def status_path(kind: str, name: str) -> str:
--- a/bergamotdoor/platform/store_wire.py
+++ b/bergamotdoor/platform/store_wire.py
@@ -21,7 +21,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Iterator
 
-_NULL: Final = b'null'
 Part = TypeVar('Part')
 
 _log = logging.getLogger('bergamotdoor.platform')
@@ -37,8 +36,8 @@
 
 class _Object(msgspec.Struct, frozen=True):
     metadata: _Metadata
-    spec: msgspec.Raw = msgspec.Raw(_NULL)
-    status: msgspec.Raw = msgspec.Raw(_NULL)
+    spec: msgspec.Raw = msgspec.Raw(b'null')
+    status: msgspec.Raw = msgspec.Raw(b'null')
 
 
 class _Name(msgspec.Struct, frozen=True):
@@ -77,21 +76,22 @@
 
 def object_body(name: str, spec: bytes, revision: Revision | None) -> bytes:
     """Encode an object to be created, or replaced at a revision."""
-    metadata: dict[str, object] = {'name': name, 'finalizers': []}
-    if revision is not None:
-        metadata['rev'] = revision
-    return msgspec.json.encode(
-        {'metadata': metadata, 'spec': msgspec.Raw(spec)}
-    )
+    meta = {'name': name, 'finalizers': [], **_condition(revision)}
+    return msgspec.json.encode({'metadata': meta, 'spec': msgspec.Raw(spec)})
 
 
-def status_body(name: str, status: bytes) -> bytes:
-    """Encode a status, to be written whatever the object's revision is."""
+def status_body(name: str, status: bytes, revision: Revision | None) -> bytes:
+    """Encode a status, to be written at any revision if that is ``None``."""
+    meta = {'name': name, **_condition(revision)}
     return msgspec.json.encode(
-        {'metadata': {'name': name}, 'status': msgspec.Raw(status)}
+        {'metadata': meta, 'status': msgspec.Raw(status)}
     )
 
 
+def _condition(revision: Revision | None) -> dict[str, Revision]:
+    return {} if revision is None else {'rev': revision}
+
+
 def parse_object(body: bytes) -> StoredObject:
     """Decode one object.
 
--- a/bergamotdoor/steps/item_saving.py
+++ b/bergamotdoor/steps/item_saving.py
@@ -5,6 +5,8 @@
 import datetime as dt
 from typing import TYPE_CHECKING, Final
 
+from bergamotdoor.objects.job_codec import Checkpoint
+
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
     from bergamotdoor.jobs.transcript import SavedTranscript
@@ -47,7 +49,8 @@
         ) >= _MIN_EVENTS or _count_failures(saved) > _count_failures(last_saved)
         if run.active and is_new:
             last_saved = saved
-            await store.keep_partial(run.spec.job, saved)
+            checkpoint = Checkpoint(saved, run.stored_job.record.term)
+            await store.save(run.spec.job, checkpoint)
 
 
 def _count_new_events(
--- a/bergamotdoor/steps/job_handoff.py
+++ b/bergamotdoor/steps/job_handoff.py
@@ -19,7 +19,7 @@
 
 from bergamotdoor.jobs.ledger import Ledger
 from bergamotdoor.jobs.messages import JobStatus
-from bergamotdoor.objects.job_codec import FoundJob, LoadedJob
+from bergamotdoor.objects.job_codec import Checkpoint, FoundJob, LoadedJob
 from bergamotdoor.peers.messages import JobOwned, TakeOver
 
 if TYPE_CHECKING:
@@ -101,7 +101,9 @@
     async def _save_items(self, message: TakeOver) -> None:
         started_at = self._clock.elapsed()
         job = message.spec.job
-        await self._store.keep_partial(job, message.partial)
+        await self._store.save(
+            job, Checkpoint(message.partial, message.record.term)
+        )
         _log.info(
             'gateway: job %s: %d items kept for the next owner after %d ms',
             job,
--- a/features/steps/objects_jobs_steps.py
+++ b/features/steps/objects_jobs_steps.py
@@ -9,12 +9,21 @@
 from behave import given, then, when
 
 from bergamotdoor.jobs.messages import JobRecord, JobSpec
+from bergamotdoor.jobs.transcript import SavedTranscript
+from bergamotdoor.objects.job_codec import Checkpoint
 from bergamotdoor.objects.job_names import JOB_KIND
 from bergamotdoor.objects.job_store import JobStore
 from bergamotdoor.stored import Conflict, Outcome, StoredObject
-from bergamotdoor.types import JobId, ModelId, NodeId, Revision, WeightVersion
-from features.job_scenes import JOB
-from lab.site import at
+from bergamotdoor.types import (
+    ItemId,
+    JobId,
+    ModelId,
+    NodeId,
+    Revision,
+    WeightVersion,
+)
+from features.job_scenes import JOB, submit_job
+from lab.site import Site, at, play
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -28,6 +37,8 @@
 _SPEC: Final = JobSpec(
     JobId(JOB), 'lab.example', '/roll/j1', ModelId('m'), WeightVersion(1), ()
 )
+#: An item of the job that is submitted to a site.
+ITEM: Final = f'{JOB}.0.0'
 _RECORD: Final = JobRecord(NodeId('entry-0'), at(9000), 1, 0)
 
 
@@ -56,10 +67,64 @@
 
 
 @when('the job is submitted to this store')
-def submit_job(context: Any) -> None:
+def submit_to_store(context: Any) -> None:
     context.outcome = asyncio.run(context.store.submit(_SPEC, _RECORD))
 
 
 @then('the outcome of the submission is unclear')
 def is_unclear(context: Any) -> None:
     assert context.outcome is Outcome.UNCLEAR, context.outcome
+
+
+async def save_failures(
+    site: Site, entry: str, term: int, failures: int
+) -> None:
+    """Have an entry save that an item has failed a number of times."""
+    saved = SavedTranscript((), (), 0, failures=failures)
+    store = site.entries[entry]._components.store
+    checkpoint = Checkpoint({ItemId(ITEM): saved}, term)
+    await store.save(JobId(JOB), checkpoint)
+
+
+async def loaded_failures(site: Site) -> int:
+    """Return how many failures of the item the next owner loads."""
+    loaded = await site.entries['entry-1']._components.store.load(JobId(JOB))
+    assert not isinstance(loaded, Outcome), loaded
+    return loaded.partial[ItemId(ITEM)].failures
+
+
+@given('a job whose first owner has saved an item with 1 failure')
+def set_up_saves(context: Any) -> None:
+    context.saves = None
+
+
+@when('its second owner saves 2 failures, and then the first one 1 again')
+def save_in_turn(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        await submit_job(site, [[200]])
+        await save_failures(site, 'entry-0', 1, 1)
+        await save_failures(site, 'entry-1', 2, 2)
+        await save_failures(site, 'entry-0', 1, 1)
+        context.failures = await loaded_failures(site)
+
+    play(scene)
+
+
+@when('the store does not answer its save of 2 failures, and it saves 3')
+def save_after_lost_answer(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        await submit_job(site, [[200]])
+        await save_failures(site, 'entry-0', 1, 1)
+        site.store.write_faults.unanswered = 2
+        await save_failures(site, 'entry-0', 1, 2)
+        await save_failures(site, 'entry-0', 1, 3)
+        context.failures = await loaded_failures(site)
+
+    play(scene)
+
+
+@then('the next owner loads the item with {count:d} failures')
+def loads_failures(context: Any, count: int) -> None:
+    assert context.failures == count, context.failures
--- a/lab/objects.py
+++ b/lab/objects.py
@@ -127,10 +127,13 @@
             self.remove(kind, name)
             return WriteResult(None, stored)
         sent = json.loads(call.body)
+        current = stored['metadata']
+        if sent['metadata'].get('rev', current['rev']) != current['rev']:
+            return WriteResult(Refusal.CONFLICT, stored)
         if len(call.parts) > 2:
             self.objects[kind][name] = {**stored, 'status': sent['status']}
             return WriteResult(None, self.put(kind, name, stored['spec']))
-        return self._replace(kind, stored, sent)
+        return WriteResult(None, self.put(kind, name, sent['spec']))
 
     def _create(self, call: WriteCall) -> WriteResult:
         kind = call.parts[0]
@@ -141,12 +144,6 @@
             return WriteResult(Refusal.CONFLICT, stored)
         return WriteResult(None, self.put(kind, name, sent['spec']))
 
-    def _replace(self, kind: str, stored: Stored, sent: Stored) -> WriteResult:
-        current = stored['metadata']
-        if sent['metadata'].get('rev', current['rev']) != current['rev']:
-            return WriteResult(Refusal.CONFLICT, stored)
-        return WriteResult(None, self.put(kind, current['name'], sent['spec']))
-
     def _record_change(
         self, kind: str, *, removed: bool, stored: Stored
     ) -> None:
