Never hold back an item because engines crashed while they ran it

What callers saw: during a burst of crashes several engines died while they ran the same sound item of a trainer's step. Afterwards all was calm and the engines had room, but the item was never placed again, in this step and in the next ones.

Cause: items got strikes as calls do. Three engines that died under an item held it back for 5 s, a fourth for 120 s, whoever owned its job.

The four new scenarios of steps_crashes and the one of steps_repeated_crashes failed on the code before and pass now.

Change: items get no strikes and wait for none. Quarantine, isolation and turns of items of one prompt are gone. Calls, and the calls that have texts scored, keep their protection.

--- a/bergamotdoor/fleet/quarantine.py
+++ b/bergamotdoor/fleet/quarantine.py
@@ -12,6 +12,9 @@
 
 A strike records that an upstream crashed while it ran a request. The strikes
 of a request are counted by the length of its chain.
+
+Items of batch jobs get no strikes: they never crash engines by themselves,
+and an item under which engines crashed is still owed to its trainer.
 """
 
 from __future__ import annotations
@@ -30,11 +33,6 @@
 #: upstreams keeps one of them, and a caller waits for only a few hundred
 #: milliseconds.
 CALL_STRIKE_LIMIT: Final = 2
-#: Number of strikes from which an item of a batch job is quarantined. It is
-#: higher than for calls, since a dozen other items run beside each item. Those
-#: that were sent on together with the item at fault have as many strikes as
-#: that item, and only the next crash distinguishes them.
-ITEM_STRIKE_LIMIT: Final = 3
 #: Duration of the quarantine from the first crash that reaches the threshold,
 #: and from each further one. The first is long enough for upstreams to start
 #: again, so that the request never crashes the last ones, and short because
@@ -177,9 +175,10 @@
         longer chain is taken for chance, and each further one counts.
 
         Failure: a request arrives in copies, which crash several upstreams at
-        the same moment. Symptom: these count as one, so three more upstreams
-        crash before an item is held back for more than seconds. Once a crash
-        at another moment confirms the suspicion, the first ones count as well.
+        the same moment. Symptom: these count as one, so two more upstreams
+        crash before the request is held back for more than seconds. Once a
+        crash at another moment confirms the suspicion, the first ones count
+        as well.
         """
         of_request = self._by_request.get(fingerprint, {})
         if not of_request:
--- a/bergamotdoor/observe/events.py
+++ b/bergamotdoor/observe/events.py
@@ -36,7 +36,6 @@
     STRIKE_HEARD = 'strikes_heard'
     STRIKE_READ = 'strikes_read'
     CALL_QUARANTINED = 'calls_quarantined'
-    ITEM_QUARANTINED = 'items_quarantined'
     ITEM_COMPLETED = 'items_completed'
     ITEM_LOST = 'items_lost'
     ITEM_REFUSED = 'items_refused'
--- a/bergamotdoor/steps/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -24,9 +24,8 @@
     short_time_s,
 )
 from bergamotdoor.observe.events import Counted
-from bergamotdoor.steps.item_request import ItemRun, item_fingerprint
+from bergamotdoor.steps.item_request import ItemRun
 from bergamotdoor.steps.item_run import run_item
-from bergamotdoor.steps.item_suspects import ItemSuspects
 from bergamotdoor.steps.job_run import RunningItem, RunState
 
 if TYPE_CHECKING:
@@ -65,7 +64,6 @@
         self._manifests = manifests
         self._on_item_end = on_item_end
         self._reservations = Reservations(context.loads)
-        self._suspects = ItemSuspects(context)
         #: Whether items are placed by their length: while the open jobs need
         #: more than the engines can do in time.
         self.by_length = False
@@ -76,37 +74,27 @@
         Yields
         ------
         None
-            After each item that was started or deferred, so that an item of
-            another job can start next.
+            After each item that was started, so that an item of another job
+            can start next.
         """
         now = self._context.clock.elapsed()
         upstreams = self._eligible_engines(run, route)
         lengths = self._item_lengths(run, route)
         queued = run.items.item_queue.next_item(now)
         while queued is not None:
-            wait = self._suspects.wait_time(
-                run.spec, queued.spec, upstreams, now
+            upstream = self._choose_engine(run, queued, upstreams, lengths)
+            if upstream is None:
+                return
+            run.items.item_queue.start(queued)
+            item = ItemRun(
+                run.spec,
+                queued.spec,
+                route,
+                upstream,
+                run.items.transcript(queued),
+                lengths.start_progress(queued.spec, upstream.upstream, now),
             )
-            if wait:
-                run.items.item_queue.defer(queued, now + wait)
-            else:
-                upstream = self._choose_engine(run, queued, upstreams, lengths)
-                if upstream is None:
-                    return
-                run.items.item_queue.start(queued)
-                progress = lengths.start_progress(
-                    queued.spec, upstream.upstream, now
-                )
-                item = ItemRun(
-                    run.spec,
-                    queued.spec,
-                    route,
-                    upstream,
-                    item_fingerprint(run.spec, queued.spec),
-                    run.items.transcript(queued),
-                    progress,
-                )
-                self._start_item(run, queued, item)
+            self._start_item(run, queued, item)
             yield
             queued = run.items.item_queue.next_item(now)
 
@@ -226,8 +214,6 @@
 
         A reserved slot has priority.
         """
-        if self._suspects.is_isolated(run.spec, queued.spec):
-            upstreams = self._suspects.engines_without_isolated(upstreams)
         now = self._context.clock.elapsed()
         group = queued.spec.group
         reserved = self._reservations.release_slot(queued.spec.item)
@@ -256,14 +242,11 @@
     def _start_item(
         self, run: JobRun, queued: QueuedItem, item: ItemRun
     ) -> None:
-        upstream = item.upstream.upstream
         # Counted before the task starts, so that the next choice of an engine
         # includes this run.
-        self._suspects.record_item_start(run.spec, queued.spec, upstream)
-        load = self._context.loads.of(upstream)
+        load = self._context.loads.of(item.upstream.upstream)
         load.record_sent(self._context.clock.elapsed())
         task = start_counted(load, self._run_item(run, queued, item))
-        self._context.request_runs.track(item.fingerprint, task)
         # Added after the callback that counts the slot as free, so it runs
         # after that one.
         task.add_done_callback(lambda _: self._on_item_end())
@@ -289,7 +272,6 @@
 
     def _remove_run(self, run: JobRun, item: ItemRun) -> None:
         run.running.pop(item.spec.item, None)
-        self._suspects.record_item_end(item.spec.item)
         self._context.speeds.add_intervals(item.progress)
 
     def _move_item(self, run: JobRun, move: Move) -> None:
--- a/bergamotdoor/steps/item_request.py
+++ b/bergamotdoor/steps/item_request.py
@@ -7,7 +7,6 @@
 
 import msgspec
 
-from bergamotdoor.calls.fingerprint import request_fingerprint
 from bergamotdoor.calls.manifest import Route
 from bergamotdoor.fleet.upstreams import Upstream
 from bergamotdoor.http.messages import ClientRequest, Headers
@@ -15,7 +14,6 @@
 from bergamotdoor.jobs.progress import Progress
 from bergamotdoor.jobs.transcript import Transcript
 from bergamotdoor.platform import headers as names
-from bergamotdoor.types import Fingerprint
 
 #: The longest pause between two pieces of a stream, and the longest wait for
 #: the first piece. Engines under load pause for a few hundred milliseconds.
@@ -31,27 +29,10 @@
     spec: ItemSpec
     route: Route
     upstream: Upstream
-    fingerprint: Fingerprint
     transcript: Transcript
     progress: Progress
 
 
-def item_fingerprint(job: JobSpec, spec: ItemSpec) -> Fingerprint:
-    """Return the fingerprint of the request that an item makes.
-
-    It identifies a request across retries and across items. Engines read the
-    prompt from the parts that the prompt header names, so items with the same
-    path and prompt are the same request, whatever their ids and bodies are.
-    Without that header the body identifies the request.
-    """
-    prompt = next(
-        (text for name, text in spec.headers if name.lower() == names.PROMPT),
-        '',
-    )
-    content = prompt.encode() if prompt else spec.body
-    return request_fingerprint('POST', job.host, spec.path, content)
-
-
 def item_request(run: ItemRun) -> ClientRequest:
     """Return the request that starts an item, or continues its stream."""
     fields = [
--- a/bergamotdoor/steps/item_run.py
+++ b/bergamotdoor/steps/item_run.py
@@ -7,7 +7,6 @@
 from typing import TYPE_CHECKING
 
 from bergamotdoor import utils
-from bergamotdoor.forwarding.upstream_end import ObservedRun, record_break
 from bergamotdoor.http.messages import BodyBrokenError, ClientResponse
 from bergamotdoor.http.sending import send
 from bergamotdoor.jobs.event_stream import EventReader
@@ -45,9 +44,9 @@
         The completed text, or the reason why there is none.
     """
     load = context.loads.of(run.upstream.upstream)
-    observed = ObservedRun.begin(context, run.upstream, run.fingerprint)
+    sent_at = context.clock.elapsed()
     end = await _run_at_engine(context, run)
-    now = context.clock.elapsed()
+    took = context.clock.elapsed() - sent_at
     _log.info(
         'gateway: item %s of job %s at %s: %s after %d ms, %d events, '
         '%d in flight',
@@ -55,15 +54,11 @@
         run.job.job,
         run.upstream.upstream,
         end.value if isinstance(end, RunEnd) else end.state.value,
-        utils.to_ms(now - observed.sent_at),
+        utils.to_ms(took),
         run.transcript.event_count,
         load.in_flight,
     )
-    record_outcome(context, run, end, now - observed.sent_at)
-    if end is RunEnd.BROKEN:
-        await record_break(context, observed)
-    elif isinstance(end, ItemResult):
-        context.quarantine.clear_strikes(run.fingerprint)
+    record_outcome(context, run, end, took)
     return end
 
 
--- a/bergamotdoor/steps/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -223,22 +223,20 @@
     def _start_items(self) -> None:
         """Start score calls, the earliest due first, and move and start items.
 
-        Nothing starts before the strikes are known: a step may be taken over
-        because of them, and its items be what crashed the engines. Nor does
-        anything while another process may own the jobs.
+        Nothing starts while another process may own the jobs, and no score
+        call before the strikes are known. An engine that crashed while it ran
+        an item is no reason to hold the item back: items never crash engines.
 
         Moves come first: a free slot at a fast engine is for an item that has
         outgrown its length hint at a slow one. The job waits longer for that
         item than for one that has not started.
         """
-        if (
-            self._ownership.is_suspended
-            or not self._context.startup.knows_strikes
-        ):
+        if self._ownership.is_suspended:
             return
         active = [run for run in self._runs.values() if run.active]
         active.sort(key=_due_at)
-        self._scorer.start_calls(active)
+        if self._context.startup.knows_strikes:
+            self._scorer.start_calls(active)
         routed = [
             (run, route)
             for run in active
--- a/features/fleet_quarantine.feature
+++ b/features/fleet_quarantine.feature
@@ -16,7 +16,6 @@
 
     Given a chain of upstreams that crash while they run a request
     Then a call is quarantined for 0, 5, 120 and 600 s after crashes 1 to 4
-    And an item is quarantined for 0, 0, 5 and 120 s after them
 
   Scenario: upstreams that crash at the same time count as one strike
     Three upstreams run the same request when they crash. It was sent to none
--- a/features/steps_crashes.feature
+++ b/features/steps_crashes.feature
@@ -1,26 +1,37 @@
-Feature: items under which engines end
-
-  Scenario: an item that ends every engine that runs it does not block its job
-    Guards against an item that is never quarantined. A broken run did not
-    count as a failure, so the item continued at the next engine at once, and
-    all other items there started again each time: 26 ends of five engines in
-    12 s, with the line `item j1.0.1 at engine-0: broken`. Now the item is
-    quarantined after the third engine, and the training step ends without it.
-    The item is not listed as lost, since no engine has reported that it can't
-    be done.
-
-    Given a site with 5 engines and a job in which one item ends engines
-    When the job of 4 groups of 5 items runs for 12 s
-    Then at most 6 engines end under the item
-    And every other item is listed as completed, the item not at all
-
-  Scenario: an item that ends engines stays in quarantine at the next owner
-    The owner is killed after three engines have ended under an item. The
-    entry that takes the job over has received the item's strikes before.
-
-    Given a site with 5 engines and a job in which one item ends engines
-    When the job of 2 groups of 4 items runs, and its owner is killed after 2 s
-    Then at most 6 engines end under the item
+Feature: items under which engines end, and score calls under which services do
+
+  Scenario: an item under which engines ended by chance is placed again
+    Guards against a sound item that is never placed again, since engines ended
+    while they ran it in a burst of crashes.
+
+    Given a site with 5 engines and a job with one item of a long text
+    When 5 engines end while they run the item
+    Then the item is at an engine again within 1 s
+    And all items are listed as completed
+
+  Scenario: an item under which engines ended is placed by the next owner
+    Guards against a next owner that holds a sound item back because of what
+    the owner before it has told.
+
+    Given a site with 5 engines and a job with one item of a long text
+    When 5 engines end while they run the item, and then its owner is killed
+    Then all items are listed as completed
+
+  Scenario: items of a prompt under which engines ended run side by side
+    Guards against items of one prompt that run one after the other, since
+    engines ended under one of them.
+
+    Given a site with 5 engines and a job of 4 items of one prompt
+    When 2 engines end while they run one of the items
+    Then all 4 items are at engines within 1 s
+
+  Scenario: an item under which engines ended is placed in a later step
+    Guards against a sound item that the next step of a trainer has as well,
+    where it is held back.
+
+    Given a site with 5 engines and a job with one item of a long text
+    When 5 engines end while they run the item, and it comes again in a new job
+    Then the item is at an engine again within 1 s
 
   Scenario: a score call that ends services is quarantined
     The call that scores one text ends each service that runs it. It would be
@@ -31,24 +42,6 @@
     Then at most 6 services end under it
     And the texts of all other groups are listed with their scores
 
-  Scenario: items with the same prompt are one request, whatever their ids are
-    Guards against a request that ends each engine and arrives as many items:
-    each item had its own count of strikes, and 8 items ended 27 engines in
-    20 s.
-
-    Five items are in progress when the first engine ends, and three more may
-    start after that.
-
-    Given a site with 5 engines and two jobs of one prompt that ends engines
-    When they run for 12 s beside a job of 4 groups of 5 items
-    Then at most 8 engines end under the item
-    And every other item is listed as completed, the item not at all
-
-  Scenario: path and prompt decide whether two items are the same request
-    Guards against an item at fault that is counted anew under each id.
-
-    Then items of one path and prompt are one request, others are not
-
   Scenario: an item that was refused a connection gets no strike
     Guards against strikes for runs that never began: they make harmless items
     suspects, and hide the strikes of the item at fault.
--- a/features/steps_repeated_crashes.feature
+++ b/features/steps_repeated_crashes.feature
@@ -1,23 +1,9 @@
-Feature: prompts that end engines, in several steps of a trainer
+Feature: engines that end by themselves in bursts, over several steps
 
-  Scenario: a prompt is sent on at most three times once three engines ended
-    Guards against strikes that other items take away.
+  Scenario: every item of a trainer's steps is completed after bursts of crashes
+    Guards against sound items that are held back, in this step or the next
+    ones, since several engines ended while they ran them.
 
-    Given a trainer's steps with 1 prompt that ends engines
-    When the steps of seeds 1 to 3 run at a site with 5 engines
-    Then each prompt is sent at most 3 times once 3 engines have ended under it
-
-  Scenario: each of several such prompts is sent on at most three times
-    Guards against a count that stays low: copies of a prompt end engines at
-    the same moment, and beside copies of the others.
-
-    Given a trainer's steps with 3 prompts that end engines
-    When the steps of seeds 4 to 6 run at a site with 5 engines
-    Then each prompt is sent at most 3 times once 3 engines have ended under it
-
-  Scenario: each of many such prompts is sent on at most three times
-    Guards against the same where no engine ends under one prompt alone.
-
-    Given a trainer's steps with 6 prompts that end engines
-    When the steps of seeds 1 to 3 run at a site with 5 engines
-    Then each prompt is sent at most 3 times once 3 engines have ended under it
+    Given the steps of a trainer, in which some items come again
+    When they run with seeds 1 to 3, and engines end in three bursts
+    Then each item of each step is listed as completed 15 s after the last burst
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -493,13 +493,6 @@
         'number = int(not has_common_cause)',
         'fleet_quarantine',
     ),
-    Mutation(
-        'items with the same prompt count as one request',
-        'steps/item_request.py',
-        'content = prompt.encode() if prompt else spec.body',
-        'content = spec.body',
-        _ITEM_CRASHES,
-    ),
     Mutation(
         'a request that ran beside one with more strikes gets no strike',
         _QUARANTINE,
@@ -535,13 +528,6 @@
         'and False\n',
         _CRASHES,
     ),
-    Mutation(
-        'copies of a suspected item run one after the other',
-        'steps/item_suspects.py',
-        'if strikes and self._context.request_runs.is_running(fingerprint):',
-        'if False:',
-        _ITEM_CRASHES,
-    ),
     Mutation(
         'failed runs of an item count for its next owner, too',
         'jobs/open_items.py',
@@ -619,13 +605,6 @@
         '',
         _CRASHES,
     ),
-    Mutation(
-        'an item under which engines ended is quarantined',
-        'steps/item_suspects.py',
-        '        if remaining:\n',
-        '        if False:\n',
-        _ITEM_CRASHES,
-    ),
     Mutation(
         'short items leave the fast engines to long ones',
         'jobs/placement.py',
@@ -1056,7 +1035,7 @@
     Mutation(
         'a call whose time is over is not sent',
         _SERVICE_CALLS,
-        'if self._time_left(ticket, now) < _NO_TIME:',
+        'if self.time_to_send(ticket.send_by, now) < _NO_TIME:',
         'if not ticket.number:',
         _QUEUEING,
     ),
@@ -1091,8 +1070,8 @@
     Mutation(
         'a call without enough time is refused at once',
         _SERVICE_CALLS,
-        'is_late = capacity.wait(ahead) > self._time_left(ticket, now)',
-        'is_late = capacity.slots < 0',
+        'capacity.wait(ahead) > self.time_to_send(ticket.send_by, now)',
+        'capacity.slots < 0',
         _WAITING,
     ),
     Mutation(
@@ -1140,8 +1119,8 @@
     ),
     Mutation(
         'an entry that stops refuses what it cannot send in time',
-        'gateway/daemon.py',
-        '        self._context.queueing.closes_at = stop_by\n',
+        'gateway/planned_stop.py',
+        '        self._context.queueing.closes_at = stop_by - _REFUSAL_TIME\n',
         '',
         _WAITING,
     ),
