List the entries again soon after a start without the store

What callers saw: nothing on record; found while the strikes of entries that start without the store were traced. A process that starts while the store is away knew no other entry for up to 15 s after the store was back: it told nobody of strikes or jobs, and its calls to the store had no other way.

Cause: the pause before the next listing grew with each listing, also with those that had failed.

Evidence: "an entry that starts without the store lists the others soon after" has a store that is away for 6 s and back for 2 s; the entry knew no other on the code before.

Change: only listings that succeed lengthen the pause.

--- a/bergamotdoor/peers/directory.py
+++ b/bergamotdoor/peers/directory.py
@@ -172,21 +172,16 @@
             self._use_entries({**self.entries, node: entry})
 
     async def run(self) -> None:
-        """Refresh the list of entries periodically until cancelled."""
+        """Refresh the list of entries periodically until cancelled.
+
+        Failure: a process starts while the store is away, and its first
+        listings fail. Symptom: for 15 s it knows no other entry. Only listings
+        that succeed lengthen the pause.
+        """
         refreshes = 0
         while True:
             await self._clock.sleep(_refresh_pause(refreshes))
-            refreshes += 1
-            await self.refresh()
-
-    async def refresh(self) -> None:
-        """List the entries; the cached list is kept if the listing fails."""
-        listed = await self.list_entries()
-        if listed is None:
-            return
-        self._use_entries({**listed, **self._announced})
-        self._announced.clear()
-        self._is_listed = True
+            refreshes += await self._refresh()
 
     async def list_entries(self) -> dict[NodeId, EntryRecord] | None:
         """List the other entries, and leave the cached list as it is.
@@ -208,6 +203,16 @@
             and (record := self._reader.read(stored, _parse_record)) is not None
         }
 
+    async def _refresh(self) -> bool:
+        """Replace the cached list; return whether the listing succeeded."""
+        listed = await self.list_entries()
+        if listed is None:
+            return False
+        self._use_entries({**listed, **self._announced})
+        self._announced.clear()
+        self._is_listed = True
+        return True
+
     def _use_entries(self, entries: dict[NodeId, EntryRecord]) -> None:
         known = self.entries
         self.entries = entries
--- a/features/peers_directory.feature
+++ b/features/peers_directory.feature
@@ -31,3 +31,11 @@
 
     Given 6 entries in 3 zones, one of each zone with a link of 100 Mbit/s
     Then every model's steps are run by the fast entry of the zone
+
+  Scenario: an entry that starts without the store lists the others soon after
+    Guards against an entry that tells nobody anything for 15 s, since its first
+    listings failed.
+
+    Given a site of 2 entries, one of which starts while the store is away
+    When the store is back for 2 s
+    Then the entry knows the other one
--- a/features/steps/peers_directory_steps.py
+++ b/features/steps/peers_directory_steps.py
@@ -12,6 +12,7 @@
 from bergamotdoor.types import ModelId, NodeId, ZoneId
 from features.job_scenes import JOB, owner_of
 from lab.site import Site, at, play
+from lab.store import StoreMode
 
 #: Longest wait for a step to begin.
 MAX_WAIT = dt.timedelta(seconds=5)
@@ -117,3 +118,27 @@
         for zone in ZONES:
             owner = home_order(model, context.entries, ZoneId(zone))[0]
             assert owner == f'entry-{zone}-1', (model, zone, owner)
+
+
+@given('a site of 2 entries, one of which starts while the store is away')
+def start_without_store(context: Any) -> None:
+    context.away_s = 6
+
+
+@when('the store is back for {back_s:d} s')
+def store_is_back(context: Any, back_s: int) -> None:
+    async def scene(site: Site) -> None:
+        await site.start(engines=0, services=1, entries=1)
+        site.store.mode = StoreMode.BUSY
+        late = await site.add_entry('late')
+        await asyncio.sleep(context.away_s)
+        site.store.mode = StoreMode.UP
+        await asyncio.sleep(back_s)
+        context.known = set(late._access.directory.entries)
+
+    play(scene)
+
+
+@then('the entry knows the other one')
+def check_known(context: Any) -> None:
+    assert context.known == {'entry-0'}, context.known
