Move no items before ownership is checked after a pause

Cause: found in a read of the change: an owner that was paused starts nothing before it has read the records, but could stop items in order to move them. They would wait at no engine until the check.

Measured: job, takeover and progress features pass.

--- a/bergamotdoor/steps/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -254,6 +254,8 @@
 
     def _tick(self) -> None:
         """Move items, and end jobs that are overdue or have no route."""
+        if self._ownership.is_suspended:
+            return
         now = self._context.clock.elapsed()
         knows_routes = self._manifests.manifest is not None
         for run in filter(_is_active, tuple(self._runs.values())):
