Take no watch that ended early for an outage of the store

What callers saw: after one watch that the store ended early, all else being well, an engine whose entry was removed within the next half second got calls for up to 2.7 s, where 2 s are allowed; some of them may run once only and were cut off when the engine ended.

Cause: each interrupted watch counted as an outage, for which registrations that are removed are kept for 2.5 s, and the end of that time was looked for each 0.5 s.

Evidence: both examples of the new scenario "an upstream that leaves after watches ended early / were cut gets no calls" failed on the code before.

Change: a watch that ends before its time, empty or with a broken connection, has an outcome of its own. The kind is listed again as before; only if that fails too, if the watch timed out or the store refused it, the store counts as away. Upstreams that are kept are removed at their time.

--- a/bergamotdoor/fleet/fleet.py
+++ b/bergamotdoor/fleet/fleet.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
+import datetime as dt
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.types import WeightVersion
 
 if TYPE_CHECKING:
-    import datetime as dt
     from collections.abc import Callable, Iterable, Iterator
 
     from bergamotdoor.fleet.upstreams import Upstream
@@ -117,17 +117,23 @@
         if name in self._incarnations:
             self._lapsed_until.setdefault(name, until)
 
-    def remove_expired(self, now: dt.timedelta) -> None:
+    def remove_expired(self, now: dt.timedelta) -> dt.timedelta:
         """Remove upstreams that did not register again before the deadline.
 
         Parameters
         ----------
         now
             The monotonic time.
+
+        Returns
+        -------
+        datetime.timedelta
+            The time until the next deadline; unlimited if there is none.
         """
         for name, until in tuple(self._lapsed_until.items()):
             if now >= until:
                 self.remove(name)
+        return min(self._lapsed_until.values(), default=dt.timedelta.max) - now
 
     def missing_from(
         self, present: Iterable[RegistrationId]
--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -200,5 +200,5 @@
 
     async def _expire_upstreams(self) -> None:
         while True:
-            await self._clock.sleep(_EXPIRY_INTERVAL)
-            self._context.fleet.remove_expired(self._clock.elapsed())
+            left = self._context.fleet.remove_expired(self._clock.elapsed())
+            await self._clock.sleep(min(left, _EXPIRY_INTERVAL))
--- a/bergamotdoor/objects/news.py
+++ b/bergamotdoor/objects/news.py
@@ -62,8 +62,8 @@
         -------
         Changes or Outcome
             The changes, empty if there were none during the wait. With
-            HISTORY_GONE the kind has to be listed. With any other outcome the
-            store can't be reached, or its response can't be trusted.
+            HISTORY_GONE and CUT_SHORT the kind has to be listed. With any
+            other outcome the store can't be reached.
         """
 
 
@@ -88,8 +88,11 @@
         began_at = self._clock.elapsed()
         proven_at = self._clock.uptime()
         found = await self._store.changes(watch.kind, since, watch.patience)
+        waited = self._clock.elapsed() - began_at
+        ended_early = waited <= watch.patience * _COMPLETE_WAIT_SHARE
         if isinstance(found, Outcome):
-            return found
+            is_cut = found is Outcome.UNCLEAR and ended_early
+            return Outcome.CUT_SHORT if is_cut else found
         # The store answers at once if the kind had changed before the watch,
         # so the result proves the state at the beginning of the watch.
         found = msgspec.structs.replace(found, proven_at=proven_at)
@@ -99,9 +102,4 @@
         # report a change. The next watch begins at the same revision, and
         # returns the change or HISTORY_GONE. A watch that ended before its
         # time was cut off.
-        waited = self._clock.elapsed() - began_at
-        return (
-            found
-            if waited > watch.patience * _COMPLETE_WAIT_SHARE
-            else Outcome.UNCLEAR
-        )
+        return Outcome.CUT_SHORT if ended_early else found
--- a/bergamotdoor/objects/watcher.py
+++ b/bergamotdoor/objects/watcher.py
@@ -136,8 +136,15 @@
         self._backoff = _MIN_BACKOFF
 
     async def _back_off(self, reason: Outcome) -> None:
-        """Notify the view of an interruption, log it, and pause."""
-        self._view.interrupted()
+        """Notify the view of an interruption, log it, and pause.
+
+        Failure: a single watch ends early, and registrations that are removed
+        next count as lapsed in an outage. Symptom: an upstream that has left
+        gets calls until it ends. If the store is really away, the listing
+        that follows fails as well.
+        """
+        if reason is not Outcome.CUT_SHORT:
+            self._view.interrupted()
         _log.warning(
             'objects: watch of %s interrupted: %s, revision %d',
             self._kind,
--- a/bergamotdoor/stored.py
+++ b/bergamotdoor/stored.py
@@ -90,6 +90,8 @@
     FOREIGN = 'foreign'
     #: The call may have taken effect, or may take effect seconds later.
     UNCLEAR = 'unclear'
+    #: The watch ended before its time, so it may have missed a change.
+    CUT_SHORT = 'cut-short'
 
 
 class Conflict(msgspec.Struct, frozen=True):
--- a/features/objects_watcher.feature
+++ b/features/objects_watcher.feature
@@ -22,6 +22,18 @@
     Then calls are answered right after the store's return
     And upstreams that are still missing 4 s later get no calls
 
+  Scenario Outline: an upstream that leaves after watches <ended> gets no calls
+    Guards against a single watch that is taken for an outage of the store: an
+    upstream that was removed right after it got calls until it ended.
+
+    Given a site where an upstream is removed 0.2 s after the watches <ended>
+    Then no call reaches the upstream later than 2 s after its removal
+
+    Examples:
+      | ended       |
+      | ended early |
+      | were cut    |
+
   Scenario: another entry does not resume a relayed watch that was cut
     An entry has just lost its connection to the store, so another entry relays
     its watch. The store cuts that watch too, and a third entry would resume it
--- a/features/steps/objects_watcher_steps.py
+++ b/features/steps/objects_watcher_steps.py
@@ -94,6 +94,39 @@
     assert context.statuses[1] == 503, context.statuses
 
 
+@given('a site where an upstream is removed 0.2 s after the watches {ended}')
+def remove_after_watch(context: Any, ended: str) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        await asyncio.sleep(0.5)
+        # The other upstream has few slots, so that both get calls.
+        spec = site.services['desk-1'].registration(slots=1, zone='there')
+        site.store.put('servers', 'desk-1', spec)
+        await asyncio.sleep(2.5)
+        if ended == 'were cut':
+            site.store.cut_watches()
+        else:
+            site.store.end_watches()
+        await asyncio.sleep(0.2)
+        site.store.remove('servers', 'desk-0')
+        loop = asyncio.get_running_loop()
+        context.removed_s = loop.time()
+        for number in range(80):
+            await site.ask(
+                'entry-0', 'GET', f'/book/{number}', Request_Id=f'b{number}'
+            )
+        context.seen_s = [one.at_s for one in site.services['desk-0'].seen]
+
+    play(scene)
+
+
+@then('no call reaches the upstream later than 2 s after its removal')
+def no_late_calls(context: Any) -> None:
+    assert context.seen_s, 'no call reached the upstream at all'
+    late_s = max(context.seen_s) - context.removed_s
+    assert late_s <= 2, late_s
+
+
 @given('a site where another entry relays a watch that is cut')
 def cut_relayed_watch(context: Any) -> None:
     async def scene(site: Site) -> list[int]:
