Keep an item that can never run from the next owners of its job

What callers saw: an item that was answered 422, and whose group is still open, runs again at each next owner of its job.

Cause: an owner hands on and saves the results of open groups, but left out those that are lost.

Change: a lost item is part of what is handed on and saved.

--- a/bergamotdoor/jobs/item_queue.py
+++ b/bergamotdoor/jobs/item_queue.py
@@ -258,14 +258,10 @@
         """Return how many items of a group have no result."""
         return self._open_in_group[group]
 
-    def completed_in_open_groups(self) -> Iterator[ItemResult]:
-        """Return the completed results that wait for their group."""
+    def results_in_open_groups(self) -> Iterator[ItemResult]:
+        """Return the results that wait for their group, lost ones included."""
         for results in self._group_results.values():
-            yield from (
-                result
-                for result in results
-                if result.state is ItemState.COMPLETED
-            )
+            yield from results
 
     def pop_results_to_store(self, limit_bytes: int) -> tuple[ItemResult, ...]:
         """Remove and return results of complete groups, to store together.
--- a/bergamotdoor/jobs/open_items.py
+++ b/bergamotdoor/jobs/open_items.py
@@ -174,7 +174,8 @@
 
         Failure: an item fails at each engine, and its owner changes. Symptom:
         each owner runs it as often as its route allows. So the failures of an
-        item are part of its saved text, also if that is empty.
+        item are part of its saved text, also if that is empty, and so is that
+        it is lost.
 
         Parameters
         ----------
@@ -193,12 +194,14 @@
         )
         saved.update(
             (result.item, saved_from_result(result))
-            for result in self.item_queue.completed_in_open_groups()
+            for result in self.item_queue.results_in_open_groups()
         )
         return saved
 
     def _restore(self, item: ItemId, saved: SavedTranscript) -> None:
-        if saved.whole:
+        if saved.lost:
+            self._finish(ItemResult(item, ItemState.LOST))
+        elif saved.whole:
             text = result_from_saved(item, saved)
             self.record_text(text, saved.score_failures)
         else:
--- a/bergamotdoor/jobs/scoring.py
+++ b/bergamotdoor/jobs/scoring.py
@@ -176,7 +176,7 @@
 def saved_from_result(
     result: ItemResult, score_failures: int = 0
 ) -> SavedTranscript:
-    """Return a complete text as it is stored for the next owner.
+    """Return a result as it is stored for the next owner.
 
     Parameters
     ----------
@@ -185,6 +185,8 @@
     score_failures
         How many times the score call was answered with a failure.
     """
+    if result.state is ItemState.LOST:
+        return SavedTranscript((), (), 0, lost=True)
     texts = tuple(result.text.split('\n'))
     return SavedTranscript(
         texts,
--- a/bergamotdoor/jobs/transcript.py
+++ b/bergamotdoor/jobs/transcript.py
@@ -42,6 +42,8 @@
     score_failures: int = 0
     #: How many runs of the item the engines answered with a failure.
     failures: int = 0
+    #: Whether the item is lost, so that it has no text and never runs again.
+    lost: bool = False
 
 
 class Transcript:
--- a/features/steps/steps_crashes_steps.py
+++ b/features/steps/steps_crashes_steps.py
@@ -9,7 +9,13 @@
 
 from behave import given, then, when
 
-from features.job_scenes import JOB, other_entry, owner_of, submit_job
+from features.job_scenes import (
+    JOB,
+    other_entry,
+    owner_of,
+    run_headers,
+    submit_job,
+)
 from features.support import logged
 from lab.site import Site, play
 from lab.upstreams import register
@@ -251,6 +257,39 @@
     return sum(one.failures[FAULTY_ITEM] for one in site.engines.values())
 
 
+@given(
+    'a site with {engines:d} engines and a job in which one item can never run'
+)
+def impossible_item(context: Any, engines: int) -> None:
+    context.plan = CrashPlan(engines)
+
+
+@when('its owners are stopped one after the other, {count:d} in all')
+def owners_stopped(context: Any, count: int) -> None:
+    async def scene(site: Site) -> None:
+        for number in range(count - 1):
+            await site.add_entry(f'more-{number}')
+        await asyncio.sleep(16)
+        for engine in site.engines.values():
+            engine.impossible.add(FAULTY_ITEM)
+        await submit_job(site, [[LONG_ITEM_EVENTS, 1]])
+        for _ in range(count):
+            await asyncio.sleep(1)
+            await site.entries.pop(owner_of(site)).stop()
+        reader = next(iter(site.entries))
+        context.listed = await site.all_results(reader, JOB, 30)
+        context.runs = len(run_headers(site, FAULTY_ITEM))
+
+    context.plan.scene = scene
+    play(context.plan)
+
+
+@then('the item was run {count:d} time, and is listed as lost')
+def item_run_once(context: Any, count: int) -> None:
+    check_lost(context)
+    assert context.runs == count, context.runs
+
+
 @then('the item fails {count:d} times, and is listed as lost')
 def item_lost(context: Any, count: int) -> None:
     check_lost(context)
--- a/features/steps_crashes.feature
+++ b/features/steps_crashes.feature
@@ -58,6 +58,14 @@
     When its owner is stopped after 2 failures, where the route allows 3
     Then the item fails 3 times, and is listed as lost
 
+  Scenario: an item that can never run is not run by the next owners
+    Guards against an item that was answered 422 while its group is open, and
+    is run again by each next owner of its job.
+
+    Given a site with 2 engines and a job in which one item can never run
+    When its owners are stopped one after the other, 3 in all
+    Then the item was run 1 time, and is listed as lost
+
   Scenario: saved failures of an item count for the next owner
     Guards against the same after the loss of an owner, but for what failed
     since the last save.
--- a/lab/upstreams.py
+++ b/lab/upstreams.py
@@ -263,6 +263,8 @@
         #: The number of events after which a stream breaks; -1 for never.
         self.break_after = -1
         self.load_s = _DEFAULT_LOAD_S
+        #: Ids of the items that can never run.
+        self.impossible: set[str] = set()
         #: How often the engine was started.
         self._start_count = 1
 
@@ -306,7 +308,10 @@
         if failing or request_id in self.always_fail:
             self.failures[request_id] += 1
             return HttpResponse(status=int(HTTPStatus.INTERNAL_SERVER_ERROR))
-        if self.mode is UpstreamMode.IMPOSSIBLE:
+        if (
+            self.mode is UpstreamMode.IMPOSSIBLE
+            or request_id in self.impossible
+        ):
             return HttpResponse(status=int(HTTPStatus.UNPROCESSABLE_ENTITY))
         first = int(headers.get('last-event-id', '0')) + 1
         fields = [
