Count the engines that broke before a resumed stream began

What callers saw: streams that may be resumed ran at three engines where their route allows two.

Cause: a stream that is resumed counted the engines from the one on that began to answer. Those that broke before were counted by the call only.

Evidence: "a stream runs at no more engines than its route allows" had the request at three engines on the code before, two now.

Change: the call carries how many upstreams may have run it, and a resumed stream takes these off what its route allows.

--- a/bergamotdoor/forwarding/call.py
+++ b/bergamotdoor/forwarding/call.py
@@ -46,6 +46,9 @@
     #: have run it; for a stream, at which that upstream responded. ``None`` if
     #: no upstream may have run it.
     ran_at: dt.timedelta | None = None
+    #: Number of upstreams that may have run it, without a response that is
+    #: passed on.
+    possible_runs: int = 0
 
     @property
     def fingerprint(self) -> Fingerprint:
--- a/bergamotdoor/forwarding/forwarded_call.py
+++ b/bergamotdoor/forwarding/forwarded_call.py
@@ -205,6 +205,7 @@
         self._attempts.end_attempt(
             attempt.verdict, refused_by, self._service_calls.accepted_count
         )
+        self._call.possible_runs = self._attempts.possible_runs
         self._failures += attempt.failures
         if attempt.answer is not None or self._last_attempt.answer is None:
             self._last_attempt = attempt
--- a/bergamotdoor/forwarding/relayed_stream.py
+++ b/bergamotdoor/forwarding/relayed_stream.py
@@ -173,7 +173,9 @@
         )
 
     async def _next_response(self, error: Exception) -> ClientResponse:
-        while len(self._upstreams) < self._call.route.max_attempts:
+        # Upstreams that broke before the stream began count as well.
+        allowed = self._call.route.max_attempts - self._call.possible_runs
+        while len(self._upstreams) < allowed:
             upstream = (
                 None if self._is_quarantined() else self._choose_upstream()
             )
--- a/features/gateway_calls.feature
+++ b/features/gateway_calls.feature
@@ -109,6 +109,14 @@
     When a caller requests a stream of 12 events that may be resumed
     Then the caller gets events 1 to 12, each once, in a whole response
 
+  Scenario: a stream runs at no more engines than its route allows
+    Guards against engines that broke before the stream began and are not
+    counted when it is resumed.
+
+    Given a site for streams whose first engine resets and the others break off
+    When a caller requests a stream that may run at 2 engines
+    Then at most 2 engines got the request
+
   Scenario: a stream that may not be resumed breaks off for the caller too
     Given a site for streams whose first engine breaks off after 5 events
     When a caller requests a stream of 12 events that may not be resumed
--- a/features/steps/gateway_calls_steps.py
+++ b/features/steps/gateway_calls_steps.py
@@ -354,6 +354,51 @@
     context.plan.prepare.append(prepare)
 
 
+@given('a site for streams whose first engine resets and the others break off')
+def set_up_breaking_streams(context: Any) -> None:
+    set_up_streams(context, 3)
+    context.plan.engines = 4
+
+    def prepare(site: Site) -> None:
+        for stream_route in site.routes:
+            if stream_route['name'] == '/stream-True/':
+                stream_route['max_attempts'] = 2
+        site.put_manifest()
+        for engine in site.engines.values():
+            engine.break_after = 3
+        site.engines['engine-0'].mode = UpstreamMode.RESET
+        for name in ('engine-2', 'engine-3'):
+            spec = site.engines[name].registration(slots=1, zone='there')
+            site.store.put('servers', name, spec)
+
+    context.plan.prepare.append(prepare)
+
+
+@when('a caller requests a stream that may run at 2 engines')
+def request_limited_stream(context: Any) -> None:
+    async def act(site: Site) -> list[str]:
+        await site.ask(
+            'entry-0',
+            'POST',
+            '/stream-True/1',
+            b'12',
+            Request_Id='call-1',
+            Deadline_Ms='8000',
+        )
+        return [
+            name
+            for name, engine in site.engines.items()
+            if any(seen.request == 'call-1' for seen in engine.seen)
+        ]
+
+    play_plan(context, act)
+
+
+@then('at most {most:d} engines got the request')
+def few_engines_got_it(context: Any, most: int) -> None:
+    assert 0 < len(context.outcome) <= most, context.outcome
+
+
 @when('a caller requests a stream of {count:d} events that may be resumed')
 def request_resumable_stream(context: Any, count: int) -> None:
     request_stream(context, count, 'True')
--- a/lab/upstreams.py
+++ b/lab/upstreams.py
@@ -14,7 +14,7 @@
 from bergamotdoor.http.messages import Headers, HttpRequest, HttpResponse
 from bergamotdoor.http.server import HttpServer
 from lab.crashes import Crashes
-from lab.store import LIMITS, LostError, Store, cut_off
+from lab.store import LIMITS, LostError, Store, cut_off, reset_connection
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -47,6 +47,8 @@
     FULL = 'full'
     #: Runs a request and breaks its connection.
     BROKEN = 'broken'
+    #: Accepts a request and resets its connection without a response.
+    RESET = 'reset'
     #: Responds with 500.
     FAILING = 'failing'
     #: Accepts requests and never responds.
@@ -203,6 +205,8 @@
         )
         if self.mode is UpstreamMode.DARK:
             await asyncio.Event().wait()
+        if self.mode is UpstreamMode.RESET:
+            await reset_connection()
         if self.crashes.matches(request.target, body):
             await asyncio.sleep(self.work_s)
             self.crashes.begin(self)
