Accept a job again that is known to run, while the store refuses calls

Callers saw: a job was accepted, its answer was lost or another client sent it again, and two more entries answered 503, "nothing of it runs". It ran all the same.

Cause: an entry that got no answer of the store about a part answered by that write alone. Each entry is told who owns a new job when it is accepted, and did not look at what it had been told.

A job of another account is answered 409 in the same state (503 before).

Change: without an answer of the store, a submission is answered by the cached record, and the owner is asked to run the job as for every job that comes again. An entry that knows no record still answers 503: it is proven for its own attempt only.

--- a/bergamotdoor/steps/job_finder.py
+++ b/bergamotdoor/steps/job_finder.py
@@ -104,6 +104,10 @@
         known = self._records.get(job)
         return known is None or known.term <= record.term
 
+    def known_record(self, job: JobId) -> JobRecord | None:
+        """Return a job's record without a read; ``None`` if none is cached."""
+        return self._records.get(job)
+
     async def find_record(self, job: JobId) -> JobRecord | Outcome:
         """Return a job's record, from the cache or the store.
 
--- a/bergamotdoor/steps/job_submission.py
+++ b/bergamotdoor/steps/job_submission.py
@@ -14,11 +14,11 @@
 if TYPE_CHECKING:
     from bergamotdoor.entry.context import Context
     from bergamotdoor.jobs.messages import JobSpec
-    from bergamotdoor.objects.job_store import JobStore
+    from bergamotdoor.objects.job_store import JobStore, Submitted
     from bergamotdoor.steps.job_finder import JobFinder
     from bergamotdoor.steps.owner import JobOwner
     from bergamotdoor.steps.peer_notifier import PeerNotifier
-    from bergamotdoor.types import JobId
+    from bergamotdoor.types import AccountId, JobId
 
 
 class JobSubmissionService:
@@ -65,19 +65,8 @@
         """
         submitted = await self._store.submit(spec, self._first_record(spec))
         if isinstance(submitted, Outcome):
-            return submitted
-        found = submitted.found
-        if found.record.account not in (NO_ACCOUNT, spec.account):
-            return Outcome.FOREIGN
-        self._finder.cache_record(found.job, found.record, spec.model)
-        self._notifier.announce_owner(found, spec.model)
-        if not submitted.created:
-            self._notifier.ensure_running(found, spec)
-        elif not self._finder.is_own(found.record):
-            self._notifier.send_to_preferred_owner(found, spec)
-        elif self._owner.get(found.job) is None:
-            self._owner.adopt(found, LoadedJob(spec, Ledger()))
-        return None
+            return self._resolve_failure(spec, submitted)
+        return self._accept(spec, submitted)
 
     async def end(self, job: JobId) -> Outcome | None:
         """End a job and stop its owner; ``None`` once the end is stored."""
@@ -93,6 +82,37 @@
         self._notifier.notify_of_end(job, record)
         return None
 
+    def _accept(self, spec: JobSpec, submitted: Submitted) -> Outcome | None:
+        """Have a job that is in the store run."""
+        found = submitted.found
+        if _is_foreign(found.record, spec.account):
+            return Outcome.FOREIGN
+        self._finder.cache_record(found.job, found.record, spec.model)
+        self._notifier.announce_owner(found, spec.model)
+        if not submitted.created:
+            if not found.status.ended:
+                self._notifier.ensure_running(spec, found.record)
+        elif not self._finder.is_own(found.record):
+            self._notifier.send_to_preferred_owner(found, spec)
+        elif self._owner.get(found.job) is None:
+            self._owner.adopt(found, LoadedJob(spec, Ledger()))
+        return None
+
+    def _resolve_failure(
+        self, spec: JobSpec, outcome: Outcome
+    ) -> Outcome | None:
+        """Return what a client is told if the store has not taken the job.
+
+        An earlier submission of the job may have been successful.
+        """
+        record = self._finder.known_record(spec.job)
+        if record is not None:
+            if _is_foreign(record, spec.account):
+                return Outcome.FOREIGN
+            self._notifier.ensure_running(spec, record)
+            return None
+        return outcome
+
     def _first_record(self, spec: JobSpec) -> JobRecord:
         """Return the first record of a job, which names its preferred owner."""
         node = self._context.settings.node
@@ -104,3 +124,7 @@
         preferred = order[0] if order else node
         address = entries.get(preferred, own).address
         return JobRecord(preferred, address, 1, 0, spec.account)
+
+
+def _is_foreign(record: JobRecord, account: AccountId) -> bool:
+    return record.account not in (NO_ACCOUNT, account)
--- a/bergamotdoor/steps/peer_notifier.py
+++ b/bergamotdoor/steps/peer_notifier.py
@@ -97,7 +97,7 @@
         """
         self._tasks.start(self._send_new_job(found, spec))
 
-    def ensure_running(self, found: FoundJob, spec: JobSpec) -> None:
+    def ensure_running(self, spec: JobSpec, record: JobRecord) -> None:
         """Ensure that a job which was submitted before has a running owner.
 
         Failure: a trainer that received no response submits its job again,
@@ -107,8 +107,8 @@
         only asked for an item's body: an owner loads a job of its own that it
         does not run yet, and an owner that is gone is replaced.
         """
-        if spec.items and not found.status.ended:
-            self._tasks.start(self._ensure_running(found, spec))
+        if spec.items:
+            self._tasks.start(self._ensure_running(spec, record))
 
     def announce_owner(self, found: FoundJob, model: ModelId) -> None:
         """Send every entry the address of a job's owner.
@@ -184,7 +184,9 @@
             self._tasks.start(self._send_until_done(former, JobEnded(job)))
 
     async def _send(
-        self, address: Address, message: JobOwned | EngineLoaded | LoadAnnounced
+        self,
+        address: Address,
+        message: JobOwned | EngineLoaded | LoadAnnounced,
     ) -> None:
         await self._peers.ask(address, message)
 
@@ -194,14 +196,14 @@
         if not isinstance(reply, Done):
             await self._finder.take_over(found.job, found.record)
 
-    async def _ensure_running(self, found: FoundJob, spec: JobSpec) -> None:
-        if self._finder.is_own(found.record):
-            await self._finder.resume(found.job)
+    async def _ensure_running(self, spec: JobSpec, record: JobRecord) -> None:
+        if self._finder.is_own(record):
+            await self._finder.resume(spec.job)
             return
-        message = ReadBody(found.job, spec.items[0].item)
-        reply = await self._peers.ask(found.record.address, message)
+        message = ReadBody(spec.job, spec.items[0].item)
+        reply = await self._peers.ask(record.address, message)
         if reply is None:
-            await self._finder.take_over(found.job, found.record)
+            await self._finder.take_over(spec.job, record)
 
     async def _send_until_done(
         self, address: Address, message: JobOwned | JobEnded
--- a/features/gateway_accounts.feature
+++ b/features/gateway_accounts.feature
@@ -51,6 +51,13 @@
     When bee submits a job with the id of ant's job
     Then bee gets 409 and the job still belongs to ant
 
+  Scenario: a job's id can't be used by another account during an outage
+    Guards against a 202 for a job of another account, told from memory.
+
+    Given a site with accounts ant and bee
+    When bee submits a job with the id of ant's job during an outage
+    Then bee gets 409 and the job still belongs to ant
+
   Scenario: an entry that takes over a job runs it for the same account
     Given a site with accounts ant and bee
     When ant submits a job and its owner is killed
--- a/features/steps/gateway_accounts_steps.py
+++ b/features/steps/gateway_accounts_steps.py
@@ -13,6 +13,7 @@
 from lab.client import Call
 from lab.site import Site, at, play
 from lab.site_routes import plain_route
+from lab.store import StoreMode
 from lab.wire import JobItem, job_body
 
 if TYPE_CHECKING:
@@ -244,6 +245,20 @@
     context.seen = context.plan.run(act)
 
 
+@when("bee submits a job with the id of ant's job during an outage")
+def submit_foreign_job_during_outage(context: Any) -> None:
+    async def act(site: Site) -> Any:
+        await submit(site, 'ant-key')
+        await asyncio.sleep(0.5)
+        site.store.mode = StoreMode.BUSY
+        foreign = await submit(site, 'bee-key')
+        again = await submit(site, 'ant-key-2')
+        ran = item_runs(site)
+        return {'foreign': foreign, 'again': again, 'runs': ran}
+
+    context.seen = context.plan.run(act)
+
+
 @then('bee gets 409 and the job still belongs to ant')
 def job_belongs_to_ant(context: Any) -> None:
     assert context.seen['foreign'].status == 409
