Never refuse a job that an earlier attempt may have stored

Callers saw: the first entry answered 504, the job perhaps kept; the second one answered 503, "nothing of it runs", while the job was in the store. It ran when it was read or the entry that its record names was started again. The same after a client that left while its job was being created.

Cause: an entry knows only its own write. What another entry, or an earlier attempt at the same entry, had left unclear was remembered nowhere.

Change: an entry that leaves a submission unclear, also because the client has gone, remembers the job and tells the other entries by a message of its own. Who remembers the job answers 504 instead of 503 until the job's record is known. The memory holds 1,024 jobs, each for as long as a job can be read.

An unclear job is still not run unless somebody asks for it: its trainer may have given the step up, and its items would take the engines from others.

--- a/bergamotdoor/peers/messages.py
+++ b/bergamotdoor/peers/messages.py
@@ -12,6 +12,7 @@
 from bergamotdoor.peers.demand_messages import DemandTold, PacesKnown
 from bergamotdoor.peers.directory import EntryRecord
 from bergamotdoor.peers.duty_messages import DutyHeld, UsageTold
+from bergamotdoor.peers.job_messages import JobUnclear
 from bergamotdoor.peers.load_messages import LoadTold
 from bergamotdoor.peers.news_messages import (
     HistoryGone,
@@ -143,6 +144,7 @@
     | AdoptJob
     | TakeOver
     | JobOwned
+    | JobUnclear
     | EngineLoaded
     | LoadAnnounced
     | StrikesLearned
--- a/bergamotdoor/steps/job_finder.py
+++ b/bergamotdoor/steps/job_finder.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from bergamotdoor.steps.job_run import RunState
+from bergamotdoor.steps.unclear_jobs import UnclearJobs
 from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
@@ -58,6 +59,10 @@
         #: Called with each job that this process has taken over and loaded.
         #: A former owner that is alive may run the job until then.
         self.on_takeover: Callable[[FoundJob], None] = _ignore
+        #: Jobs that may be in the store, although their record is unknown.
+        self.unclear_jobs = UnclearJobs(
+            context.clock, context.settings.retention
+        )
         self._records: dict[JobId, JobRecord] = {}
         #: Addresses of the owners of each model's newest job.
         self._newest_owners: dict[ModelId, Address] = {}
--- a/bergamotdoor/steps/job_submission.py
+++ b/bergamotdoor/steps/job_submission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
 from bergamotdoor.calls.accounts import NO_ACCOUNT
@@ -61,9 +62,16 @@
         -------
         Outcome or None
             ``None`` once the job is stored; FOREIGN if the job belongs to
-            another client account.
+            another client account; UNCLEAR if this or an earlier submission
+            may have stored it; NOT_DONE if this process knows of no
+            submission that may have stored it.
         """
-        submitted = await self._store.submit(spec, self._first_record(spec))
+        try:
+            submitted = await self._store.submit(spec, self._first_record(spec))
+        except asyncio.CancelledError:
+            # The client has left while a write was under way.
+            self._add_unclear(spec.job)
+            raise
         if isinstance(submitted, Outcome):
             return self._resolve_failure(spec, submitted)
         return self._accept(spec, submitted)
@@ -84,6 +92,7 @@
 
     def _accept(self, spec: JobSpec, submitted: Submitted) -> Outcome | None:
         """Have a job that is in the store run."""
+        self._finder.unclear_jobs.discard(spec.job)
         found = submitted.found
         if _is_foreign(found.record, spec.account):
             return Outcome.FOREIGN
@@ -103,7 +112,8 @@
     ) -> Outcome | None:
         """Return what a client is told if the store has not taken the job.
 
-        An earlier submission of the job may have been successful.
+        An earlier submission of the job may have been successful, or may
+        have been left unclear.
         """
         record = self._finder.known_record(spec.job)
         if record is not None:
@@ -111,8 +121,16 @@
                 return Outcome.FOREIGN
             self._notifier.ensure_running(spec, record)
             return None
+        if outcome is Outcome.UNCLEAR:
+            self._add_unclear(spec.job)
+        elif spec.job in self._finder.unclear_jobs:
+            return Outcome.UNCLEAR
         return outcome
 
+    def _add_unclear(self, job: JobId) -> None:
+        self._finder.unclear_jobs.add(job)
+        self._notifier.announce_unclear(job)
+
     def _first_record(self, spec: JobSpec) -> JobRecord:
         """Return the first record of a job, which names its preferred owner."""
         node = self._context.settings.node
--- a/bergamotdoor/steps/peer_notifier.py
+++ b/bergamotdoor/steps/peer_notifier.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from bergamotdoor.peers.directory import home_order
+from bergamotdoor.peers.job_messages import JobUnclear
 from bergamotdoor.peers.messages import (
     NO_MODEL,
     AdoptJob,
@@ -121,6 +122,16 @@
         for entry in self.directory.entries.values():
             self._tasks.start(self._send(entry.address, message))
 
+    def announce_unclear(self, job: JobId) -> None:
+        """Tell every entry that a job may be in the store.
+
+        A client comes back with its job at another entry, which may have no
+        answer of the store either.
+        """
+        message = JobUnclear(job)
+        for entry in self.directory.entries.values():
+            self._tasks.start(self._send(entry.address, message))
+
     def notify_former_owners(self, found: FoundJob) -> None:
         """Notify the former owners of a job that this process has taken over.
 
@@ -186,7 +197,7 @@
     async def _send(
         self,
         address: Address,
-        message: JobOwned | EngineLoaded | LoadAnnounced,
+        message: JobOwned | JobUnclear | EngineLoaded | LoadAnnounced,
     ) -> None:
         await self._peers.ask(address, message)
 
--- a/bergamotdoor/steps/peer_service.py
+++ b/bergamotdoor/steps/peer_service.py
@@ -84,6 +84,8 @@
         self.register(AdoptJob, self._adopt)
         self.register(JobEnded, self._end)
         self.register(JobOwned, self._apply_owner)
+        unclear_jobs = finder.unclear_jobs
+        self.register(unclear_jobs.message_type, unclear_jobs.take)
         engine_loads = EngineLoads(context, notifier, owner.wake_up)
         for message_type, handler in engine_loads.handlers.items():
             self.register(message_type, handler)
--- a/features/gateway_unclear_jobs.feature
+++ b/features/gateway_unclear_jobs.feature
@@ -5,3 +5,30 @@
 
     Given a site whose job is submitted again during an outage of the store
     Then the entry that knows the owner accepts it, and every item runs once
+
+  Scenario: a job told unclear by one entry is not refused by the next ones
+    Guards against a 503 for a job that an earlier attempt may have stored.
+
+    Given a site whose store creates a job at one entry and stays away
+    Then every entry answers 504 while the store is away
+    And the job runs at no engine unless somebody asks for it
+    And it is accepted after the outage, and every item runs once
+
+  Scenario: an unclear job runs once a reader asks for it
+    Guards against a job in the store that no entry runs.
+
+    Given a site whose unclear job is read after the outage
+    Then all of its items are listed, each once
+
+  Scenario: a job is not refused after a client that left during its creation
+    Guards against a 503 for a job whose first submission was cancelled.
+
+    Given a site whose client leaves while the store creates its job
+    Then another entry answers 504 while the store is away
+
+  Scenario: unclear jobs are forgotten
+    Guards against a memory of unclear jobs that grows or never ages.
+
+    Given a memory of unclear jobs that keeps each for 40 s
+    Then a job added 41 s ago is forgotten, and one added again is not
+    And at most 1024 of 3000 jobs are remembered
