Keep an item when a late response to another request has its place

What callers saw: an item is listed as `lost` though no engine answered it with 422, nor often enough with 500 (MIXED). Found in the review of refusals, without a case.

Cause: items go over kept connections, where an engine's extra response may arrive in the place of the next one. Its request id shows that, but the id was compared only if the status was 200; any other status was taken for the item's own.

Change: the id is compared before the status. The run counts as broken, and the item is placed again.

--- a/bergamotdoor/steps/item_run.py
+++ b/bergamotdoor/steps/item_run.py
@@ -78,7 +78,11 @@
             response.detail,
         )
         return RunEnd.BROKEN if response.sent else RunEnd.UNREACHED
-    end = _rejection(run, response)
+    end = (
+        RunEnd.BROKEN
+        if _is_misplaced(run, response)
+        else _rejection(run, response)
+    )
     if end is None:
         end = _process_head(context, run, response)
     if end is not None:
@@ -87,6 +91,12 @@
     return await _read_stream(context, run, response)
 
 
+def _is_misplaced(run: ItemRun, response: ClientResponse) -> bool:
+    """Return whether a response belongs to another request."""
+    item = run.spec.item
+    return response.headers.first(names.REQUEST_ID, item) != item
+
+
 def _rejection(run: ItemRun, response: ClientResponse) -> RunEnd | None:
     """Return the end of a run whose response isn't 200, else ``None``."""
     status = response.status
@@ -114,8 +124,6 @@
         The end of the run if its events must not be read, else ``None``.
     """
     fields = response.headers
-    if fields.first(names.REQUEST_ID, run.spec.item) != run.spec.item:
-        return RunEnd.BROKEN
     reported = names.parse_load(fields.first(names.LOAD))
     load = context.loads.of(run.upstream.upstream)
     load.record_acceptance(context.clock.elapsed())
--- a/features/gateway_jobs.feature
+++ b/features/gateway_jobs.feature
@@ -144,6 +144,18 @@
       | impossible | 1    |
       | failing    | 3    |
 
+  Scenario Outline: an item is not lost by a late response to another item
+    Guards against an item listed as lost though no engine failed to run it.
+
+    Given a site whose engines each send <count> late responses of <status>
+    Then every item of the job is listed whole
+    And a late response was sent
+
+    Examples:
+      | count | status |
+      | 1     | 422    |
+      | 2     | 500    |
+
   Scenario: a stream that breaks off continues at another engine
     An engine breaks off in the middle of an event. The item continues after
     the last whole event, and no event is missing or doubled.
--- a/features/steps/gateway_items_steps.py
+++ b/features/steps/gateway_items_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter
+from http import HTTPStatus
 from typing import Any
 
 from behave import given, then
@@ -44,6 +45,30 @@
     assert max(context.runs.values()) <= runs, context.runs
 
 
+@given('a site whose engines each send {count:d} late responses of {status:d}')
+def late_responses(context: Any, count: int, status: int) -> None:
+    context.groups = [[2]]
+
+    async def scene(site: Site) -> None:
+        await site.start()
+        for engine in site.engines.values():
+            engine.late_statuses.extend(
+                [HTTPStatus(status) for _ in range(count)]
+            )
+        await submit_job(site, context.groups)
+        context.results = await site.all_results('entry-0', JOB)
+        context.late_count = sum(
+            count - len(one.late_statuses) for one in site.engines.values()
+        )
+
+    play(scene)
+
+
+@then('a late response was sent')
+def late_response_sent(context: Any) -> None:
+    assert context.late_count, context.results
+
+
 @given('a site whose first engine breaks off after {events:d} events')
 def breaks_off(context: Any, events: int) -> None:
     context.groups = [[20, 20], [20, 20]]
--- a/lab/upstreams.py
+++ b/lab/upstreams.py
@@ -110,6 +110,14 @@
         """The requests that crash the upstream."""
         return Crashes()
 
+    @functools.cached_property
+    def late_statuses(self) -> list[HTTPStatus]:
+        """The statuses of late responses to another request.
+
+        Each is sent in place of the response to an accepted request.
+        """
+        return []
+
     async def start(self) -> None:
         """Start the server."""
         await self._server.start()
@@ -203,6 +211,8 @@
         self.seen.append(
             Seen(request_id, headers, request.target, body, loop.time())
         )
+        if self.late_statuses:
+            return _late_response(self.late_statuses.pop())
         if self.mode is UpstreamMode.DARK:
             await asyncio.Event().wait()
         if self.mode is UpstreamMode.RESET:
@@ -388,6 +398,15 @@
     return HttpResponse(status=int(status), headers=headers)
 
 
+def _late_response(status: HTTPStatus) -> HttpResponse:
+    """Return a response that belongs to another request."""
+    response = _rejection(status, 'request-id', 'another')
+    if status is HTTPStatus.SERVICE_UNAVAILABLE:
+        not_executed = (f'{_HEADER_PREFIX}not-executed', '1')
+        response.headers = response.headers.plus(not_executed)
+    return response
+
+
 def written(address: Address) -> str:
     """Return an address in the form that registrations have."""
     return f'{address.ip}:{address.port}'
