Take no refusal of another call for one of this call

What callers saw: 503, which promises that a call has not run, while an upstream runs it. Only calls that may be repeated go over kept connections, so a call that may run once is not concerned. Found in the review of refusals, without a case.

Cause: the request id of a response was compared after its 421 or its statement that the call did not run had been believed. An extra response to an earlier call may arrive in the place of this one's.

Evidence: "the refusal of another call does not refuse this one", with 503 and 421: 503 on the code before, 504 now.

Change: the id is compared first.

--- a/bergamotdoor/forwarding/answers.py
+++ b/bergamotdoor/forwarding/answers.py
@@ -50,9 +50,6 @@
     response
         Its response, with an unread body.
     """
-    refusal = await _check_refusal(upstream, response)
-    if refusal is not None:
-        return refusal
     upstream_id = upstream.upstream
     fields = response.headers
     if fields.first(names.REQUEST_ID, call.request_id) != call.request_id:
@@ -62,6 +59,9 @@
         return Attempt(
             Verdict.MAY_HAVE_RUN, 'answer of another call', upstream_id
         )
+    refusal = await _check_refusal(upstream, response)
+    if refusal is not None:
+        return refusal
     good = response.status < HTTPStatus.BAD_REQUEST
     if good and not fields.first(names.STAMP):
         await close_body(response.body)
--- a/features/gateway_calls.feature
+++ b/features/gateway_calls.feature
@@ -92,6 +92,18 @@
     When a caller posts 10 bytes to /book/visit
     Then the caller gets 200 with the proof of an upstream
 
+  Scenario Outline: the refusal of another call does not refuse this one
+    Guards against 503 for a call that an upstream has begun to run.
+
+    Given a site for calls whose upstreams send a late <status> of another call
+    When a caller posts 10 bytes to /book/visit
+    Then the caller gets 504 since the call may have run
+
+    Examples:
+      | status |
+      | 503    |
+      | 421    |
+
   Scenario: a planned stop cuts off no call
     A planned stop of the entry begins while a call is in progress. A caller
     that does not know of the stop sends another call a second later.
--- a/features/steps/gateway_calls_steps.py
+++ b/features/steps/gateway_calls_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import datetime as dt
+from http import HTTPStatus
 from typing import Any
 
 from behave import given, then, when
@@ -109,6 +110,19 @@
     context.plan.prepare.append(prepare)
 
 
+@given(
+    'a site for calls whose upstreams send a late {status:d} of another call'
+)
+def send_late_responses(context: Any, status: int) -> None:
+    set_up_site(context)
+
+    def prepare(site: Site) -> None:
+        for service in site.services.values():
+            service.late_statuses.append(HTTPStatus(status))
+
+    context.plan.prepare.append(prepare)
+
+
 def play_plan(context: Any, act: Any) -> None:
     context.plan.act = act
     context.site = None
