Wait for the other paths of a call that the store rejects on one

What callers saw: 503 for a job that the store creates. The store rejects the write on one path with another status than 429 and 503, such as 400, and carries it out on another path, where it is in flight or got no response. PROTOCOL names no such status for a write of an entry, so this needs a fault of the store or of something before it. Found in the review of refusals, without a case.

Cause: any status but 429 and 503 ended the call, and paths in flight were given up, but the caller takes each 3xx and 4xx that tells no state for a rejection without effect.

Evidence: "a call that may have taken effect is not told as refused" with 400, and "a call in flight is not given up for a rejection on another path": both red on the code before.

Change: each rejection leaves the decision to the other paths, as 429 and 503 did.

Measured: the features of the relay pass.

--- a/bergamotdoor/peers/relay.py
+++ b/bergamotdoor/peers/relay.py
@@ -13,7 +13,6 @@
 import asyncio
 import datetime as dt
 import logging
-from http import HTTPStatus
 from typing import TYPE_CHECKING, Final, Protocol
 
 from bergamotdoor.objects.client import Answer, Caller
@@ -50,9 +49,6 @@
 #: the store as well.
 _MAX_RELAYS: Final = 2
 _MS: Final = dt.timedelta(milliseconds=1)
-_REFUSAL_STATUSES: Final = frozenset(
-    (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
-)
 
 _log = logging.getLogger('bergamotdoor.peers')
 
@@ -141,7 +137,7 @@
     async def call(
         self, method: str, path: str, body: bytes, timeout: dt.timedelta
     ) -> Answer | Outcome:
-        """Return the first answer that is not a refusal, from any path.
+        """Return the first answer that is not a rejection, from any path.
 
         Returns
         -------
@@ -280,8 +276,8 @@
 
 
 def usable(found: Answer | Outcome) -> bool:
-    """Return whether the store answered and did not refuse the call."""
-    return isinstance(found, Answer) and found.status not in _REFUSAL_STATUSES
+    """Return whether the store answered and did not reject the call."""
+    return isinstance(found, Answer) and not found.is_rejection
 
 
 def _answer_in(reply: PeerReply | None) -> Answer | Outcome:
--- a/features/peers_relay.feature
+++ b/features/peers_relay.feature
@@ -29,16 +29,29 @@
     Then a call is answered within 410 ms
     And the next call is sent directly first
 
-  Scenario: a call that may have taken effect is not reported as refused
+  Scenario Outline: a call that may have taken effect is not told as refused
     The store is reached through other entries only, and one of them does not
     answer a call, which may have taken effect. Then all paths refuse the call.
     Guards against reporting that the call had no effect: the trainer would
     submit its job elsewhere, and the job would run twice.
 
     Given a store that accepts calls through other entries only
-    When one of them does not answer a call, and the other paths refuse it
+    When one does not answer a call, and the other paths reject it with <status>
     Then it is not known whether that call took effect
 
+    Examples:
+      | status |
+      | 503    |
+      | 429    |
+      | 400    |
+
+  Scenario: a call in flight is not given up for a rejection on another path
+    Guards against 503 for a job whose creation is carried out directly.
+
+    Given a store that answers direct calls after 900 ms
+    And other entries whose calls the store rejects with 400
+    Then the answer to the direct call is returned
+
   Scenario Outline: a relayed call that was made twice is not told as refused
     Guards against a write that took effect and is reported as rejected: the
     other entry made it, its connection was reset, and only the second attempt
--- a/features/steps/peers_relay_steps.py
+++ b/features/steps/peers_relay_steps.py
@@ -57,6 +57,8 @@
         self.relayed = 0
         #: Answer to direct calls.
         self.direct_answer = REFUSED
+        #: Answer to relayed calls that the store does not accept.
+        self.relayed_refusal = REFUSED
         #: How long direct and relayed calls take.
         self.direct_s = float()
         self.relayed_s = float()
@@ -83,7 +85,9 @@
         if self._paths.unanswered:
             self._paths.unanswered -= 1
             return Outcome.UNCLEAR
-        return DONE if self._paths.accepts_relayed else REFUSED
+        if self._paths.accepts_relayed:
+            return DONE
+        return self._paths.relayed_refusal
 
 
 @given('a store that refuses calls on all paths')
@@ -125,10 +129,26 @@
     context.paths.accepts_relayed = True
 
 
-@when('one of them does not answer a call, and the other paths refuse it')
-def leave_unanswered(context: Any) -> None:
+@given('other entries whose calls the store rejects with {status:d}')
+def reject_relayed(context: Any, status: int) -> None:
+    context.paths.relayed_refusal = Answer(status, b'')
+
+
+@then('the answer to the direct call is returned')
+def returns_direct_answer(context: Any) -> None:
+    found = run_virtual(make_call(context.caller))
+    assert found == DONE, found
+    assert context.paths.relayed
+
+
+@when(
+    'one does not answer a call, and the other paths reject it with {status:d}'
+)
+def leave_unanswered(context: Any, status: int) -> None:
     async def scene() -> Answer | Outcome:
         assert await make_call(context.caller) == DONE
+        context.paths.direct_answer = Answer(status, b'')
+        context.paths.relayed_refusal = Answer(status, b'')
         context.paths.accepts_relayed = False
         context.paths.unanswered = 1
         return await make_call(context.caller)
