Believe no 404 or 410 to a creation in the store

What callers saw: 503 for a job that may have been stored, or 202 for a job whose record names a part that is not stored, so that no entry can load it. PROTOCOL has no such answer to a POST, so this needs a fault of the store or of something before it. Found in the review of refusals, without a case.

Cause: 404 and 410 were told as ABSENT and HISTORY_GONE, whatever the call. The submission goes on after such an outcome for a part, and is answered 503 after one for the record, although neither is a rejection.

Evidence: "a job is not accepted without one of its parts" and "an answer to a creation that promises nothing is unclear", with 404 and 410: red on the code before. With 500 they passed.

Change: the outcome of such a creation is unclear, so it is tried again; the submission is refused without the part, and told as unclear after the record.

Measured: the features of stored jobs, foreign objects, directory, usage and planner pass.

--- a/bergamotdoor/objects/client.py
+++ b/bergamotdoor/objects/client.py
@@ -263,10 +263,17 @@
     async def create(
         self, kind: str, name: str, spec: bytes
     ) -> StoredObject | Conflict | Outcome:
-        """Create an object unless one with the same name exists."""
+        """Create an object unless one with the same name exists.
+
+        A status that tells the state of an object or its history says nothing
+        about a creation, except for the conflict.
+        """
         self.counts.add(CallType.WRITE, kind)
         body = store_wire.object_body(name, spec, None)
-        return await self._write('POST', store_paths.kind_path(kind), body)
+        outcome = await self._write('POST', store_paths.kind_path(kind), body)
+        if outcome is Outcome.ABSENT or outcome is Outcome.HISTORY_GONE:
+            return Outcome.UNCLEAR
+        return outcome
 
     async def replace(
         self, kind: str, name: str, spec: bytes, revision: Revision
--- a/features/objects_jobs.feature
+++ b/features/objects_jobs.feature
@@ -14,6 +14,32 @@
       | refuses reads         |
       | does not answer reads |
 
+  Scenario Outline: a job is not accepted without one of its parts
+    Guards against 202 for a job that no entry can load.
+
+    Given a store that answers <status> when a part is created
+    When the job is submitted to this store
+    Then the submission is refused, and the job has no record
+
+    Examples:
+      | status |
+      | 404    |
+      | 410    |
+      | 500    |
+
+  Scenario Outline: an answer to a creation that promises nothing is unclear
+    Guards against 503 for a job that may have been stored.
+
+    Given a store that answers <status> when the record is created
+    When the job is submitted to this store
+    Then the outcome of the submission is unclear
+
+    Examples:
+      | status |
+      | 404    |
+      | 410    |
+      | 500    |
+
   Scenario: a former owner does not overwrite what the new owner has saved
     Guards against an owner that was paused and replaced, and saves what it
     had: failures of an item are forgotten, and texts are generated again.
--- a/features/steps/objects_jobs_steps.py
+++ b/features/steps/objects_jobs_steps.py
@@ -10,9 +10,11 @@
 
 from bergamotdoor.jobs.messages import JobRecord, JobSpec
 from bergamotdoor.jobs.transcript import SavedTranscript
+from bergamotdoor.objects.client import Answer, ObjectClient
 from bergamotdoor.objects.job_codec import Checkpoint
-from bergamotdoor.objects.job_names import JOB_KIND
+from bergamotdoor.objects.job_names import JOB_KIND, parts_kind
 from bergamotdoor.objects.job_store import JobStore
+from bergamotdoor.platform import store_paths
 from bergamotdoor.stored import Conflict, Outcome, StoredObject
 from bergamotdoor.types import (
     ItemId,
@@ -59,6 +61,38 @@
         return self._read_outcome
 
 
+class MisansweringCaller:
+    """Transport to a store that answers creations of one kind strangely."""
+
+    def __init__(self, kind: str, status: int) -> None:
+        self._path = store_paths.kind_path(kind)
+        self._answer = Answer(status, b'')
+        #: Paths of the objects' kinds that were created.
+        self.created: list[str] = []
+
+    async def call(self, method: str, path: str, *rest: Any) -> Answer:
+        if path == self._path:
+            return self._answer
+        self.created.append(path)
+        return Answer(201, b'{"metadata":{"name":"x","rev":7},"spec":{}}')
+
+    async def watch(self, *_: Any) -> Answer:
+        return self._answer
+
+
+@given('a store that answers {status:d} when {kind} is created')
+def answer_creation(context: Any, status: int, kind: str) -> None:
+    kinds = {'a part': parts_kind(JobId(JOB)), 'the record': JOB_KIND}
+    context.caller = MisansweringCaller(kinds[kind], status)
+    context.store = JobStore(ObjectClient(context.caller))
+
+
+@then('the submission is refused, and the job has no record')
+def refused_without_record(context: Any) -> None:
+    assert context.outcome is Outcome.NOT_DONE, context.outcome
+    assert not context.caller.created, context.caller.created
+
+
 @given('a store with the job that omits it from conflicts and {reads}')
 def store_with_job(context: Any, reads: str) -> None:
     context.store = JobStore(
