Never take a body that becomes invalid for a complete one

Cause: since bodies are parsed in slices, a body counted as complete as soon as h11 was in another state than that of a body. Input that violates HTTP puts h11 into such a state. The error is suppressed there to deliver the data before it first, and then nobody asked again.

Evidence: an upstream that sends a valid chunk and then bytes that are no chunk, in one piece.

Change: the body is complete once its end was parsed.

--- a/bergamotdoor/http/_body_parser.py
+++ b/bergamotdoor/http/_body_parser.py
@@ -38,11 +38,9 @@
         self._unread = bytearray()
         self._chunk_count = 0
         self._data_bytes = 0
-
-    @property
-    def is_complete(self) -> bool:
-        """Whether the end of the body was parsed."""
-        return self._machine.their_state is not h11.SEND_BODY
+        #: Whether the end of the body was parsed. After invalid input h11 is
+        #: in another state than that of a body as well.
+        self.is_complete = False
 
     @property
     def unread_bytes(self) -> int:
@@ -61,7 +59,9 @@
         if isinstance(event, h11.Data):
             self._unread += event.data
             self._count_chunk(len(event.data))
-        elif not isinstance(event, h11.EndOfMessage):
+        elif isinstance(event, h11.EndOfMessage):
+            self.is_complete = True
+        else:
             raise h11.RemoteProtocolError(f'{event} in the body')
 
     def parse_slice(self) -> bool:
--- a/features/http_client.feature
+++ b/features/http_client.feature
@@ -27,6 +27,19 @@
       | sent     | HTTP/1.1 200 OK\r\nContent-Le |
       | sent     | 220 mail ready\r\n |
 
+  Scenario Outline: a body that becomes invalid is not treated as complete
+    Guards against a truncated body that is passed on as a whole one.
+
+    Given an HTTP upstream that answers with <response>
+    Then the HTTP client gets <outcome>
+
+    Examples:
+      | outcome  | response |
+      | broken   | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\nbytes\r\n |
+      | broken   | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\nHTTP/1.1 200 OK\r\n\r\n |
+      | broken   | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbodyextra\r\n0\r\n\r\n |
+      | broken   | HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nbytes\r\n |
+
   Scenario: a request is reported as not sent only if no byte was sent
     The upstream reads the first request and closes. It also reads the second
     one, but sends nothing until the timeout of 3 s. Both requests may have
