Name the job or the request in each log line about it

What operators saw: warnings of calls to the store, of messages between entries and of connections name no job, so nobody gets from the id of a refused job to its cause.

Change: a context variable holds the job, the request, the reason for which it is handled (submission, read, end, the name of a peer's message, ...) and the peer that asked. The queue handler adds them as fields of the JSON lines when a record is logged, since another thread formats it. Tasks inherit them; tasks that serve several jobs (feeds of shared watches, the eviction of idle connections) are started without, and those of a job's owner with the job only. The line `job ID owned` tells why the job runs at this entry. No decision reads the fields.

Test: "an adopted job's line tells why it runs here" failed on the code before (no line carries the id). The fake request of peers_load_sharing has the peer's address now, as a request of the server has.

--- a/bergamotdoor/gateway/batch_handler.py
+++ b/bergamotdoor/gateway/batch_handler.py
@@ -15,10 +15,11 @@
     text_response,
 )
 from bergamotdoor.http.messages import Headers, HttpResponse
+from bergamotdoor.observe import subjects
 from bergamotdoor.platform import headers as names
 from bergamotdoor.platform.batch_wire import parse_job, results_body
 from bergamotdoor.stored import Outcome
-from bergamotdoor.types import ItemId, JobId
+from bergamotdoor.types import AccountId, ItemId, JobId
 from bergamotdoor.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -27,7 +28,6 @@
     from bergamotdoor.http.messages import HttpRequest
     from bergamotdoor.steps.job_reads import JobReadService
     from bergamotdoor.steps.job_submission import JobSubmissionService
-    from bergamotdoor.types import AccountId
 
 #: The longest time that a read waits for a result, whatever it asks for.
 _MAX_READ_WAIT_MS: Final = 1000
@@ -91,13 +91,15 @@
         if isinstance(account, HttpResponse):
             return account
         job = JobId(unquote(path.removeprefix(prefix)))
-        job_account = await self._read_service.account_of(job)
-        if isinstance(job_account, Outcome):
-            return _lookup_failure(job, job_account)
-        if not manifest.accounts.may_see(account, job_account):
-            _log.info('gateway: job %s: requested by another account', job)
-            return _lookup_failure(job, Outcome.ABSENT)
-        return await self._handle_job_request(request, prefix, job)
+        action = 'end' if request.method == 'DELETE' else 'read'
+        with subjects.about(job=job, action=action):
+            job_account = await self._read_service.account_of(job)
+            if isinstance(job_account, Outcome):
+                return _lookup_failure(job, job_account)
+            if not manifest.accounts.may_see(account, job_account):
+                _log.info('gateway: job %s: requested by another account', job)
+                return _lookup_failure(job, Outcome.ABSENT)
+            return await self._handle_job_request(request, prefix, job)
 
     async def submit(
         self, request: HttpRequest, body: bytes, account: AccountId
@@ -120,16 +122,17 @@
             spec = parse_job(job, host, path, body)
         except ValueError as error:
             return text_response(HTTPStatus.BAD_REQUEST, str(error), job)
-        outcome = await self._submission_service.submit(
-            assign_job_account(spec, account)
-        )
-        _log.info(
-            'gateway: job %s submitted, %d items, version %d and newer: %s',
-            job,
-            len(spec.items),
-            spec.min_version,
-            'kept' if outcome is None else outcome.value,
-        )
+        with subjects.about(job=job, action='submission'):
+            outcome = await self._submission_service.submit(
+                assign_job_account(spec, account)
+            )
+            _log.info(
+                'gateway: job %s submitted, %d items, version %d and newer: %s',
+                job,
+                len(spec.items),
+                spec.min_version,
+                'kept' if outcome is None else outcome.value,
+            )
         if outcome is None:
             return text_response(HTTPStatus.ACCEPTED, 'kept', job)
         if outcome is Outcome.FOREIGN:
--- a/bergamotdoor/gateway/request_router.py
+++ b/bergamotdoor/gateway/request_router.py
@@ -15,6 +15,8 @@
 )
 from bergamotdoor.gateway.responses import refusal_response
 from bergamotdoor.http.messages import HttpResponse
+from bergamotdoor.observe import subjects
+from bergamotdoor.platform import headers as names
 from bergamotdoor.verdict import Verdict
 
 if TYPE_CHECKING:
@@ -67,6 +69,10 @@
         request
             The request; its body has not been read yet.
         """
+        with subjects.about(request=request.headers.first(names.REQUEST_ID)):
+            return await self._handle(request)
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
         await self._context.startup.wait()
         manifest = self._manifests.manifest
         if manifest is None:
--- a/bergamotdoor/http/_pool.py
+++ b/bergamotdoor/http/_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextvars
 from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -103,7 +104,10 @@
         if len(connections) > self._max_idle_per_address:
             connections.popleft().stream.close()
         if self._eviction_task is None:
-            self._eviction_task = asyncio.create_task(self._evict_until_empty())
+            # The task serves all later requests: it inherits no context.
+            self._eviction_task = asyncio.create_task(
+                self._evict_until_empty(), context=contextvars.Context()
+            )
 
     def distrust(self, address: Address) -> None:
         """Close all idle connections to an upstream that timed out.
--- a/bergamotdoor/observe/logs.py
+++ b/bergamotdoor/observe/logs.py
@@ -11,7 +11,9 @@
     QueueListener,
     WatchedFileHandler,
 )
-from typing import Final, Protocol, TypeAlias
+from typing import Any, Final, Protocol, TypeAlias
+
+from bergamotdoor.observe import subjects
 
 ROOT_NAME: Final = 'bergamotdoor'
 #: The maximum number of records queued for a slow disk or pipe. Further
@@ -138,6 +140,13 @@
         self.dropped = 0
         self._records = records
 
+    def prepare(self, record: logging.LogRecord) -> Any:
+        """Add the subject to `record` before another thread formats it."""
+        prepared = super().prepare(record)
+        for name, field in subjects.current().fields():
+            prepared.__dict__.setdefault(name, field)
+        return prepared
+
     def enqueue(self, record: logging.LogRecord) -> None:
         """Queue `record`; drop it if the queue is full."""
         try:
--- a/bergamotdoor/peers/client.py
+++ b/bergamotdoor/peers/client.py
@@ -17,11 +17,18 @@
     HttpResponse,
 )
 from bergamotdoor.http.sending import send
+from bergamotdoor.observe import subjects
 from bergamotdoor.peers import codec
 from bergamotdoor.peers.messages import (
     PEER_PATH,
+    AdoptJob,
+    JobEnded,
+    JobOwned,
     PeerReply,
     PeerRequest,
+    ReadBody,
+    ReadResults,
+    TakeOver,
 )
 
 if TYPE_CHECKING:
@@ -29,6 +36,7 @@
 
     from bergamotdoor.http.messages import Client, HttpRequest
     from bergamotdoor.settings.document import Address
+    from bergamotdoor.types import JobId
 
 #: Added to the wait that a request allows the receiving entry; a healthy entry
 #: answers in milliseconds.
@@ -152,5 +160,19 @@
     except msgspec.MsgspecError as error:
         _log.warning('peers: message can not be decoded: %s', error)
         return HttpResponse(status=int(HTTPStatus.BAD_REQUEST))
-    reply = await handle(message)
+    with subjects.about(
+        job=_job_of(message),
+        action=type(message).__name__,
+        peer=request.peer,
+    ):
+        reply = await handle(message)
     return HttpResponse(status=int(HTTPStatus.OK), body=codec.encode(reply))
+
+
+def _job_of(message: PeerRequest) -> JobId | None:
+    """Return the job that a request is about."""
+    if isinstance(message, (AdoptJob, TakeOver)):
+        return message.spec.job
+    if isinstance(message, (JobEnded, JobOwned, ReadBody, ReadResults)):
+        return message.job
+    return None
--- a/bergamotdoor/peers/news_source.py
+++ b/bergamotdoor/peers/news_source.py
@@ -18,6 +18,7 @@
 
 from bergamotdoor.objects.change_log import ChangeLog
 from bergamotdoor.objects.news import StoreNews, Watch
+from bergamotdoor.observe import subjects
 from bergamotdoor.peers.messages import NotKnown
 from bergamotdoor.peers.news_messages import HistoryGone, KindChanges
 from bergamotdoor.stored import Changes, Outcome
@@ -262,7 +263,8 @@
         trusted = self._bounds.trusted(watch)
         feed = Feed(self._news, watch, self._clock, trusted)
         self._feeds[watch.kind] = feed
-        self._tasks.start(self._run_feed(watch.kind, feed))
+        with subjects.only_about():
+            self._tasks.start(self._run_feed(watch.kind, feed))
         _log.info('peers: follows %s for others', watch.kind)
         return feed
 
--- a/bergamotdoor/steps/dispatcher.py
+++ b/bergamotdoor/steps/dispatcher.py
@@ -23,6 +23,7 @@
     place_item,
     short_time_s,
 )
+from bergamotdoor.observe import subjects
 from bergamotdoor.observe.events import Counted
 from bergamotdoor.steps.item_request import ItemRun
 from bergamotdoor.steps.item_run import run_item
@@ -246,7 +247,8 @@
         # includes this run.
         load = self._context.loads.of(item.upstream.upstream)
         load.record_sent(self._context.clock.elapsed())
-        task = start_counted(load, self._run_item(run, queued, item))
+        with subjects.only_about(run.spec.job):
+            task = start_counted(load, self._run_item(run, queued, item))
         # Added after the callback that counts the slot as free, so it runs
         # after that one.
         task.add_done_callback(lambda _: self._on_item_end())
--- a/bergamotdoor/steps/job_finder.py
+++ b/bergamotdoor/steps/job_finder.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from bergamotdoor.observe import subjects
 from bergamotdoor.steps.job_run import RunState
 from bergamotdoor.steps.unclear_jobs import UnclearJobs
 from bergamotdoor.stored import Outcome
@@ -181,19 +182,8 @@
 
         Return NOT_DONE if the job could not be loaded, or this process stops.
         """
-        if self._owner.stopping and not found.status.ended:
-            return Outcome.NOT_DONE
-        known = self._owner.get(found.job)
-        if known is not None and known.state is RunState.RUNNING:
-            known.update_record(found)
-            return known
-        started_at = self._context.clock.elapsed()
-        loaded = await self._store.load(found.job)
-        if isinstance(loaded, Outcome):
-            return Outcome.NOT_DONE
-        return self._owner.adopt(
-            found, msgspec.structs.replace(loaded, read_at=started_at)
-        )
+        with subjects.about(job=found.job):
+            return await self._adopt(found)
 
     async def accept_handoff(
         self, found: FoundJob, loaded: LoadedJob
@@ -212,6 +202,21 @@
             return claimed
         return self._owner.adopt(claimed, loaded)
 
+    async def _adopt(self, found: FoundJob) -> JobRun | Outcome:
+        if self._owner.stopping and not found.status.ended:
+            return Outcome.NOT_DONE
+        known = self._owner.get(found.job)
+        if known is not None and known.state is RunState.RUNNING:
+            known.update_record(found)
+            return known
+        started_at = self._context.clock.elapsed()
+        loaded = await self._store.load(found.job)
+        if isinstance(loaded, Outcome):
+            return Outcome.NOT_DONE
+        return self._owner.adopt(
+            found, msgspec.structs.replace(loaded, read_at=started_at)
+        )
+
     async def _claim(
         self, found: FoundJob, *, replaces_owner: bool
     ) -> FoundJob | Outcome:
--- a/bergamotdoor/steps/job_handoff.py
+++ b/bergamotdoor/steps/job_handoff.py
@@ -20,6 +20,7 @@
 from bergamotdoor.jobs.ledger import Ledger
 from bergamotdoor.jobs.messages import JobStatus
 from bergamotdoor.objects.job_codec import Checkpoint, FoundJob, LoadedJob
+from bergamotdoor.observe import subjects
 from bergamotdoor.peers.messages import JobOwned, TakeOver
 
 if TYPE_CHECKING:
@@ -89,6 +90,10 @@
         await asyncio.gather(*(self._hand_off(run) for run in runs))
 
     async def _hand_off(self, run: JobRun) -> None:
+        with subjects.about(job=run.spec.job, action='handoff'):
+            await self._offer_and_save(run)
+
+    async def _offer_and_save(self, run: JobRun) -> None:
         message = _takeover_message(run)
         run.stop()
         handoff = asyncio.gather(
--- a/bergamotdoor/steps/job_run.py
+++ b/bergamotdoor/steps/job_run.py
@@ -11,12 +11,14 @@
 
 from bergamotdoor.jobs.open_items import OpenItems
 from bergamotdoor.jobs.progress import Progress
+from bergamotdoor.observe import subjects
 from bergamotdoor.observe.events import Counted
 from bergamotdoor.observe.metrics import Stage
 from bergamotdoor.steps.ledger_sync import LedgerSync
 
 if TYPE_CHECKING:
     import datetime as dt
+    from collections.abc import Coroutine
 
     from bergamotdoor.calls.manifest import Route
     from bergamotdoor.entry.context import Context
@@ -134,10 +136,15 @@
         """Whether the job's end was confirmed."""
         return self.state is RunState.ENDED
 
-    def track_score_task(self, task: asyncio.Task[None]) -> None:
-        """Track the task of a score call, to be cancelled with the job."""
+    def start_score_task(
+        self, work: Coroutine[None, None, None]
+    ) -> asyncio.Task[None]:
+        """Start the task of a score call, to be cancelled with the job."""
+        with subjects.only_about(self.spec.job):
+            task = asyncio.create_task(work)
         self._score_tasks.add(task)
         task.add_done_callback(self._score_tasks.discard)
+        return task
 
     def mark_open_items_lost(self) -> None:
         """Finish every item that has no result as lost."""
@@ -236,3 +243,20 @@
             item.task.cancel()
         for task in self._score_tasks:
             task.cancel()
+
+
+def record_adoption(context: Context, run: JobRun) -> None:
+    """Record in metrics and log that a job runs here, and why."""
+    term = run.stored_job.record.term
+    context.metrics.count(Counted.JOB_OWNED)
+    if term > 1:
+        context.metrics.count(Counted.JOB_TAKEN_OVER)
+    _log.info(
+        'gateway: job %s owned, term %d, %d items, %d listed, on %s',
+        run.spec.job,
+        term,
+        len(run.spec.items),
+        len(run.ledger),
+        # Nobody asks for the jobs that a process resumes when it starts.
+        subjects.current().action or 'start',
+    )
--- a/bergamotdoor/steps/owner.py
+++ b/bergamotdoor/steps/owner.py
@@ -7,10 +7,10 @@
 import logging
 from typing import TYPE_CHECKING, Final
 
-from bergamotdoor.observe.events import Counted
+from bergamotdoor.observe import subjects
 from bergamotdoor.steps.dispatcher import Dispatcher
 from bergamotdoor.steps.item_saving import save_open_items
-from bergamotdoor.steps.job_run import JobRun, RunState
+from bergamotdoor.steps.job_run import JobRun, RunState, record_adoption
 from bergamotdoor.steps.ownership import OwnershipCheck
 from bergamotdoor.steps.result_writer import ResultWriter
 from bergamotdoor.steps.scorer import Scorer
@@ -171,23 +171,17 @@
             self._context, self._store, found, loaded, now + time_allowed
         )
         self._runs[found.job] = run
-        _count_adoption(self._context, found)
         if found.status.ended or found.job in self._early_ends:
             run.end()
         else:
             resubmitted = self.planner.add_job(loaded.spec, earlier)
             writer = ResultWriter(run, self._context, resubmitted)
             saving = save_open_items(run, self._store, self._context.clock)
-            for work in (writer.run(), saving):
-                self._tasks.start(work)
+            with subjects.only_about(found.job):
+                for work in (writer.run(), saving):
+                    self._tasks.start(work)
             self.on_adoption(run)
-        _log.info(
-            'gateway: job %s owned, term %d, %d items, %d listed',
-            found.job,
-            found.record.term,
-            len(loaded.spec.items),
-            len(loaded.ledger),
-        )
+        record_adoption(self._context, run)
         if self.stopping and run.active:
             self.on_late_adoption(run)
         self.wake_up()
@@ -281,12 +275,6 @@
     """Do nothing; stands for a callback that is not set."""
 
 
-def _count_adoption(context: Context, found: FoundJob) -> None:
-    context.metrics.count(Counted.JOB_OWNED)
-    if found.record.term > 1:
-        context.metrics.count(Counted.JOB_TAKEN_OVER)
-
-
 def _is_active(run: JobRun) -> bool:
     return run.active
 
--- a/bergamotdoor/steps/peer_notifier.py
+++ b/bergamotdoor/steps/peer_notifier.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from bergamotdoor.observe import subjects
 from bergamotdoor.peers.directory import home_order
 from bergamotdoor.peers.job_messages import JobUnclear
 from bergamotdoor.peers.messages import (
@@ -209,7 +210,8 @@
 
     async def _ensure_running(self, spec: JobSpec, record: JobRecord) -> None:
         if self._finder.is_own(record):
-            await self._finder.resume(spec.job)
+            with subjects.about(action='resubmission'):
+                await self._finder.resume(spec.job)
             return
         message = ReadBody(spec.job, spec.items[0].item)
         reply = await self._peers.ask(record.address, message)
--- a/bergamotdoor/steps/scorer.py
+++ b/bergamotdoor/steps/scorer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import datetime as dt
 import functools
 import logging
@@ -91,8 +90,7 @@
             return
         text.is_running = True
         self._in_flight[service] += 1
-        task = asyncio.create_task(self._send_call(run, text, route))
-        run.track_score_task(task)
+        task = run.start_score_task(self._send_call(run, text, route))
         task.add_done_callback(lambda _: self._end_call(service))
 
     def _find_route(self, text: UnscoredText) -> Route | None:
--- a/features/observe_logs.feature
+++ b/features/observe_logs.feature
@@ -14,6 +14,13 @@
     When 100 records are logged
     Then logging returned each time and the dropped records were counted
 
+  Scenario: an adopted job's line tells why it runs here
+    Guards against a job that runs without a line that says who asked for it.
+
+    Given the logs of "site" go to a file at level "info"
+    When an entry that runs a job is restarted
+    Then lines of the job contain "on submission" and "on start"
+
   Scenario: an unknown log level is rejected with its name
     When the logs are configured at level "loud"
     Then the error contains "loud" and the valid levels
--- a/features/steps/observe_logs_steps.py
+++ b/features/steps/observe_logs_steps.py
@@ -14,6 +14,8 @@
 
 from bergamotdoor.observe import logs
 from bergamotdoor.settings.process import LogSettings
+from features.job_scenes import JOB, owner_of
+from lab.site import Site, play
 
 LOGGER = logging.getLogger('bergamotdoor.part')
 MESSAGE = 'part: something happened'
@@ -103,3 +105,30 @@
 def check_level(context: Any, level: str) -> None:
     assert level in context.log_error
     assert 'debug, info, warning, error' in context.log_error
+
+
+@when('an entry that runs a job is restarted')
+def restart_owner(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        await site.submit('entry-0', JOB, [[60, 2]])
+        owner = owner_of(site)
+        await site.kill(owner)
+        await site.add_entry(owner)
+        await site.all_results(owner, JOB)
+
+    play(scene)
+    context.log_output.stop()
+
+
+@then('lines of the job contain "{first}" and "{second}"')
+def check_adoption_lines(context: Any, first: str, second: str) -> None:
+    messages = [line['message'] for line in lines_of_job(context)]
+    for told in (first, second):
+        assert any(told in message for message in messages), messages
+
+
+def lines_of_job(context: Any) -> list[Any]:
+    """Return the lines that carry the id of the job as a field."""
+    lines = map(json.loads, context.log_file.read_text().splitlines())
+    return [line for line in lines if line.get('job') == JOB]
--- a/features/steps/peers_load_sharing_steps.py
+++ b/features/steps/peers_load_sharing_steps.py
@@ -230,7 +230,7 @@
             return body
 
         return await serve_peer(
-            cast('Any', SimpleNamespace(read_body=read_body)), accept
+            cast('Any', SimpleNamespace(read_body=read_body, peer='')), accept
         )
 
     server = HttpServer(at(port), handle, LIMITS, clock, node)
