Tell on which paths a call of the store failed

What operators saw: `objects: POST /-/objects/jobs: status 503`. It does not tell whether the write had been sent before on a connection that failed, on which path it was rejected (directly, or through another entry) or after what time, so "rejected once" and "rejected after a first attempt without an answer" look the same. A relayed write that failed left no line at the entry that made it, and a refused submission no line that says which write.

Change: each call records its paths, with the result and the time of each. One line a call tells them if the call, or any of its paths, has failed:

objects: POST /-/objects/jobs: unclear after 12 ms (directly: status 503, second attempt, first one sent: no response ... after 8 ms; through 127.0.0.1:9012: status 503 after 4 ms ...), attempt=1

A write that its caller gave up is told too. `send` logs the first failure when it sends a request again. `StoreCall` names the sender, the job and the request, `StoreReply` what came of the call; both are empty in messages of older processes. The relaying entry logs a call that failed, for whom. The job store tells the part or record at which a submission ended. Outcomes and their conditions are as before. Lines of the direct path alone are gone: they are part of the one line.

Test: the rows of "a job's id leads to the write that refused it" failed on the code before (no line carries the job's id).

--- a/bergamotdoor/http/messages.py
+++ b/bergamotdoor/http/messages.py
@@ -141,6 +141,8 @@
     #: Whether the request was sent before, on a connection that failed. It
     #: may have run then, whatever this response says.
     sent_before: bool = False
+    #: Why the first attempt failed, if there were two.
+    first_failure: str = ''
 
     async def read_body(self, limit_bytes: int) -> bytes:
         """Return the complete body.
@@ -196,6 +198,8 @@
     sent: bool
     detail: str
     reused: bool = False
+    #: Why the other attempt failed, if there were two.
+    other_failure: str = ''
 
 
 async def read_all(body: AsyncIterator[bytes], limit_bytes: int) -> bytes:
--- a/bergamotdoor/http/sending.py
+++ b/bergamotdoor/http/sending.py
@@ -2,13 +2,21 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import logging
+from typing import TYPE_CHECKING, Final
+
+import msgspec
 
 from bergamotdoor.http.messages import ClientFailure, ClientResponse
 
 if TYPE_CHECKING:
     from bergamotdoor.http.messages import Client, ClientRequest
 
+#: How much of a target is logged.
+_MAX_TARGET_CHARS: Final = 200
+
+_log = logging.getLogger('bergamotdoor.http')
+
 
 async def send(
     client: Client, request: ClientRequest
@@ -44,8 +52,19 @@
     first = await client.send(request)
     if not isinstance(first, ClientFailure) or not first.reused:
         return first
+    _log.info(
+        'http: %s %s at %s:%d on a kept connection, %s: %s; sending it again',
+        request.method,
+        request.target[:_MAX_TARGET_CHARS],
+        request.address.ip,
+        request.address.port,
+        'sent' if first.sent else 'not sent',
+        first.detail,
+    )
     second = await client.send(request)
     if isinstance(second, ClientResponse):
         second.sent_before = first.sent
+        second.first_failure = first.detail
         return second
-    return second if second.sent else first
+    last, other = (second, first) if second.sent else (first, second)
+    return msgspec.structs.replace(last, other_failure=other.detail)
--- a/bergamotdoor/objects/client.py
+++ b/bergamotdoor/objects/client.py
@@ -14,11 +14,13 @@
     BodyBrokenError,
     BodyTooLargeError,
     Client,
+    ClientFailure,
     ClientRequest,
     ClientResponse,
     Headers,
 )
 from bergamotdoor.http.sending import send
+from bergamotdoor.observe import call_trace
 from bergamotdoor.observe.call_counts import CallCounts, CallType
 from bergamotdoor.platform import store_paths, store_wire
 from bergamotdoor.stored import (
@@ -161,24 +163,22 @@
             total_timeout=timeout * 2,
         )
         # Calls are safe to repeat: each is conditional or idempotent.
+        sent = call_trace.begin_path('directly')
         response = await send(self._client, request)
         if not isinstance(response, ClientResponse):
-            _log.warning('objects: %s %s: %s', method, path, response.detail)
+            sent.end(_describe_failure(response), failed=True)
             return Outcome.UNCLEAR if response.sent else Outcome.NOT_DONE
         try:
             body_bytes = await response.read_body(_MAX_BODY_BYTES)
         except (BodyBrokenError, BodyTooLargeError) as error:
-            _log.warning('objects: %s %s: %r', method, path, error)
+            sent.end(_describe_response(response, repr(error)), failed=True)
             return Outcome.UNCLEAR
         answer = Answer(response.status, body_bytes)
+        sent.end(
+            _describe_response(response),
+            failed=response.sent_before or _is_failure(answer),
+        )
         if response.sent_before and answer.is_rejection:
-            _log.warning(
-                'objects: %s %s: status %d for the second attempt, the first '
-                'one got no response',
-                method,
-                path,
-                response.status,
-            )
             return Outcome.UNCLEAR
         return answer
 
@@ -195,7 +195,6 @@
             async with asyncio.timeout(timeout.total_seconds()):
                 return await self.call('GET', path, b'', timeout)
         except TimeoutError:
-            _log.warning('objects: GET %s: no answer in %s', path, timeout)
             return Outcome.UNCLEAR
 
 
@@ -335,35 +334,53 @@
         """
         self.counts.add(CallType.WATCH, kind)
         path = store_paths.watch_path(kind, since, wait // _MILLISECOND)
-        response = await self._caller.watch(path, wait + _WATCH_MARGIN)
+        with call_trace.traced_call() as trace:
+            response = await self._caller.watch(path, wait + _WATCH_MARGIN)
+            _log_failure('GET', path, response, trace)
         if isinstance(response, Outcome):
             return response
         if response.status >= HTTPStatus.MULTIPLE_CHOICES:
-            return _outcome_of_status('GET', path, response)
+            return _outcome_of_status(response)
         return _parse_body(store_wire.parse_changes, response, Outcome.UNCLEAR)
 
     async def _write(
         self, method: str, path: str, body: bytes
     ) -> StoredObject | Conflict | Outcome:
-        response = await self._caller.call(method, path, body, CALL_TIMEOUT)
+        response = await self._call(method, path, body, CALL_TIMEOUT)
         if isinstance(response, Outcome):
             return response
         if response.status == HTTPStatus.CONFLICT:
             return Conflict(_parse_current(response.body))
         if response.status >= HTTPStatus.MULTIPLE_CHOICES:
-            return _outcome_of_status(method, path, response)
+            return _outcome_of_status(response)
         return _parse_body(store_wire.parse_object, response, Outcome.UNCLEAR)
 
     async def _request(
         self, method: str, path: str, timeout: dt.timedelta = CALL_TIMEOUT
     ) -> Answer | Outcome:
-        response = await self._caller.call(method, path, b'', timeout)
+        response = await self._call(method, path, b'', timeout)
         if isinstance(response, Outcome):
             return response
         if response.status >= HTTPStatus.MULTIPLE_CHOICES:
-            return _outcome_of_status(method, path, response)
+            return _outcome_of_status(response)
         return response
 
+    async def _call(
+        self, method: str, path: str, body: bytes, timeout: dt.timedelta
+    ) -> Answer | Outcome:
+        """Send a call; log what came of each path if any has failed."""
+        with call_trace.traced_call() as trace:
+            try:
+                found = await self._caller.call(method, path, body, timeout)
+            except asyncio.CancelledError:
+                if method != 'GET':
+                    _log.warning(
+                        'objects: %s %s: given up %s', method, path, trace
+                    )
+                raise
+            _log_failure(method, path, found, trace)
+        return found
+
 
 def _listing_type(stale: bool) -> CallType:
     return CallType.STALE_LIST if stale else CallType.LIST
@@ -396,10 +413,53 @@
         return None
 
 
-def _outcome_of_status(method: str, path: str, response: Answer) -> Outcome:
+def _outcome_of_status(response: Answer) -> Outcome:
     if response.status == HTTPStatus.NOT_FOUND:
         return Outcome.ABSENT
     if response.status == HTTPStatus.GONE:
         return Outcome.HISTORY_GONE
-    _log.warning('objects: %s %s: status %d', method, path, response.status)
     return Outcome.NOT_DONE if response.is_rejection else Outcome.UNCLEAR
+
+
+def _is_failure(found: Answer | Outcome) -> bool:
+    """Return whether the store neither did a call nor told the state."""
+    if isinstance(found, Outcome):
+        return True
+    return (
+        found.status >= HTTPStatus.MULTIPLE_CHOICES
+        and found.status not in _STATE_STATUSES
+    )
+
+
+def _log_failure(
+    method: str,
+    path: str,
+    found: Answer | Outcome,
+    trace: call_trace.CallTrace,
+) -> None:
+    """Log a call that failed, or that failed on one of its paths."""
+    if not (_is_failure(found) or trace.has_failed_path):
+        return
+    verdict = 'done'
+    if isinstance(found, Answer) and _is_failure(found):
+        verdict = 'rejected' if found.is_rejection else 'unclear'
+    elif isinstance(found, Outcome):
+        verdict = 'not sent' if found is Outcome.NOT_DONE else found.value
+    _log.warning('objects: %s %s: %s %s', method, path, verdict, trace)
+
+
+def _describe_failure(failure: ClientFailure) -> str:
+    sent = 'sent' if failure.sent else 'not sent'
+    if not failure.other_failure:
+        return f'{sent}, {failure.detail}'
+    return f'{sent}, {failure.detail}, other attempt: {failure.other_failure}'
+
+
+def _describe_response(response: ClientResponse, error: str = '') -> str:
+    told = f'status {response.status}'
+    if error:
+        told = f'{told}, {error}'
+    if not response.first_failure:
+        return told
+    sent = 'sent' if response.sent_before else 'not sent'
+    return f'{told}, second attempt, first one {sent}: {response.first_failure}'
--- a/bergamotdoor/objects/job_store.py
+++ b/bergamotdoor/objects/job_store.py
@@ -34,6 +34,7 @@
     record_name,
 )
 from bergamotdoor.objects.reader import ObjectReader
+from bergamotdoor.observe import subjects
 from bergamotdoor.stored import (
     Conflict,
     Outcome,
@@ -112,11 +113,24 @@
             if outcome is Outcome.NOT_DONE or outcome is Outcome.UNCLEAR:
                 # The job exists only once its record is stored: parts
                 # without a record are never run.
+                _log.warning(
+                    'objects: job %s: write of part %d of %d: %s',
+                    spec.job,
+                    number + 1,
+                    len(parts),
+                    outcome.value,
+                )
                 return Outcome.NOT_DONE
         record = msgspec.structs.replace(record, parts=len(parts))
         body = msgspec.json.encode(record)
         stored = await self._create(JOB_KIND, spec.job, body)
         if isinstance(stored, Outcome):
+            _log.warning(
+                'objects: job %s: write of its record, after %d parts: %s',
+                spec.job,
+                len(parts),
+                stored.value,
+            )
             return stored
         if isinstance(stored, StoredObject):
             return _submitted_job(_decode_job(stored), created=True)
@@ -181,8 +195,9 @@
             the job's record is unreadable and its owner unknown.
         """
         status = msgspec.json.encode(JobStatus(ended=True))
-        for _ in range(_MAX_ATTEMPTS):
-            outcome = await self._store.put_status(JOB_KIND, job, status)
+        for attempt in range(1, _MAX_ATTEMPTS + 1):
+            with subjects.about(attempt=attempt):
+                outcome = await self._store.put_status(JOB_KIND, job, status)
             if isinstance(outcome, StoredObject):
                 return _reader.read(outcome, found_job)
             if outcome is Outcome.ABSENT or outcome is Outcome.NOT_DONE:
@@ -329,8 +344,9 @@
         """Create an object; retry while the outcome is unclear."""
         outcome: StoredObject | Conflict | Outcome = Outcome.NOT_DONE
         unclear = False
-        for _ in range(_MAX_ATTEMPTS):
-            outcome = await self._store.create(kind, name, body)
+        for attempt in range(1, _MAX_ATTEMPTS + 1):
+            with subjects.about(attempt=attempt):
+                outcome = await self._store.create(kind, name, body)
             if not isinstance(outcome, Outcome):
                 return outcome
             unclear = unclear or outcome is Outcome.UNCLEAR
--- a/bergamotdoor/peers/access.py
+++ b/bergamotdoor/peers/access.py
@@ -46,7 +46,11 @@
         self.peers = PeerClient(client)
         self.direct = DirectCaller(client, settings.store)
         caller = RelayingCaller(
-            self.direct, PeerRelay(self.peers), clock, self.rng
+            self.direct,
+            PeerRelay(self.peers),
+            clock,
+            self.rng,
+            settings.node,
         )
         self.store = ObjectClient(caller)
         self.directory = Directory(self.store, settings.node, clock)
--- a/bergamotdoor/peers/client.py
+++ b/bergamotdoor/peers/client.py
@@ -57,6 +57,8 @@
     #: Whether the entry may have handled the request before, on a connection
     #: that failed. The reply is to the second attempt then.
     sent_before: bool = False
+    #: Why there is no reply, or why the first attempt failed.
+    failure: str = ''
 
 
 class PeerClient:
@@ -122,7 +124,7 @@
         name = type(message).__name__
         if not isinstance(response, ClientResponse):
             _log.info('peers: no reply to %s: %s', name, response.detail)
-            return PeerExchange(None)
+            return PeerExchange(None, failure=response.detail)
         try:
             body = await response.read_body(_MAX_BODY_BYTES)
             reply = codec.decode_reply(body)
@@ -132,8 +134,8 @@
             msgspec.MsgspecError,
         ) as error:
             _log.warning('peers: reply to %s is malformed: %s', name, error)
-            return PeerExchange(None)
-        return PeerExchange(reply, response.sent_before)
+            return PeerExchange(None, failure='malformed reply')
+        return PeerExchange(reply, response.sent_before, response.first_failure)
 
 
 async def serve_peer(
--- a/bergamotdoor/peers/messages.py
+++ b/bergamotdoor/peers/messages.py
@@ -135,6 +135,11 @@
     path: str
     body: bytes
     timeout_ms: int
+    #: The sender, and the job and the request that it handles, for logs;
+    #: empty if an earlier release sent the message.
+    sender: str = ''
+    job: str = ''
+    request: str = ''
 
 
 PeerRequest: TypeAlias = (
@@ -194,6 +199,9 @@
     body: bytes
     #: Whether the call may have taken effect, or may do so later.
     unclear: bool = False
+    #: What came of the call, for the sender's logs; empty if it succeeded, or
+    #: if an earlier release sent the reply.
+    detail: str = ''
 
 
 PeerReply: TypeAlias = (
--- a/bergamotdoor/peers/relay.py
+++ b/bergamotdoor/peers/relay.py
@@ -16,6 +16,7 @@
 from typing import TYPE_CHECKING, Final, Protocol
 
 from bergamotdoor.objects.client import Answer, Caller
+from bergamotdoor.observe import call_trace, subjects
 from bergamotdoor.peers.messages import StoreCall, StoreReply
 from bergamotdoor.stored import Outcome
 
@@ -24,7 +25,7 @@
     from typing import TypeAlias
 
     from bergamotdoor.clock import Clock
-    from bergamotdoor.peers.client import PeerClient
+    from bergamotdoor.peers.client import PeerClient, PeerExchange
     from bergamotdoor.peers.directory import Directory
     from bergamotdoor.peers.messages import PeerReply
     from bergamotdoor.settings.document import Address
@@ -91,8 +92,10 @@
         store rejects the call of the second attempt. Symptom: a write that
         took effect is reported as rejected.
         """
+        sent = call_trace.begin_path(f'through {address.ip}:{address.port}')
         exchange = await self._peers.exchange(address, call, timeout)
         answer = _answer_in(exchange.reply)
+        sent.end(_describe(exchange), failed=not usable(answer))
         has_no_effect = answer is Outcome.NOT_DONE or (
             isinstance(answer, Answer) and answer.is_rejection
         )
@@ -116,6 +119,8 @@
         Clock for the periods in which one of the paths is not used.
     rng
         Chooses the entries through which a call is relayed.
+    sender
+        Name of this process for the logs of the other entries.
     """
 
     def __init__(
@@ -124,8 +129,10 @@
         relay: Relay,
         clock: Clock,
         rng: random.Random,
+        sender: str = '',
     ) -> None:
         self._direct = direct
+        self._sender = sender
         self._relay = relay
         self._clock = clock
         self._rng = rng
@@ -145,7 +152,7 @@
             ``UNCLEAR`` if there was no such answer and the call may have
             taken effect on any of the paths.
         """
-        call = StoreCall(method, path, body, timeout // _MS)
+        call = self._message(method, path, body, timeout)
         relays = self._pick_relays()
         if not relays:
             return await self._call_directly(call, timeout)
@@ -169,10 +176,24 @@
         """
         relays = self._pick_relays()
         if relays and self._clock.elapsed() < self._relay_first_until:
-            call = StoreCall('GET', path, b'', timeout // _MS)
+            call = self._message('GET', path, b'', timeout)
             return await self._relay.call(relays[0], call, timeout)
         return await self._direct.watch(path, timeout)
 
+    def _message(
+        self, method: str, path: str, body: bytes, timeout: dt.timedelta
+    ) -> StoreCall:
+        subject = subjects.current()
+        return StoreCall(
+            method,
+            path,
+            body,
+            timeout // _MS,
+            self._sender,
+            subject.job,
+            subject.request,
+        )
+
     def _pick_relays(self) -> list[Address]:
         """Return the entries to relay a call through, in random order."""
         if self.directory is None or self._is_relay_paused():
@@ -269,10 +290,27 @@
 async def relayed(direct: Caller, call: StoreCall) -> StoreReply:
     """Make a call to the store for another process, directly only."""
     timeout = call.timeout_ms * _MS
-    found = await direct.call(call.method, call.path, call.body, timeout)
+    detail = ''
+    with (
+        subjects.about(job=call.job, request=call.request, action='relay'),
+        call_trace.traced_call() as trace,
+    ):
+        found = await direct.call(call.method, call.path, call.body, timeout)
+        if not usable(found) or trace.has_failed_path:
+            detail = str(trace)
+            _log.warning(
+                'peers: %s %s for %s: %s %s',
+                call.method,
+                call.path,
+                call.sender or 'another process',
+                found.value if isinstance(found, Outcome) else 'answered',
+                detail,
+            )
     if isinstance(found, Answer):
-        return StoreReply(found.status, found.body)
-    return StoreReply(None, b'', unclear=found is Outcome.UNCLEAR)
+        return StoreReply(found.status, found.body, detail=detail)
+    return StoreReply(
+        None, b'', unclear=found is Outcome.UNCLEAR, detail=detail
+    )
 
 
 def usable(found: Answer | Outcome) -> bool:
@@ -289,6 +327,19 @@
     return Answer(reply.status, reply.body)
 
 
+def _describe(exchange: PeerExchange) -> str:
+    """Return what came of a relayed call, for the log."""
+    reply = exchange.reply
+    told = 'no reply'
+    if isinstance(reply, StoreReply):
+        told = f'status {reply.status}' if reply.status else 'no answer'
+        told = f'{told} {reply.detail}' if reply.detail else told
+    if not exchange.failure:
+        return told
+    sent = ', sent before' if exchange.sent_before else ''
+    return f'{told}{sent}: {exchange.failure}'
+
+
 def _has_usable_answer(task: _CallTask) -> bool:
     return task.done() and usable(task.result())
 
--- a/features/observe_logs.feature
+++ b/features/observe_logs.feature
@@ -14,6 +14,24 @@
     When 100 records are logged
     Then logging returned each time and the dropped records were counted
 
+  Scenario Outline: a job's id leads to the write that refused it
+    Guards against warnings that name no job and hide a first attempt.
+
+    Given the logs of "site" go to a file at level "info"
+    When a job is submitted to a site whose store <fault>
+    Then it is answered <status>, and lines of the job contain "<told>"
+    And no line about another object names the job
+
+    Examples:
+      | fault                        | status | told                           |
+      | rejects all calls            | 503    | rejected after                 |
+      | rejects all calls            | 503    | directly: status 503 after     |
+      | rejects all calls            | 503    | for entry-0: answered after    |
+      | rejects all calls            | 503    | part 1 of 1: not-done          |
+      | stores a write and resets it | 504    | after 1 parts: unclear         |
+      | stores a write and resets it | 504    | second attempt, first one sent |
+      | stores a write and resets it | 504    | on a kept connection, sent:    |
+
   Scenario: an adopted job's line tells why it runs here
     Guards against a job that runs without a line that says who asked for it.
 
--- a/features/steps/observe_logs_steps.py
+++ b/features/steps/observe_logs_steps.py
@@ -16,6 +16,7 @@
 from bergamotdoor.settings.process import LogSettings
 from features.job_scenes import JOB, owner_of
 from lab.site import Site, play
+from lab.store import StoreMode
 
 LOGGER = logging.getLogger('bergamotdoor.part')
 MESSAGE = 'part: something happened'
@@ -107,6 +108,43 @@
     assert 'debug, info, warning, error' in context.log_error
 
 
+@when('a job is submitted to a site whose store {fault}')
+def submit_to_failing_store(context: Any, fault: str) -> None:
+    async def scene(site: Site) -> None:
+        await site.start()
+        if fault == 'rejects all calls':
+            site.store.mode = StoreMode.BUSY
+        else:
+            site.store.write_faults.outage_kind = 'jobs'
+        context.reply = await site.submit('entry-0', JOB, [[2, 2]])
+
+    # Other features silence this logger.
+    logging.getLogger('bergamotdoor.http').propagate = True
+    try:
+        play(scene)
+    finally:
+        logging.getLogger('bergamotdoor.http').propagate = False
+    context.log_output.stop()
+
+
+@then('it is answered {status:d}, and lines of the job contain "{told}"')
+def check_write_line(context: Any, status: int, told: str) -> None:
+    assert context.reply.status == status, context.reply.status
+    lines = lines_of_job(context)
+    assert any(told in line['message'] for line in lines), lines
+
+
+@then('no line about another object names the job')
+def check_other_lines(context: Any) -> None:
+    others = [
+        line['message']
+        for line in lines_of_job(context)
+        if '/-/objects/' in line['message']
+        and '/-/objects/job' not in line['message']
+    ]
+    assert not others, others
+
+
 @when('an entry that runs a job is restarted')
 def restart_owner(context: Any) -> None:
     async def scene(site: Site) -> None:
