Keep the messages about loads together, and those about jobs

The two notifications of agents about loads are in one module now, and the new message is beside the other ones about jobs; the log lines of a receiver name its job.

--- a/bergamotdoor/agent/notifier.py
+++ b/bergamotdoor/agent/notifier.py
@@ -9,8 +9,8 @@
 
 from bergamotdoor import utils
 from bergamotdoor.peers.directory import home_order
-from bergamotdoor.peers.messages import Done, EngineLoaded
-from bergamotdoor.peers.weight_messages import LoadAnnounced
+from bergamotdoor.peers.messages import Done
+from bergamotdoor.peers.weight_messages import EngineLoaded, LoadAnnounced
 
 if TYPE_CHECKING:
     from bergamotdoor.clock import Clock
--- a/bergamotdoor/peers/client.py
+++ b/bergamotdoor/peers/client.py
@@ -24,6 +24,7 @@
     AdoptJob,
     JobEnded,
     JobOwned,
+    JobUnclear,
     PeerReply,
     PeerRequest,
     ReadBody,
@@ -175,6 +176,8 @@
     """Return the job that a request is about."""
     if isinstance(message, (AdoptJob, TakeOver)):
         return message.spec.job
-    if isinstance(message, (JobEnded, JobOwned, ReadBody, ReadResults)):
+    if isinstance(
+        message, (JobEnded, JobOwned, JobUnclear, ReadBody, ReadResults)
+    ):
         return message.job
     return None
--- a/bergamotdoor/peers/messages.py
+++ b/bergamotdoor/peers/messages.py
@@ -12,22 +12,19 @@
 from bergamotdoor.peers.demand_messages import DemandTold, PacesKnown
 from bergamotdoor.peers.directory import EntryRecord
 from bergamotdoor.peers.duty_messages import DutyHeld, UsageTold
-from bergamotdoor.peers.job_messages import JobUnclear
 from bergamotdoor.peers.load_messages import LoadTold
 from bergamotdoor.peers.news_messages import (
     HistoryGone,
     KindChanges,
     WatchKind,
 )
-from bergamotdoor.peers.weight_messages import LoadAnnounced
-from bergamotdoor.settings.document import Address
+from bergamotdoor.peers.weight_messages import EngineLoaded, LoadAnnounced
 from bergamotdoor.types import (
     ItemId,
     JobId,
     ModelId,
     NodeId,
     Revision,
-    WeightVersion,
 )
 
 PEER_PATH: Final = '/peer'
@@ -99,17 +96,13 @@
     revision: Revision = Revision(0)
 
 
-class EngineLoaded(msgspec.Struct, frozen=True, tag=True):
-    """Notification that an engine has loaded a version of a model.
+class JobUnclear(msgspec.Struct, frozen=True, tag=True):
+    """Notification that a job may be in the store, or may still get there.
 
-    An agent sends it to an entry near the engine, which forwards it once to
-    the entry that runs the model's jobs; ``passed_on`` marks that copy.
+    The receivers don't promise a client that nothing of the job runs.
     """
 
-    engine: Address
-    model: ModelId
-    version: WeightVersion
-    passed_on: bool = False
+    job: JobId
 
 
 class StrikesLearned(msgspec.Struct, frozen=True, tag=True):
--- a/bergamotdoor/steps/engine_loads.py
+++ b/bergamotdoor/steps/engine_loads.py
@@ -16,8 +16,7 @@
 import msgspec
 
 from bergamotdoor.observe.events import Counted
-from bergamotdoor.peers.messages import EngineLoaded
-from bergamotdoor.peers.weight_messages import LoadAnnounced
+from bergamotdoor.peers.weight_messages import EngineLoaded, LoadAnnounced
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
--- a/bergamotdoor/steps/peer_notifier.py
+++ b/bergamotdoor/steps/peer_notifier.py
@@ -10,14 +10,13 @@
 
 from bergamotdoor.observe import subjects
 from bergamotdoor.peers.directory import home_order
-from bergamotdoor.peers.job_messages import JobUnclear
 from bergamotdoor.peers.messages import (
     NO_MODEL,
     AdoptJob,
     Done,
-    EngineLoaded,
     JobEnded,
     JobOwned,
+    JobUnclear,
     ReadBody,
 )
 from bergamotdoor.stored import Outcome
@@ -29,7 +28,7 @@
     from bergamotdoor.peers.client import PeerClient
     from bergamotdoor.peers.directory import Directory
     from bergamotdoor.peers.messages import TakeOver
-    from bergamotdoor.peers.weight_messages import LoadAnnounced
+    from bergamotdoor.peers.weight_messages import EngineLoaded, LoadAnnounced
     from bergamotdoor.settings.document import Address
     from bergamotdoor.steps.job_finder import JobFinder
     from bergamotdoor.tasks import Tasks
--- a/bergamotdoor/steps/unclear_jobs.py
+++ b/bergamotdoor/steps/unclear_jobs.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Final
 
-from bergamotdoor.peers.job_messages import JobUnclear
+from bergamotdoor.peers.messages import JobUnclear
 
 if TYPE_CHECKING:
     import datetime as dt
--- a/features/steps/steps_engine_loads_steps.py
+++ b/features/steps/steps_engine_loads_steps.py
@@ -19,8 +19,8 @@
 from bergamotdoor.jobs import PendingLoads, Progress, choose_moves
 from bergamotdoor.peers import codec
 from bergamotdoor.peers.client import serve_peer
-from bergamotdoor.peers.messages import AdoptJob, EngineLoaded, JobOwned
-from bergamotdoor.peers.weight_messages import LoadAnnounced
+from bergamotdoor.peers.messages import AdoptJob, JobOwned
+from bergamotdoor.peers.weight_messages import EngineLoaded, LoadAnnounced
 from bergamotdoor.types import ItemId, ModelId, UpstreamId, WeightVersion
 from features.fleet_scenes import publish
 from features.job_scenes import JOB, owner_of, running_requests
