Send 504 for a slow body that a handler has acted on

What callers saw: nothing yet, as every handler of this project reads a body to its end before it acts. A handler that acts on parts of a body would answer 408, the promise that a request has not run, with the verdict may-have-run beside it. Found in the review of refusals.

Cause: the status was taken from the error of the body, whatever the verdict.

Evidence: "a request that was acted on is not refused for a slow body": 408 may-have-run on the code before, 504 now.

Change: 408 is sent with the verdict not-run only, as 503 is.

Measured: the features of the server, its failures and the exchange pass.

--- a/bergamotdoor/http/_refusal.py
+++ b/bergamotdoor/http/_refusal.py
@@ -67,16 +67,21 @@
     ----------
     status
         Status of the response. 408 gives the reason ``deadline``, any other
-        status ``bad-request``.
+        status ``bad-request``. As 408 says that the request did not run, it
+        is replaced by 504 if the request may have run.
     detail
         Message that names the fault.
     verdict
         Whether the request may have run.
     """
-    reason = Reason.BAD_REQUEST
-    if status == HTTPStatus.REQUEST_TIMEOUT:
-        reason = Reason.DEADLINE
-    return failure_response(Failure(verdict, reason, detail), status)
+    if status != HTTPStatus.REQUEST_TIMEOUT:
+        return failure_response(
+            Failure(verdict, Reason.BAD_REQUEST, detail), status
+        )
+    failure = Failure(verdict, Reason.DEADLINE, detail)
+    return failure_response(
+        failure, status if verdict is Verdict.NOT_RUN else None
+    )
 
 
 def full(detail: str) -> HttpResponse:
--- a/features/http_server.feature
+++ b/features/http_server.feature
@@ -220,6 +220,22 @@
       1.0 then cancelled
       """
 
+  Scenario: a request that was acted on is not refused for a slow body
+    Guards against 408, which promises that a request has not run.
+
+    Given an HTTP handler that acts on each piece
+    When HTTP callers run this script
+      """
+      a sends POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhalf
+      wait 4000
+      """
+    Then the HTTP notes are
+      """
+      0.0 read half
+      2.0 a got 504 may-have-run closing
+      2.0 a closed
+      """
+
   Scenario: a caller that doesn't read is disconnected
     A caller requests an endless stream and reads nothing. The server reads
     no more of the body than fits into the socket's buffers. It waits for the
--- a/features/steps/http_server_steps.py
+++ b/features/steps/http_server_steps.py
@@ -114,6 +114,10 @@
         await self.wait_long('then cancelled')
         return HttpResponse(status=200)
 
+    async def act_on_pieces(self, request: HttpRequest) -> HttpResponse:
+        await self.note_pieces(request.body)
+        return HttpResponse(status=200)
+
     async def note_pieces(self, body: AsyncIterator[bytes]) -> None:
         async for piece in body:
             self.notes.note(f'read {piece.decode()}')
@@ -147,6 +151,7 @@
     'reads piece by piece and then waits': Handlers.read_pieces,
     'streams without end': Handlers.stream,
     'answers without reading': Handlers.answer,
+    'acts on each piece': Handlers.act_on_pieces,
     'returns 120 kB': Handlers.answer_long,
     'returns hop-by-hop fields': Handlers.pass_on,
 }
