--- a/bergamotdoor/objects/client.py
+++ b/bergamotdoor/objects/client.py
@@ -21,7 +21,7 @@
 )
 from bergamotdoor.http.sending import send
 from bergamotdoor.observe import call_trace
-from bergamotdoor.observe.call_counts import CallCounts, CallType
+from bergamotdoor.observe.call_counts import CallCounts, CallOutcome, CallType
 from bergamotdoor.platform import store_paths, store_wire
 from bergamotdoor.stored import (
     Changes,
@@ -57,6 +57,7 @@
 _WATCH_MARGIN: Final = dt.timedelta(milliseconds=_WATCH_MARGIN_MS)
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
 Body = TypeVar('Body')
+_READ_METHOD: Final = 'GET'
 #: With these statuses the store promises that it did nothing.
 _REFUSAL_STATUSES: Final = frozenset(
     (HTTPStatus.TOO_MANY_REQUESTS, HTTPStatus.SERVICE_UNAVAILABLE)
@@ -373,12 +374,15 @@
             try:
                 found = await self._caller.call(method, path, body, timeout)
             except asyncio.CancelledError:
-                if method != 'GET':
+                if method != _READ_METHOD:
+                    self.counts.writes[CallOutcome.UNCLEAR] += 1
                     _log.warning(
                         'objects: %s %s: given up %s', method, path, trace
                     )
                 raise
             _log_failure(method, path, found, trace)
+        if method != _READ_METHOD:
+            self.counts.writes[_call_outcome(found)] += 1
         return found
 
 
@@ -431,6 +435,16 @@
     )
 
 
+def _call_outcome(found: Answer | Outcome) -> CallOutcome:
+    if not _is_failure(found):
+        return CallOutcome.DONE
+    if isinstance(found, Answer):
+        has_no_effect = found.is_rejection
+    else:
+        has_no_effect = found is Outcome.NOT_DONE
+    return CallOutcome.REJECTED if has_no_effect else CallOutcome.UNCLEAR
+
+
 def _log_failure(
     method: str,
     path: str,
@@ -440,12 +454,8 @@
     """Log a call that failed, or that failed on one of its paths."""
     if not (_is_failure(found) or trace.has_failed_path):
         return
-    verdict = 'done'
-    if isinstance(found, Answer) and _is_failure(found):
-        verdict = 'rejected' if found.is_rejection else 'unclear'
-    elif isinstance(found, Outcome):
-        verdict = 'not sent' if found is Outcome.NOT_DONE else found.value
-    _log.warning('objects: %s %s: %s %s', method, path, verdict, trace)
+    outcome = _call_outcome(found).value
+    _log.warning('objects: %s %s: %s %s', method, path, outcome, trace)
 
 
 def _describe_failure(failure: ClientFailure) -> str:
--- a/bergamotdoor/observe/call_counts.py
+++ b/bergamotdoor/observe/call_counts.py
@@ -29,6 +29,17 @@
     WRITE = 'write'
 
 
+class CallOutcome(enum.Enum):
+    """What came of a call to the store, on all its paths."""
+
+    #: The store did it, or told the state for which it did not.
+    DONE = 'done'
+    #: It had no effect.
+    REJECTED = 'rejected'
+    #: It may have had an effect, or may have one later.
+    UNCLEAR = 'unclear'
+
+
 class StoreCalls(msgspec.Struct, frozen=True):
     """Number of calls of one type for one kind of objects."""
 
@@ -42,6 +53,8 @@
 
     def __init__(self) -> None:
         self._counts: Counter[tuple[CallType, str]] = Counter()
+        #: Numbers of writes by their outcome.
+        self.writes: Counter[CallOutcome] = Counter()
 
     def add(self, call: CallType, kind: str) -> None:
         """Count one call."""
--- a/bergamotdoor/observe/events.py
+++ b/bergamotdoor/observe/events.py
@@ -46,6 +46,11 @@
     #: Announcements of engines that are about to load weights.
     LOAD_ANNOUNCED = 'loads_announced'
     ITEM_STALE = 'items_of_old_weights'
+    #: Submissions refused, by the reason: the store did nothing, it is not
+    #: known what it did, or the job belongs to another account.
+    JOB_REFUSED = 'jobs_refused'
+    JOB_UNCLEAR = 'jobs_unclear'
+    JOB_FOREIGN = 'jobs_of_another_account'
     JOB_OWNED = 'jobs_owned'
     JOB_TAKEN_OVER = 'jobs_taken_over'
     JOB_ENDED = 'jobs_ended'
--- a/bergamotdoor/observe/exposition.py
+++ b/bergamotdoor/observe/exposition.py
@@ -5,9 +5,9 @@
 from typing import TYPE_CHECKING, Final
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Iterator
 
-    from bergamotdoor.observe.call_counts import StoreCalls
+    from bergamotdoor.observe.call_counts import CallCounts, StoreCalls
     from bergamotdoor.observe.metrics import (
         CounterValue,
         LatencySummary,
@@ -17,12 +17,11 @@
 _PREFIX: Final = 'bergamotdoor'
 
 
-def exposition(
-    snapshot: MetricsSnapshot, store_calls: Iterable[StoreCalls] = ()
-) -> str:
+def exposition(snapshot: MetricsSnapshot, store_calls: CallCounts) -> str:
     """Return all series as ``name{labels} value`` lines."""
     lines = [_format_counter(counter) for counter in snapshot.counters]
     lines.extend(_format_store_calls(calls) for calls in store_calls)
+    lines.extend(_format_store_writes(store_calls))
     for summary in snapshot.latencies:
         lines.extend(_format_summary(summary))
     return '\n'.join((*lines, ''))
@@ -34,6 +33,12 @@
     return f'{_PREFIX}_store_calls_total{{{labels}}} {calls.count}'
 
 
+def _format_store_writes(calls: CallCounts) -> Iterator[str]:
+    for outcome, count in calls.writes.items():
+        labels = f'outcome="{outcome.value}"'
+        yield f'{_PREFIX}_store_writes_total{{{labels}}} {count}'
+
+
 def _format_counter(counter: CounterValue) -> str:
     labels = f'service="{counter.service}"'
     return f'{_PREFIX}_{counter.name}_total{{{labels}}} {counter.count}'
--- a/bergamotdoor/steps/job_submission.py
+++ b/bergamotdoor/steps/job_submission.py
@@ -9,6 +9,7 @@
 from bergamotdoor.jobs.ledger import Ledger
 from bergamotdoor.jobs.messages import JobRecord
 from bergamotdoor.objects.job_codec import LoadedJob
+from bergamotdoor.observe.events import Counted
 from bergamotdoor.peers.directory import home_order
 from bergamotdoor.stored import Outcome
 
@@ -72,9 +73,14 @@
             # The client has left while a write was under way.
             self._add_unclear(spec.job)
             raise
-        if isinstance(submitted, Outcome):
-            return self._resolve_failure(spec, submitted)
-        return self._accept(spec, submitted)
+        outcome = (
+            self._resolve_failure(spec, submitted)
+            if isinstance(submitted, Outcome)
+            else self._accept(spec, submitted)
+        )
+        if outcome is not None:
+            self._context.metrics.count(_counted(outcome))
+        return outcome
 
     async def end(self, job: JobId) -> Outcome | None:
         """End a job and stop its owner; ``None`` once the end is stored."""
@@ -144,5 +150,13 @@
         return JobRecord(preferred, address, 1, 0, spec.account)
 
 
+def _counted(outcome: Outcome) -> Counted:
+    if outcome is Outcome.UNCLEAR:
+        return Counted.JOB_UNCLEAR
+    if outcome is Outcome.FOREIGN:
+        return Counted.JOB_FOREIGN
+    return Counted.JOB_REFUSED
+
+
 def _is_foreign(record: JobRecord, account: AccountId) -> bool:
     return record.account not in (NO_ACCOUNT, account)
--- a/features/steps/gateway_inspection_steps.py
+++ b/features/steps/gateway_inspection_steps.py
@@ -9,6 +9,7 @@
 
 from lab.client import Call
 from lab.site import Site, at, play
+from lab.store import StoreMode
 
 
 @given('a site whose entry served calls and a job')
@@ -26,6 +27,25 @@
     play(scene)
 
 
+@given('a site whose entry refused a job since the store rejected a write')
+def refuse_job(context: Any) -> None:
+    async def scene(site: Site) -> None:
+        await site.start(entries=1)
+        site.store.mode = StoreMode.BUSY
+        await site.submit('entry-0', 'j1', [[2, 2]])
+        context.metrics = await read_page(site, '/metrics')
+
+    play(scene)
+
+
+@then('its metrics count 1 refused job and 1 rejected write')
+def metrics_count_rejections(context: Any) -> None:
+    lines = context.metrics.split('\n')
+    assert 'bergamotdoor_jobs_refused_total{service=""} 1' in lines, lines
+    written = 'bergamotdoor_store_writes_total{outcome="rejected"} 1'
+    assert written in lines, lines
+
+
 async def read_page(site: Site, path: str) -> str:
     reply = await site.client.send(
         at(site.ports['entry-0'] + 3), Call('GET', path, idempotent=True)
