Refuse jobs in the soak, and run no item of them

What callers saw: items ran of jobs that were refused at each attempt. The soak could not notice: its trainer submits until a job is kept, the promise REFUSED looks at calls only, no outage begins with the write that it carries out, and nobody starts the entry again that a job's record names.

Change: six trainers of each run give up after two or three attempts, each at another entry, at once or after the retry delay. At the end the entries are restarted and asked for the refused jobs. REFUSED_JOB: no item runs of a job refused at each attempt. REFUSED_SO_FAR: no item of a job that was accepted later runs while all attempts so far were refused. Jobs with other answers beside a refusal are excused and counted.

The new set `--faults=lost-writes` has the store carry out a write (a job's record, part, end or claim), at once or after the outage, lose its response, and reject calls, reset them or be silent for 0.5 to 4.5 s, for all or some entries, beside entries that are stopped, killed and paused. It replaces `outage_kind` of the store model. The sets that exist draw what they drew.

--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -16,6 +16,7 @@
     run_headers,
     submit_job,
 )
+from lab.outages import Loss, Outage, StoredWrite
 from lab.site import Site, at, play
 from lab.store import StoreMode
 
@@ -56,9 +57,11 @@
 def submit_before_outage(context: Any) -> None:
     async def scene(site: Site) -> None:
         await site.start()
-        site.store.write_faults.outage_kind = 'jobs'
+        site.store.write_faults.outages.append(
+            Outage(StoredWrite.RECORD, Loss.RESET, StoreMode.BUSY)
+        )
         context.reply = await site.submit('entry-0', JOB, [[2, 2]])
-        site.store.mode = StoreMode.UP
+        site.store.write_faults.outages.clear()
         for name in tuple(site.entries):
             await site.kill(name)
             await site.add_entry(name)
--- a/features/steps/lab_soak_steps.py
+++ b/features/steps/lab_soak_steps.py
@@ -9,7 +9,6 @@
 import random
 import tempfile
 import time
-from types import SimpleNamespace
 from typing import Any
 
 from behave import given, then, when
@@ -309,8 +308,7 @@
         process = ProductProcess(
             'a', 'agent', '127.0.0.1', unused_address, folder
         )
-        deployment: Any = SimpleNamespace(processes=[process])
-        faults = ProcessFaults(deployment, Promises(), random.Random(1))
+        faults = ProcessFaults([process], Promises(), random.Random(1))
         await process.start()
         await asyncio.sleep(after_ms / 1000)
         await faults.reload()
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -16,7 +16,7 @@
 from lab.demo import demo
 from lab.deployment import Size
 from lab.experiment import run_scenario
-from lab.faults import AIMED, CRASHING, RANDOM
+from lab.faults import AIMED, CRASHING, LOST_WRITES, RANDOM
 from lab.help import COMMANDS, help_of, help_wanted
 from lab.model.search import search_seeds, search_small
 from lab.play import Outcome, soak
@@ -36,6 +36,7 @@
         'random': RANDOM,
         'aimed': AIMED,
         'crashing': CRASHING,
+        'lost-writes': LOST_WRITES,
     }
 )
 _SEEDS: Final = flags.DEFINE_string(
--- a/lab/client.py
+++ b/lab/client.py
@@ -85,6 +85,10 @@
             return None
         return Reply(response.status, response.headers, body)
 
+    async def get(self, address: Address, path: str) -> Reply | None:
+        """Return the response to a read, ``None`` if none arrived."""
+        return await self.send(address, Call('GET', path, idempotent=True))
+
     async def close(self) -> None:
         """Close the connections."""
         await self._client.close()
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -10,6 +10,7 @@
 
 from lab.aimed_faults import AimedFaults
 from lab.crash_faults import CrashFaults
+from lab.lost_writes import LostWrites
 from lab.process_faults import ProcessFaults
 from lab.store_faults import StoreFaults
 from lab.upstream_faults import UpstreamFaults
@@ -49,13 +50,14 @@
     OWNER_CUT = "a step's owner is cut off from other entries"
     STOP_SERIES = "a step's owners are stopped, one soon after the other"
     ENDING_REQUEST = 'a request ends each service that runs it'
+    LOST_WRITE = 'an outage of the store begins with the answer to a write'
+    ENTRY_KILLED = 'an entry is killed and started again'
+    ENTRY_STOPPED = 'an entry is stopped as planned and started again'
+    ENTRY_PAUSED = 'an entry is paused'
 
 
 #: In the order in which they are applied if no other kinds are.
 AIMED: Final = (Fault.OWNER_PAUSED, Fault.OWNER_CUT, Fault.STOP_SERIES)
-#: `Fault.ENDING_REQUEST` is drawn in this set only. Among the random faults it
-#: would change the faults that a seed gives, so that seeds which have failed
-#: would no longer repeat their runs.
 CRASHING: Final = (
     Fault.ENDING_REQUEST,
     Fault.KILL,
@@ -63,8 +65,35 @@
     Fault.STORE_LINK,
     Fault.UPSTREAM_RESET,
 )
-RANDOM: Final = tuple(
-    fault for fault in Fault if fault not in {*AIMED, Fault.ENDING_REQUEST}
+#: Most of these faults are lost writes.
+LOST_WRITES: Final = (
+    *(Fault.LOST_WRITE,) * 9,
+    Fault.ENTRY_KILLED,
+    Fault.ENTRY_STOPPED,
+    Fault.ENTRY_PAUSED,
+)
+#: Only these are drawn unless another set is named. Further kinds would change
+#: the faults that a seed gives, so that seeds which have failed would no longer
+#: repeat their runs.
+RANDOM: Final = (
+    Fault.KILL,
+    Fault.STOP,
+    Fault.PAUSE,
+    Fault.CHANGED_SETTINGS,
+    Fault.STORE_LINK,
+    Fault.STORE_AWAY,
+    Fault.STORE_LOST,
+    Fault.STORE_HISTORY,
+    Fault.STORE_DEAF,
+    Fault.UPSTREAM_LINK,
+    Fault.UPSTREAM_RESET,
+    Fault.UPSTREAM_MODE,
+    Fault.UPSTREAM_REPLACED,
+    Fault.UPSTREAM_RESTARTED,
+    Fault.FOREIGN_OBJECT,
+    Fault.ENGINE_SLOW,
+    Fault.LATE_ORDER,
+    Fault.MANIFEST,
 )
 
 
@@ -89,7 +118,8 @@
     ) -> None:
         self._rng = rng
         self.done: Counter[Fault] = Counter()
-        processes = ProcessFaults(deployment, promises, rng)
+        processes = ProcessFaults(deployment.processes, promises, rng)
+        entries = ProcessFaults(deployment.entries, promises, rng)
         store = StoreFaults(deployment, rng)
         upstreams = UpstreamFaults(deployment, rng)
         aimed = AimedFaults(deployment, processes, rng)
@@ -117,6 +147,10 @@
             Fault.OWNER_CUT: aimed.cut_owner,
             Fault.STOP_SERIES: aimed.stop_series,
             Fault.ENDING_REQUEST: crashes.send,
+            Fault.LOST_WRITE: LostWrites(deployment, rng).lose,
+            Fault.ENTRY_KILLED: entries.kill,
+            Fault.ENTRY_STOPPED: entries.stop,
+            Fault.ENTRY_PAUSED: entries.pause,
         }
 
     async def run(
--- /dev/null
+++ b/lab/lost_writes.py
@@ -0,0 +1,127 @@
+"""Outages of the store that begin with a write whose response is lost."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import TYPE_CHECKING, Final
+
+from lab.outages import Loss, Outage, StoredWrite
+from lab.store import StoreMode
+
+if TYPE_CHECKING:
+    import random
+
+    from lab.deployment import Deployment
+
+#: Half of the writes create a job.
+_WRITES: Final = (
+    *(StoredWrite.RECORD,) * 3,
+    StoredWrite.PART,
+    StoredWrite.END,
+    StoredWrite.CLAIM,
+)
+#: Most outages are rejections: only these promise that nothing was done.
+_MODES: Final = (
+    *(StoreMode.BUSY,) * 2,
+    *(StoreMode.LIMITED,) * 2,
+    StoreMode.RESETTING,
+    StoreMode.SILENT,
+)
+#: Only after a reset is a write sent again over another connection.
+_LOSSES: Final = (Loss.RESET, Loss.RESET, Loss.SILENCE, Loss.CUT)
+_DURATION_RANGE_S: Final = (0.5, 4.5)
+_MAX_OUTAGES: Final = 2
+#: How long to wait for the write.
+_WRITE_TIMEOUT_S: Final = 3
+#: How long after the outage a late write is applied at most.
+_MAX_LATENESS_S: Final = 1
+_LATE_SHARE: Final = 0.2
+#: The shares of outages that affect some entries only, and of those before
+#: which some entries are rejected, so that their writes are relayed.
+_PARTIAL_SHARE: Final = 0.2
+_RELAYED_SHARE: Final = 0.2
+
+
+class LostWrites:
+    """Writes that the store carries out just before it can't be reached.
+
+    Parameters
+    ----------
+    deployment
+        The deployment with the store.
+    rng
+        The random source for writes, manners and durations.
+    """
+
+    def __init__(self, deployment: Deployment, rng: random.Random) -> None:
+        self._deployment = deployment
+        self._outages = deployment.store.write_faults.outages
+        self._rng = rng
+
+    async def lose(self) -> None:
+        """Lose the response to a write, in a manner that is drawn at random.
+
+        While two outages last or wait for their write, no other one begins,
+        so that the store carries out some writes in between.
+        """
+        if len(self._outages) >= _MAX_OUTAGES:
+            return
+        rng = self._rng
+        duration_s = rng.uniform(*_DURATION_RANGE_S)
+        outage = Outage(
+            rng.choice(_WRITES), rng.choice(_LOSSES), rng.choice(_MODES)
+        )
+        if rng.random() < _LATE_SHARE:
+            outage.write_delay_s = duration_s + rng.uniform(0, _MAX_LATENESS_S)
+        if rng.random() < _PARTIAL_SHARE:
+            outage.client_ips = self._some_entries()
+        relayed = rng.random() < _RELAYED_SHARE
+        await self.lose_write(outage, duration_s, relayed=relayed)
+
+    async def lose_write(
+        self, outage: Outage, duration_s: float, *, relayed: bool = False
+    ) -> None:
+        """Lose the response to a write; return once its outage is over.
+
+        Parameters
+        ----------
+        outage
+            The outage that begins with the write.
+        duration_s
+            How long the outage lasts.
+        relayed
+            Whether some entries are rejected before, so that their writes are
+            relayed, and the connections between entries are reset as well.
+        """
+        with contextlib.ExitStack() as ends:
+            if relayed:
+                self._apply(self._reject_some(), ends)
+                outage.on_write = self._reset_entry_connections
+            self._apply(outage, ends)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_WRITE_TIMEOUT_S):
+                    await outage.begun.wait()
+            if outage.begun.is_set():
+                await asyncio.sleep(duration_s)
+
+    def _apply(self, outage: Outage, ends: contextlib.ExitStack) -> None:
+        self._outages.append(outage)
+        ends.callback(self._outages.remove, outage)
+
+    def _reject_some(self) -> Outage:
+        """Return an outage for some entries, which begins at once."""
+        outage = Outage(None, Loss.RESET, StoreMode.BUSY)
+        outage.client_ips = self._some_entries()
+        return outage
+
+    def _some_entries(self) -> frozenset[str]:
+        """Return the addresses of at least one entry, and not of all."""
+        ips = [entry.ip for entry in self._deployment.entries]
+        count = self._rng.randint(1, max(len(ips) - 1, 1))
+        return frozenset(self._rng.sample(ips, count))
+
+    def _reset_entry_connections(self) -> None:
+        names = [entry.name for entry in self._deployment.entries]
+        for proxy in self._deployment.ways_between(names, names):
+            proxy.reset()
--- a/lab/objects.py
+++ b/lab/objects.py
@@ -7,6 +7,7 @@
 import json
 from collections import deque
 from typing import TYPE_CHECKING, Any, Final, NamedTuple
+from urllib.parse import parse_qs
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -42,6 +43,17 @@
     body: bytes
 
 
+class ReadQuery(NamedTuple):
+    """Parameters of a read request of the protocol."""
+
+    kind: str
+    name: str
+    after: str
+    since: int | None
+    wait_s: float
+    may_be_stale: bool
+
+
 class WriteResult(NamedTuple):
     """The outcome of a write."""
 
@@ -186,3 +198,17 @@
         return next(
             (table for until_s, table in self._tables if until_s > then_s), None
         )
+
+
+def parse_query(parts: tuple[str, ...], query: str) -> ReadQuery:
+    """Return the parameters of a read request."""
+    values_by_name = {name: found[0] for name, found in parse_qs(query).items()}
+    since = values_by_name.get('watch')
+    return ReadQuery(
+        kind=parts[0],
+        name=parts[1] if len(parts) > 1 else '',
+        after=values_by_name.get('after', ''),
+        since=None if since is None else int(since),
+        wait_s=int(values_by_name.get('wait_ms', 0)) / 1000,
+        may_be_stale='allow_stale' in values_by_name,
+    )
--- a/lab/play.py
+++ b/lab/play.py
@@ -15,11 +15,11 @@
 
 from bergamotdoor.gateway.inspection import STATE_PATH
 from lab.callers import Callers
-from lab.client import Call
 from lab.deployment import Deployment, Size, new_client
 from lab.faults import RANDOM, Fault, Faults, Harm
 from lab.promises import Promise, Promises
 from lab.readers import Readers
+from lab.submitters import Submitters
 from lab.trainer import Trainer
 
 if TYPE_CHECKING:
@@ -44,6 +44,8 @@
     faults: dict[str, int]
     checked: dict[str, int]
     broken: list[str]
+    #: Jobs of trainers that give up, by how their attempts were answered.
+    jobs: dict[str, int]
     #: All promises, as a table.
     report: str
     #: The folder with settings and logs, kept only if a promise was broken.
@@ -122,6 +124,9 @@
             self._trainer,
             random.Random(rng.random()),
         )
+        self._submitters = Submitters(
+            self._deployment, self._promises, random.Random(rng.random())
+        )
         self._client = new_client()
         #: The manifest's generation that each entry reported last.
         self._generations: dict[str, int] = {}
@@ -133,16 +138,17 @@
             asyncio.create_task(self._callers.run()),
             asyncio.create_task(self._watch_manifests()),
             asyncio.create_task(self._readers.run()),
+            asyncio.create_task(self._submitters.run()),
         ]
         training = asyncio.create_task(self._trainer.run())
         try:
             await apply_faults(self._faults)
-            self._trainer.ending = True
             await self._check_recovery(training)
         finally:
             for task in (*background, training):
                 task.cancel()
             await asyncio.gather(*background, training, return_exceptions=True)
+        await self._submitters.ask_for_refused_jobs()
         await self._trainer.check_again()
 
     async def stop(self) -> None:
@@ -152,6 +158,7 @@
         await self._deployment.stop()
         await self._callers.close()
         await self._trainer.close()
+        await self._submitters.close()
         await self._client.close()
         self._check_orders()
 
@@ -175,6 +182,7 @@
             checked={
                 promise.name: promises.checked[promise] for promise in Promise
             },
+            jobs=dict(self._submitters.counts()),
             broken=promises.broken,
             report=promises.report(),
             folder=str(self._folder),
@@ -182,6 +190,8 @@
 
     async def _check_recovery(self, training: asyncio.Task[None]) -> None:
         """Wait for the recovery after the faults, then check it."""
+        self._trainer.ending = True
+        self._submitters.ending = True
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(_RECOVERY_TIMEOUT_S):
                 await training
@@ -242,9 +252,7 @@
         )
 
     async def _read_generation(self, address: Address) -> int | None:
-        reply = await self._client.send(
-            address, Call('GET', STATE_PATH, idempotent=True)
-        )
+        reply = await self._client.get(address, STATE_PATH)
         if reply is None:
             return None
         generation = reply.json['gateway']['generation']
--- a/lab/process_faults.py
+++ b/lab/process_faults.py
@@ -12,9 +12,8 @@
 
 if TYPE_CHECKING:
     import random
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Sequence
 
-    from lab.deployment import Deployment
     from lab.processes import ProductProcess
 
 #: The grace period of eight seconds and a margin for a busy machine.
@@ -24,15 +23,25 @@
 
 
 class ProcessFaults:
-    """Faults that signal processes and start them again."""
+    """Faults that signal processes and start them again.
+
+    Parameters
+    ----------
+    processes
+        The processes from which one is drawn for each fault.
+    promises
+        The collector of checks of graceful stops.
+    rng
+        The random source for processes and durations.
+    """
 
     def __init__(
         self,
-        deployment: Deployment,
+        processes: Sequence[ProductProcess],
         promises: Promises,
         rng: random.Random,
     ) -> None:
-        self._deployment = deployment
+        self._processes = processes
         self._promises = promises
         self._rng = rng
         #: Names of processes that a fault has stopped or paused, or starts.
@@ -62,7 +71,7 @@
         A process that has not run its first line yet is ended by the signal's
         default action. It is started again, as the platform would do.
         """
-        process = self._rng.choice(self._deployment.processes)
+        process = self._rng.choice(self._processes)
         process.send(signal.SIGHUP)
         await asyncio.sleep(_UNHANDLED_SIGNAL_S)
         if process.ended_by is signal.SIGHUP and self.take(process):
@@ -107,7 +116,7 @@
         self.give_back(process)
 
     def _reserve_random(self) -> ProductProcess | None:
-        process = self._rng.choice(self._deployment.processes)
+        process = self._rng.choice(self._processes)
         return process if self.take(process) else None
 
     async def _wait_for_end(
--- a/lab/promises.py
+++ b/lab/promises.py
@@ -14,6 +14,8 @@
 
     WHOLE = "an answer is whole and the caller's own"
     REFUSED = 'a refused request did not run'
+    REFUSED_JOB = 'nothing of a job runs that was refused at each attempt'
+    REFUSED_SO_FAR = 'nothing of a job runs while each attempt was refused'
     ONCE = 'a request that is not idempotent runs at most once'
     KEPT = 'a job that was taken can be read until its end'
     POSITION = 'a position that was read never changes'
--- a/lab/proxy.py
+++ b/lab/proxy.py
@@ -119,8 +119,12 @@
             if self._link is Link.CUT:
                 return
             try:
+                # The target sees the proxy's address, which is the client's
+                # own in front of the store.
                 target_reader, target_writer = await asyncio.open_connection(
-                    self._target.ip, self._target.port
+                    self._target.ip,
+                    self._target.port,
+                    local_addr=(self.listen.ip, 0),
                 )
             except OSError:
                 _reset_connection(writer)
--- a/lab/store.py
+++ b/lab/store.py
@@ -7,15 +7,22 @@
 import enum
 import json
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Final, NamedTuple
-from urllib.parse import parse_qs, unquote
-
-import msgspec
+from types import MappingProxyType
+from typing import TYPE_CHECKING, Final
+from urllib.parse import unquote
 
 from bergamotdoor.http.messages import Headers, HttpRequest, HttpResponse
 from bergamotdoor.http.server import HttpServer
 from bergamotdoor.settings.process import HttpLimits
-from lab.objects import ObjectTable, PastTables, Stored, WriteCall
+from lab.objects import (
+    ObjectTable,
+    PastTables,
+    ReadQuery,
+    Stored,
+    WriteCall,
+    parse_query,
+)
+from lab.outages import Loss, WriteFaults
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -31,8 +38,6 @@
 _CLOCK_RESOLUTION_S: Final = 0.0005
 #: Small, so that listings of a test's objects take several pages.
 _PAGE_SIZE: Final = 50
-#: The time after which a delayed write is applied.
-_WRITE_DELAY_S: Final = 2
 _MAX_BODY_BYTES: Final = 10_000_000
 #: Paths are ``/-/objects/KIND/NAME``.
 _PATH_PREFIX_PARTS: Final = 3
@@ -44,35 +49,24 @@
     UP = 'up'
     #: Rejects calls with 503.
     BUSY = 'busy'
+    #: Rejects calls with 429.
+    LIMITED = 'limited'
+    #: Resets the connections of calls.
+    RESETTING = 'resetting'
     #: Accepts calls and never responds.
     SILENT = 'silent'
 
 
-class LostError(Exception):
-    """The connection ends before the response is complete."""
-
-
-class _ReadQuery(NamedTuple):
-    """Parameters of a read request."""
+_REJECTION_STATUSES: Final = MappingProxyType(
+    {
+        StoreMode.BUSY: HTTPStatus.SERVICE_UNAVAILABLE,
+        StoreMode.LIMITED: HTTPStatus.TOO_MANY_REQUESTS,
+    }
+)
 
-    kind: str
-    name: str
-    after: str
-    since: int | None
-    wait_s: float
-    may_be_stale: bool
 
-
-class WriteFaults(msgspec.Struct):
-    """What goes wrong with the next writes."""
-
-    #: How many are applied but get no response.
-    unanswered: int = 0
-    #: How many get no response and are applied later.
-    delayed: int = 0
-    #: The kind whose next write is the last one before an outage: it is
-    #: applied, its connection is reset, and then the store is busy.
-    outage_kind: str = ''
+class LostError(Exception):
+    """The connection ends before the response is complete."""
 
 
 class Store:
@@ -141,25 +135,24 @@
         """Respond to one call of the protocol."""
         self.calls.append(f'{request.method} {request.target}')
         body = await request.read_body(_MAX_BODY_BYTES)
-        if self.mode is StoreMode.SILENT:
+        if _mode_for(self, request.peer) is StoreMode.SILENT:
             await asyncio.Event().wait()
         await asyncio.sleep(self.answer_s)
-        if self.mode is StoreMode.BUSY:
-            return HttpResponse(status=int(HTTPStatus.SERVICE_UNAVAILABLE))
+        mode = _mode_for(self, request.peer)
+        if mode is StoreMode.RESETTING:
+            await reset_connection()
+        rejection = _REJECTION_STATUSES.get(mode)
+        if rejection is not None:
+            return HttpResponse(status=int(rejection))
         path, _, query = request.target.partition('?')
         parts = tuple(
             unquote(part) for part in path.split('/')[_PATH_PREFIX_PARTS:]
         )
         if request.method == 'GET':
-            return await self._read(_parse_query(parts, query))
-        response = self._write(WriteCall(request.method, parts, body))
-        if parts[0] == self.write_faults.outage_kind:
-            self.write_faults.outage_kind = ''
-            self.mode = StoreMode.BUSY
-            await reset_connection()
-        return response
+            return await self._read(parse_query(parts, query))
+        return await self._write(WriteCall(request.method, parts, body))
 
-    async def _read(self, query: _ReadQuery) -> HttpResponse:
+    async def _read(self, query: ReadQuery) -> HttpResponse:
         table = self.table
         if query.may_be_stale and self.stale_s:
             table = self._past.find(self.stale_s) or table
@@ -235,17 +228,16 @@
             for written in self.table.since(kind, since)
         ]
 
-    def _write(self, call: WriteCall) -> HttpResponse:
-        if self.write_faults.delayed:
-            self.write_faults.delayed -= 1
+    async def _write(self, call: WriteCall) -> HttpResponse:
+        fault = self.write_faults.next_fault(call)
+        if fault is None:
+            return self._apply_write(call)
+        if fault.delay_s:
             loop = asyncio.get_running_loop()
-            loop.call_later(_WRITE_DELAY_S, self._apply_write, call)
-            return cut_off()
-        response = self._apply_write(call)
-        if self.write_faults.unanswered:
-            self.write_faults.unanswered -= 1
-            return cut_off()
-        return response
+            loop.call_later(fault.delay_s, self._apply_write, call)
+        else:
+            self._apply_write(call)
+        return await _lose_response(fault.loss)
 
     def _apply_write(self, call: WriteCall) -> HttpResponse:
         self._past.keep(self.table, self.stale_s)
@@ -265,6 +257,20 @@
     return HttpResponse(status=int(status), body=json.dumps(body).encode())
 
 
+def _mode_for(store: Store, peer: str) -> StoreMode:
+    """Return how the store responds to a client at an address."""
+    outage = store.write_faults.outage_for(peer.partition(':')[0])
+    return store.mode if outage is None else outage.mode
+
+
+async def _lose_response(loss: Loss) -> HttpResponse:
+    if loss is Loss.RESET:
+        await reset_connection()
+    if loss is Loss.SILENCE:
+        await asyncio.Event().wait()
+    return cut_off()
+
+
 async def reset_connection() -> None:
     """Reset the connection of the present request, without a response.
 
@@ -285,19 +291,6 @@
     )
 
 
-def _parse_query(parts: tuple[str, ...], query: str) -> _ReadQuery:
-    values_by_name = {name: found[0] for name, found in parse_qs(query).items()}
-    since = values_by_name.get('watch')
-    return _ReadQuery(
-        kind=parts[0],
-        name=parts[1] if len(parts) > 1 else '',
-        after=values_by_name.get('after', ''),
-        since=None if since is None else int(since),
-        wait_s=int(values_by_name.get('wait_ms', 0)) / 1000,
-        may_be_stale='allow_stale' in values_by_name,
-    )
-
-
 async def _truncated_body() -> AsyncIterator[bytes]:
     yield b'{'
     raise LostError
