--- a/features/job_scenes.py
+++ b/features/job_scenes.py
@@ -6,6 +6,8 @@
 
 from bergamotdoor.stored import Outcome
 from bergamotdoor.types import JobId
+from lab.outages import Loss, Outage, StoredWrite
+from lab.store import StoreMode
 
 if TYPE_CHECKING:
     from lab.site import Site
@@ -60,6 +62,19 @@
     assert response.status == 202, response.status
 
 
+def lose_record_write(site: Site) -> None:
+    """Have an outage begin with the answer to the write of a job's record."""
+    site.store.write_faults.outages.append(
+        Outage(StoredWrite.RECORD, Loss.RESET, StoreMode.BUSY)
+    )
+
+
+def end_outages(site: Site) -> None:
+    """Have the store answer all calls again."""
+    site.store.write_faults.outages.clear()
+    site.store.mode = StoreMode.UP
+
+
 def owner_of(site: Site) -> str:
     """Return the name of the entry that owns the job in the store."""
     return str(site.store.table.specs('jobs')[JOB]['owner'])
--- a/features/steps/gateway_store_steps.py
+++ b/features/steps/gateway_store_steps.py
@@ -9,14 +9,15 @@
 
 from features.job_scenes import (
     JOB,
+    end_outages,
     lengths_of,
+    lose_record_write,
     other_entry,
     owner_of,
     read_at_each_entry,
     run_headers,
     submit_job,
 )
-from lab.outages import Loss, Outage, StoredWrite
 from lab.site import Site, at, play
 from lab.store import StoreMode
 
@@ -57,11 +58,9 @@
 def submit_before_outage(context: Any) -> None:
     async def scene(site: Site) -> None:
         await site.start()
-        site.store.write_faults.outages.append(
-            Outage(StoredWrite.RECORD, Loss.RESET, StoreMode.BUSY)
-        )
+        lose_record_write(site)
         context.reply = await site.submit('entry-0', JOB, [[2, 2]])
-        site.store.write_faults.outages.clear()
+        end_outages(site)
         for name in tuple(site.entries):
             await site.kill(name)
             await site.add_entry(name)
--- a/features/steps/gateway_unclear_jobs_steps.py
+++ b/features/steps/gateway_unclear_jobs_steps.py
@@ -11,7 +11,13 @@
 
 from bergamotdoor.steps.unclear_jobs import UnclearJobs
 from bergamotdoor.types import JobId
-from features.job_scenes import JOB, lengths_of, submit_job
+from features.job_scenes import (
+    JOB,
+    end_outages,
+    lengths_of,
+    lose_record_write,
+    submit_job,
+)
 from lab.site import Site, play
 from lab.store import StoreMode
 from lab.virtual import run_virtual, virtual_clock
@@ -29,7 +35,7 @@
 async def _leave_unclear(context: Any, site: Site) -> None:
     """Have the store create the job without an answer, and then go away."""
     await site.start(entries=3)
-    site.store.write_faults.outage_kind = 'jobs'
+    lose_record_write(site)
     first = await site.submit('entry-0', JOB, _GROUPS)
     assert first is not None
     context.statuses = [first.status]
@@ -66,7 +72,7 @@
         for entry in ('entry-1', 'entry-2', 'entry-0'):
             reply = await site.submit(entry, JOB, _GROUPS)
             context.statuses.append(None if reply is None else reply.status)
-        site.store.mode = StoreMode.UP
+        end_outages(site)
         await asyncio.sleep(7)
         context.unasked = _runs(site)
         await submit_job(site, _GROUPS)
@@ -96,7 +102,7 @@
 def read_unclear_job(context: Any) -> None:
     async def scene(site: Site) -> None:
         await _leave_unclear(context, site)
-        site.store.mode = StoreMode.UP
+        end_outages(site)
         context.results = await site.all_results('entry-2', JOB)
 
     play(scene)
--- a/features/steps/observe_logs_steps.py
+++ b/features/steps/observe_logs_steps.py
@@ -14,7 +14,7 @@
 
 from bergamotdoor.observe import logs
 from bergamotdoor.settings.process import LogSettings
-from features.job_scenes import JOB, owner_of
+from features.job_scenes import JOB, lose_record_write, owner_of
 from lab.site import Site, play
 from lab.store import StoreMode
 
@@ -115,7 +115,7 @@
         if fault == 'rejects all calls':
             site.store.mode = StoreMode.BUSY
         else:
-            site.store.write_faults.outage_kind = 'jobs'
+            lose_record_write(site)
         context.reply = await site.submit('entry-0', JOB, [[2, 2]])
 
     # Other features silence this logger.
