Test that a shared watch inherits no peer's subject

A feed is started by the first message that asks for its kind and serves all processes from then on. Without `only_about` around its start the scenario fails: the calls of the watch are about 'entry-1'. No code changed.

--- a/features/observe_logs.feature
+++ b/features/observe_logs.feature
@@ -39,6 +39,12 @@
     When an entry that runs a job is restarted
     Then lines of the job contain "on submission" and "on start"
 
+  Scenario: a shared watch names none of the processes that it serves
+    Guards against a task that inherits the request which started it for ever.
+
+    When the message of a peer starts a watch that serves all processes
+    Then the calls of the watch are about no peer
+
   Scenario: an unknown log level is rejected with its name
     When the logs are configured at level "loud"
     Then the error contains "loud" and the valid levels
--- a/features/steps/observe_logs_steps.py
+++ b/features/steps/observe_logs_steps.py
@@ -12,11 +12,19 @@
 
 from behave import given, then, when
 
-from bergamotdoor.observe import logs
+from bergamotdoor.objects.client import ObjectClient
+from bergamotdoor.observe import logs, subjects
+from bergamotdoor.peers.news_messages import WatchKind
+from bergamotdoor.peers.news_source import NewsSource
+from bergamotdoor.peers.sharing import SharingBounds
 from bergamotdoor.settings.process import LogSettings
+from bergamotdoor.stored import Outcome
+from bergamotdoor.tasks import Tasks
+from bergamotdoor.types import Revision
 from features.job_scenes import JOB, lose_record_write, owner_of
 from lab.site import Site, play
 from lab.store import StoreMode
+from lab.virtual import run_virtual, virtual_clock
 
 LOGGER = logging.getLogger('bergamotdoor.part')
 MESSAGE = 'part: something happened'
@@ -166,6 +174,45 @@
         assert any(told in message for message in messages), messages
 
 
+class SubjectRecorder:
+    """Caller of a store that never answers; records whom calls are for."""
+
+    def __init__(self) -> None:
+        self.peers: list[str] = []
+
+    async def call(self, *_: Any) -> Outcome:
+        self.peers.append(subjects.current().peer)
+        return Outcome.UNCLEAR
+
+    async def watch(self, *_: Any) -> Outcome:
+        return await self.call()
+
+
+@when('the message of a peer starts a watch that serves all processes')
+def start_watch(context: Any) -> None:
+    context.recorder = SubjectRecorder()
+
+    async def scene() -> None:
+        tasks = Tasks()
+        source = NewsSource(
+            ObjectClient(context.recorder),
+            virtual_clock(),
+            tasks,
+            SharingBounds(dt.timedelta(seconds=3)),
+        )
+        with subjects.about(peer='entry-1'):
+            await source.answer(WatchKind('servers', Revision(1), 0))
+        await tasks.stop()
+
+    run_virtual(scene())
+
+
+@then('the calls of the watch are about no peer')
+def check_watch_subject(context: Any) -> None:
+    assert context.recorder.peers
+    assert not any(context.recorder.peers), context.recorder.peers
+
+
 def lines_of_job(context: Any) -> list[Any]:
     """Return the lines that carry the id of the job as a field."""
     lines = map(json.loads, context.log_file.read_text().splitlines())
