Say when to come back with a job that was left unclear

Callers saw: 504 for a job whose creation got no usable answer, without a time to come back, while a refusal of the same outage says 2 to 3 s. A trainer with one more attempt spends it in the same outage.

Cause: only refusals carried the delay.

Evidence: the delays of four answers of 504 before: none; now each is between 2 and 3 s. Handing a job in again is safe after any answer.

--- a/bergamotdoor/gateway/batch_handler.py
+++ b/bergamotdoor/gateway/batch_handler.py
@@ -140,7 +140,12 @@
                 HTTPStatus.CONFLICT, 'a job of another account', job
             )
         if outcome is Outcome.UNCLEAR:
-            return refusal_response(Verdict.MAY_HAVE_RUN, 'perhaps kept', job)
+            return text_response(
+                HTTPStatus.GATEWAY_TIMEOUT,
+                'perhaps kept',
+                job,
+                job_retry_s(job),
+            )
         return _store_unavailable(job, job_retry_s(job))
 
     async def _handle_job_request(
--- a/bergamotdoor/gateway/responses.py
+++ b/bergamotdoor/gateway/responses.py
@@ -23,7 +23,7 @@
 
 
 def job_retry_s(job: str) -> float:
-    """Return the retry delay of a job that was refused as not run.
+    """Return the retry delay of a job that the store has not taken.
 
     Parameters
     ----------
--- a/features/gateway_unclear_jobs.feature
+++ b/features/gateway_unclear_jobs.feature
@@ -11,6 +11,7 @@
 
     Given a site whose store creates a job at one entry and stays away
     Then every entry answers 504 while the store is away
+    And each of the answers has a retry delay of 2 to 3 s
     And the job runs at no engine unless somebody asks for it
     And it is accepted after the outage, and every item runs once
 
--- a/features/steps/gateway_unclear_jobs_steps.py
+++ b/features/steps/gateway_unclear_jobs_steps.py
@@ -39,6 +39,7 @@
     first = await site.submit('entry-0', JOB, _GROUPS)
     assert first is not None
     context.statuses = [first.status]
+    context.delays = [first.headers.first('retry-after')]
     assert JOB in site.store.table.specs('jobs')
 
 
@@ -71,7 +72,9 @@
         await _leave_unclear(context, site)
         for entry in ('entry-1', 'entry-2', 'entry-0'):
             reply = await site.submit(entry, JOB, _GROUPS)
-            context.statuses.append(None if reply is None else reply.status)
+            assert reply is not None
+            context.statuses.append(reply.status)
+            context.delays.append(reply.headers.first('retry-after'))
         end_outages(site)
         await asyncio.sleep(7)
         context.unasked = _runs(site)
@@ -87,6 +90,14 @@
     assert context.statuses == [504, 504, 504, 504], context.statuses
 
 
+@then('each of the answers has a retry delay of {least:g} to {most:g} s')
+def unclear_answers_have_delays(
+    context: Any, least: float, most: float
+) -> None:
+    assert all(context.delays), context.delays
+    assert all(least <= float(one) <= most for one in context.delays)
+
+
 @then('the job runs at no engine unless somebody asks for it')
 def unasked_job_does_not_run(context: Any) -> None:
     assert not context.unasked, context.unasked
