Adapt the mutation of send to its new text

The mutation is the same. With it, 2 scenarios of gateway_crashes fail, as they should. features/tools_mutations.feature failed before this commit and passes now.

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -594,8 +594,8 @@
     Mutation(
         'a request counts as sent even if only its first send went out',
         'http/sending.py',
-        'return second if second.sent else first',
-        'return second',
+        'last, other = (second, first) if second.sent else (first, second)',
+        'last, other = second, first',
         _CRASHES,
     ),
     Mutation(
