Show that refused jobs are noticed if a repeated store call counts as refused

The mutation list has the branch of objects/client.py by which a rejection of the second attempt is no refusal, with the scenario in virtual time and with the one of real processes, and the same branch of peers/relay.py. `tools.soak_mutations` plays the lost writes as well. More of the lost writes create jobs and are reset, since only these are sent twice.

--- a/lab/lost_writes.py
+++ b/lab/lost_writes.py
@@ -14,9 +14,9 @@
 
     from lab.deployment import Deployment
 
-#: Half of the writes create a job.
+#: Most of the writes create a job.
 _WRITES: Final = (
-    *(StoredWrite.RECORD,) * 3,
+    *(StoredWrite.RECORD,) * 5,
     StoredWrite.PART,
     StoredWrite.END,
     StoredWrite.CLAIM,
@@ -29,7 +29,7 @@
     StoreMode.SILENT,
 )
 #: Only after a reset is a write sent again over another connection.
-_LOSSES: Final = (Loss.RESET, Loss.RESET, Loss.SILENCE, Loss.CUT)
+_LOSSES: Final = (*(Loss.RESET,) * 3, Loss.SILENCE, Loss.CUT)
 _DURATION_RANGE_S: Final = (0.5, 4.5)
 _MAX_OUTAGES: Final = 2
 #: How long to wait for the write.
@@ -40,7 +40,7 @@
 #: The shares of outages that affect some entries only, and of those before
 #: which some entries are rejected, so that their writes are relayed.
 _PARTIAL_SHARE: Final = 0.2
-_RELAYED_SHARE: Final = 0.2
+_RELAYED_SHARE: Final = 0.3
 
 
 class LostWrites:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -45,6 +45,14 @@
 _SERVICE_CALLS: Final = 'queueing/service_calls.py'
 _UPSTREAM_LOADS: Final = 'fleet_loads'
 _LOAD_SHARING: Final = 'peers_load_sharing'
+_RELAY: Final = 'peers_relay'
+_LOST_WRITES: Final = 'lab_lost_writes'
+_STORE_REPEATED: Final = (
+    'a store call that was sent twice is not refused by its second rejection',
+    'objects/client.py',
+    'if response.sent_before and answer.is_rejection:',
+    'if not response:',
+)
 
 
 class Mutation(msgspec.Struct, frozen=True):
@@ -247,7 +255,7 @@
         'peers/relay.py',
         'if self.directory is None or self._is_relay_paused():',
         'if self.directory is None:',
-        'peers_relay',
+        _RELAY,
     ),
     Mutation(
         'a page is no larger than the link carries in time',
@@ -375,7 +383,7 @@
         'peers/relay.py',
         'return_when=asyncio.FIRST_COMPLETED',
         'return_when=asyncio.ALL_COMPLETED',
-        'peers_relay',
+        _RELAY,
     ),
     Mutation(
         'score calls that gave no score are retried with a backoff',
@@ -1251,6 +1259,16 @@
         'return False',
         _LOAD_SHARING,
     ),
+    Mutation(*_STORE_REPEATED, 'gateway_jobs'),
+    Mutation(*_STORE_REPEATED, _LOST_WRITES),
+    Mutation(
+        'a relayed call that was sent twice is not refused by its second '
+        'rejection',
+        'peers/relay.py',
+        'if exchange.sent_before and has_no_effect',
+        'if not exchange',
+        _RELAY,
+    ),
 )
 
 
--- a/tools/soak_mutations.py
+++ b/tools/soak_mutations.py
@@ -33,6 +33,12 @@
         '--entries=4',
         '--groups=6',
     ),
+    (
+        '--seeds=9501-9508',
+        '--seconds=10',
+        '--faults=lost-writes',
+        '--jobs=2',
+    ),
 )
 #: Mutations that no feature detects: their fault shows only while a job has
 #: two owners.
