Play submissions at several entries over kept connections in the model

The network now keeps connections as the HTTP client does (`reused`, the idle timeout, all closed after a timeout, reset when a process ends), so DirectCaller, PeerRelay and `send` repeat calls in the histories. New fates: done and never answered, rejected with 429, nothing listens, and five that begin an outage of 4.5 s with the call. A step has the store reject one entry only. `--submissions` draws histories with up to three attempts, by trainers that wait, give up or lose the response, one after the other or at the same time, and restarts afterwards.

Each attempt is followed from entry to entry to the write that it causes: an attempt that is answered 503 or 429 must not have created the record, and must not create it later. If all are refused, nothing may be stored, run or read, also after restarts. A refusal by an entry that knows the job is counted; `--check_known_refusals` makes it a broken promise.

The histories drawn so far stay as they are: plans without the new fields are played as before.

--- a/features/lab_model.feature
+++ b/features/lab_model.feature
@@ -65,3 +65,77 @@
       "gap_s":2.3},{"verb":"pause","gap_s":2.3},{"verb":"stop","gap_s":2.3},
       {"verb":"read","where":1,"count":2,"gap_s":0.0}]}
       """
+
+  Scenario: a job that is refused at each attempt never runs
+    The job is submitted up to three times, at any entry. The calls that create
+    it are rejected, lost, never answered or done seconds later, by the store or
+    by another entry. Outages of the store begin with some of them.
+
+    Given the histories of seeds 1 to 60 of a job submitted in 12 steps
+    Then none of them breaks a promise
+
+  Scenario: a job that was stored before its connection was reset is not refused
+    The store creates a job, resets the connection and is busy for seconds.
+
+    Then this history breaks no promise
+      """
+      {"name":"submissions","entries":3,"lengths":[[3,12]],"scored":false,
+      "watched":true,"steps":[{"verb":"fate","call":"that creates a job",
+      "fate":"done, its answer lost, and all others refused","gap_s":0},
+      {"verb":"submit","where":1,"gap_s":2.6},{"verb":"submit","where":0,
+      "gap_s":2.6}],"steps_submit":true,"kept_connections":true,"startup_s":5}
+      """
+
+  Scenario: a job that another entry has created is not refused
+    The store rejects the calls of one entry. Another entry relays the creation,
+    the connection between them is reset, and the store is busy for seconds.
+
+    Then this history breaks no promise
+      """
+      {"name":"submissions","entries":3,"lengths":[[3,12]],"scored":false,
+      "watched":true,"steps":[{"verb":"reject","where":1,"gap_s":0},
+      {"verb":"fate","call":"that relays the creation of a job",
+      "fate":"done, its answer lost, and all others refused","gap_s":0},
+      {"verb":"submit","where":1,"gap_s":2.6},{"verb":"submit","where":0,
+      "gap_s":2.6}],"steps_submit":true,"kept_connections":true,"startup_s":5}
+      """
+
+  Scenario: a job whose creation is under way is not refused
+    The store loses the connection, creates the job seconds later, and rejects
+    all calls meanwhile.
+
+    Then this history breaks no promise
+      """
+      {"name":"submissions","entries":3,"lengths":[[3,12]],"scored":false,
+      "watched":true,"steps":[{"verb":"fate","call":"that creates a job",
+      "fate":"done two seconds later, and all others refused","gap_s":0},
+      {"verb":"submit","where":1,"gap_s":2.6}],"steps_submit":true,
+      "kept_connections":true,"startup_s":5}
+      """
+
+  Scenario: a job whose relayed creation is under way is not refused
+    The creation is relayed and carried out seconds later, while the store
+    rejects all other calls.
+
+    Then this history breaks no promise
+      """
+      {"name":"submissions","entries":3,"lengths":[[3,12]],"scored":false,
+      "watched":true,"steps":[{"verb":"reject","where":1,"gap_s":0},
+      {"verb":"fate","call":"that relays the creation of a job",
+      "fate":"done two seconds later, and all others refused","gap_s":0},
+      {"verb":"submit","where":1,"gap_s":2.6}],"steps_submit":true,
+      "kept_connections":true,"startup_s":5}
+      """
+
+  Scenario: a job that was stored before the store ended is not refused
+    The store creates a job, resets the connection, and then nothing listens at
+    its address.
+
+    Then this history breaks no promise
+      """
+      {"name":"submissions","entries":3,"lengths":[[3,12]],"scored":false,
+      "watched":true,"steps":[{"verb":"fate","call":"that creates a job",
+      "fate":"done, its answer lost, and nothing listens then","gap_s":0},
+      {"verb":"submit","where":1,"gap_s":2.6},{"verb":"submit","where":2,
+      "gap_s":2.6}],"steps_submit":true,"kept_connections":true,"startup_s":5}
+      """
--- a/features/steps/lab_model_steps.py
+++ b/features/steps/lab_model_steps.py
@@ -9,19 +9,28 @@
 
 from lab.model.history import play
 from lab.model.plans import Plan
-from lab.model.search import search_seeds, told
+from lab.model.search import search_seeds, search_submissions, told
 
 
 @given('the histories of seeds {first:d} to {last:d}, of {steps:d} steps each')
 def choose_seeds(context: Any, first: int, last: int, steps: int) -> None:
     context.seeds = range(first, last + 1)
-    context.steps = steps
+    context.search = lambda: search_seeds(context.seeds, steps)
+
+
+@given(
+    'the histories of seeds {first:d} to {last:d} of a job submitted in '
+    '{steps:d} steps'
+)
+def choose_submissions(context: Any, first: int, last: int, steps: int) -> None:
+    context.seeds = range(first, last + 1)
+    context.search = lambda: search_submissions(context.seeds, steps)
 
 
 @then('none of them breaks a promise')
 def check_seeds(context: Any) -> None:
     seeds = context.seeds
-    summary = search_seeds(seeds, context.steps)
+    summary = context.search()
     assert not summary.broken, str(summary)
     assert summary.histories == len(seeds), summary
     assert summary.checked > len(seeds), summary
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -18,7 +18,11 @@
 from lab.experiment import run_scenario
 from lab.faults import AIMED, CRASHING, LOST_WRITES, RANDOM
 from lab.help import COMMANDS, help_of, help_wanted
-from lab.model.search import search_seeds, search_small
+from lab.model.search import (
+    search_seeds,
+    search_small,
+    search_submissions,
+)
 from lab.play import Outcome, soak
 from lab.report import summarize, table, write_report
 from lab.scenario import load_scenario
@@ -71,6 +75,16 @@
 _DEPTH: Final = flags.DEFINE_integer(
     'depth', 0, 'Play every history of so many steps, in place of seeds.'
 )
+_SUBMISSIONS: Final = flags.DEFINE_boolean(
+    'submissions',
+    False,
+    'Play histories whose job is submitted by several attempts.',
+)
+_KNOWN_REFUSALS: Final = flags.DEFINE_boolean(
+    'check_known_refusals',
+    False,
+    'Count a refusal by an entry that knows the job as a broken promise.',
+)
 _JSON: Final = flags.DEFINE_string('json', '', 'File for the outcomes.')
 
 
@@ -146,6 +160,13 @@
     """Check histories of the model; print those that broke a promise."""
     if _DEPTH.value:
         found = search_small(_DEPTH.value, _JOBS.value)
+    elif _SUBMISSIONS.value:
+        found = search_submissions(
+            tuple(_parse_seeds(_SEEDS.value)),
+            _STEPS.value,
+            _JOBS.value,
+            checks_known_refusals=_KNOWN_REFUSALS.value,
+        )
     else:
         seeds = tuple(_parse_seeds(_SEEDS.value))
         found = search_seeds(seeds, _STEPS.value, _JOBS.value)
--- a/lab/help.py
+++ b/lab/help.py
@@ -45,7 +45,14 @@
         'model': _Command(
             'Plays histories of entries that share a job, in virtual time.',
             'python -m lab model --seeds=1-400 --steps=20',
-            ('seeds', 'steps', 'depth', 'jobs'),
+            (
+                'seeds',
+                'steps',
+                'depth',
+                'submissions',
+                'check_known_refusals',
+                'jobs',
+            ),
         ),
     }
 )
--- a/lab/model/actions.py
+++ b/lab/model/actions.py
@@ -152,6 +152,26 @@
     return f'the next {failures} score calls fail'
 
 
+def _submit(
+    world: World, entry: ModelEntry, destination: str, step: Step
+) -> str:
+    if entry.process.gone:
+        return ''
+    world.trainer.begin(
+        world.trainer.submit(entry, world.witness, step.patience_s)
+    )
+    patience_s = step.patience_s
+    waits = f'waits {patience_s} s' if patience_s else 'gets no response'
+    return f'the trainer submits its job at {entry.name} and {waits}'
+
+
+def _reject(
+    world: World, entry: ModelEntry, destination: str, step: Step
+) -> str:
+    world.faults.reject(entry.name)
+    return f'the store rejects all calls of {entry.name} from now on'
+
+
 #: Function that carries out each kind of step.
 ACTIONS: Final[Mapping[Verb, Action]] = MappingProxyType(
     {
@@ -169,5 +189,7 @@
         Verb.VERSION: _load_version,
         Verb.BREAK: _break_streams,
         Verb.SCORE_FAILS: _fail_scores,
+        Verb.SUBMIT: _submit,
+        Verb.REJECT: _reject,
     }
 )
--- a/lab/model/entry.py
+++ b/lab/model/entry.py
@@ -10,8 +10,10 @@
 from bergamotdoor.entry.startup import StartupListing
 from bergamotdoor.gateway.background_tasks import start_learning
 from bergamotdoor.gateway.wiring import EntryComponents
+from bergamotdoor.jobs.messages import JobRecord
 from bergamotdoor.peers import StoreAccess, serve_peer
 from bergamotdoor.tasks import Tasks
+from bergamotdoor.types import JobId
 from lab.model.network import Network, NetworkClient
 from lab.model.pausing import Process
 
@@ -100,6 +102,11 @@
         """Start to process a request of a caller; return the task."""
         return self.process.start(self.components.router.handle(request))
 
+    def knows(self, job: str) -> bool:
+        """Return whether this process knows the record of a job."""
+        unknown = JobRecord(self.name, self.address, term=-1, parts=0)
+        return not self.components.finder.is_newest(JobId(job), unknown)
+
     def begin_stop(self) -> None:
         """Start a planned stop, which hands off the entry's jobs."""
         self.stopping = True
--- a/lab/model/faults.py
+++ b/lab/model/faults.py
@@ -7,7 +7,10 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
-from lab.model.network import Fate
+from bergamotdoor.peers import codec
+from bergamotdoor.peers.messages import StoreCall
+from lab.model.attempts import JOBS_PATH
+from lab.model.fates import Fate
 from lab.model.plans import CallKind
 
 if TYPE_CHECKING:
@@ -15,6 +18,8 @@
 
 STORE: Final = 'store'
 _OBJECTS_PREFIX: Final = '/-/objects/'
+#: Duration of an outage of the store.
+_OUTAGE_S: Final = 4.5
 #: Kinds of the calls that write a job's record, by HTTP method and number of
 #: path segments after the kind of the object.
 _JOB_CALL_KINDS: Final = MappingProxyType(
@@ -39,6 +44,13 @@
         self._upstreams = upstreams
         #: Pairs of a calling and a called process whose calls are lost.
         self._cut_links: set[tuple[str, str]] = set()
+        #: Processes whose calls the store rejects.
+        self._rejected: set[str] = set()
+        #: Fate of all calls to the store, and the loop time until which it
+        #: holds.
+        self._outage: tuple[Fate, float] = (Fate.DONE, 0)
+        #: Whether no more outages begin.
+        self._is_over = False
         #: Faults of the next calls, in the order in which they are used up.
         self._armed_faults: list[tuple[CallKind, Fate]] = []
         #: Loop time at which each process was last disturbed.
@@ -48,15 +60,33 @@
         """Lose all calls from one process to another."""
         self._cut_links.add((origin, goal))
 
+    def reject(self, origin: str) -> None:
+        """Have the store reject all calls of one process."""
+        self._rejected.add(origin)
+
+    def begin_outage(self, fate: Fate) -> None:
+        """Give all calls to the store a fate for some seconds."""
+        if self._is_over:
+            return
+        now_s = asyncio.get_running_loop().time()
+        self._outage = (fate, now_s + _OUTAGE_S)
+
     def arm(self, call: CallKind, fate: Fate, count: int) -> None:
         """Set the fate of the next `count` calls of a kind."""
         self._armed_faults.extend((call, fate) for _ in range(count))
 
     def heal(self) -> None:
-        """Remove all cut links and all faults of the next calls."""
+        """Remove all cut links, outages and faults of the next calls."""
         self._cut_links.clear()
+        self._rejected.clear()
+        self._outage = (Fate.DONE, 0)
         self._armed_faults.clear()
 
+    def end(self) -> None:
+        """Remove all faults, and let no call that is late begin an outage."""
+        self.heal()
+        self._is_over = True
+
     def disturb(self, process: str) -> None:
         """Record that a fault affects a process now.
 
@@ -82,25 +112,56 @@
         """
         if goal in self._upstreams:
             return Fate.DONE
-        fate = Fate.LOST
-        if (origin, goal) not in self._cut_links:
+        fate = self._lasting_fate(origin, goal)
+        if fate is Fate.DONE:
             fate = self._pop_fate(_classify_call(goal, request))
         if fate is not Fate.DONE:
             self.disturb(origin)
             self.disturb(goal)
         return fate
 
-    def _pop_fate(self, kind: CallKind) -> Fate:
+    def _lasting_fate(self, origin: str, goal: str) -> Fate:
+        """Return the fate of all calls on a link, unless calls get through."""
+        if (origin, goal) in self._cut_links:
+            return Fate.LOST
+        if goal != STORE:
+            return Fate.DONE
+        fate, until_s = self._outage
+        if asyncio.get_running_loop().time() < until_s:
+            return fate
+        return Fate.REFUSED if origin in self._rejected else Fate.DONE
+
+    def _pop_fate(self, kinds: frozenset[CallKind]) -> Fate:
         for number, (call, fate) in enumerate(self._armed_faults):
-            if call is kind:
+            if call in kinds:
                 self._armed_faults.pop(number)
                 return fate
         return Fate.DONE
 
 
-def _classify_call(destination: str, request: ClientRequest) -> CallKind:
-    if destination != STORE:
-        return CallKind.PEER
+def _classify_call(
+    destination: str, request: ClientRequest
+) -> frozenset[CallKind]:
+    if destination == STORE:
+        return frozenset((_classify_store_call(request),))
+    return frozenset(
+        (CallKind.PEER, CallKind.RELAYED_JOB)
+        if _relays_job(request)
+        else (CallKind.PEER,)
+    )
+
+
+def _relays_job(request: ClientRequest) -> bool:
+    assert isinstance(request.body, bytes)
+    message = codec.decode_request(request.body)
+    return (
+        isinstance(message, StoreCall)
+        and message.method == 'POST'
+        and message.path == JOBS_PATH
+    )
+
+
+def _classify_store_call(request: ClientRequest) -> CallKind:
     kind, *rest = request.target.removeprefix(_OBJECTS_PREFIX).split('/')
     if request.method == 'GET' or kind == 'entries':
         return CallKind.LOOK
--- a/lab/model/history.py
+++ b/lab/model/history.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from lab.model.entry import ModelEntry
     from lab.model.plans import Plan, Step
-    from lab.model.witness import Broken
+    from lab.model.promises import Broken
 
 #: Time in which every entry has to list all items after the faults are over.
 _LIST_ALL_TIMEOUT_S: Final = 40
@@ -23,6 +23,8 @@
 #: Wait after the faults are over, so that calls which a fault has delayed are
 #: done; as long as the longest fault of a call.
 _DELAYED_CALLS_S: Final = 2.5
+#: Wait after the start of an entry, in which it resumes its jobs.
+_RESTART_S: Final = 1.5
 
 
 class Played(NamedTuple):
@@ -36,6 +38,10 @@
     checked: int
     #: Duration of the history in virtual time.
     took_s: float
+    #: Whether the job was refused at each attempt.
+    was_refused: bool
+    #: Number of attempts refused by an entry that knew the job.
+    known_refusals: int
 
 
 def play(plan: Plan) -> Played:
@@ -53,7 +59,8 @@
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _, context: failures.append(context))
     await world.start()
-    _submit_job(world)
+    if not plan.steps_submit:
+        _submit_job(world)
     try:
         await _play_steps(world)
     finally:
@@ -63,8 +70,19 @@
         promise, detail = checker.broken[0]
         world.tell(f'broken: {promise.value}: {detail}')
     assert not failures, failures
+    return _result(world)
+
+
+def _result(world: World) -> Played:
+    checker = world.witness
     return Played(
-        plan, world.story, checker.broken, checker.checked, loop.time()
+        world.plan,
+        world.story,
+        checker.broken,
+        checker.checked,
+        asyncio.get_running_loop().time(),
+        checker.attempts.are_refused,
+        checker.attempts.known_refusals,
     )
 
 
@@ -78,10 +96,12 @@
     await _recover_and_read_all(world)
 
 
-def _submit_job(world: World) -> None:
+def _submit_job(world: World, *, is_calm: bool = False) -> None:
     entry = world.entries[world.order()[0]]
     world.tell(f'a trainer hands its job in at {entry.name}')
-    world.trainer.begin(world.trainer.hand_in(entry, world.witness))
+    world.trainer.begin(
+        world.trainer.submit(entry, world.witness, is_calm=is_calm)
+    )
 
 
 def _apply_step(world: World, step: Step) -> None:
@@ -116,9 +136,18 @@
 
 
 async def _recover_and_read_all(world: World) -> None:
-    """End all faults, then check that every entry lists all results."""
+    """End all faults, then check what every entry lists."""
+    await _recover(world)
+    if world.plan.steps_submit and world.witness.attempts.are_refused:
+        await _check_refused_job(world)
+    else:
+        await _check_results(world)
+
+
+async def _recover(world: World) -> None:
+    """End all faults, and wait until what they delayed is done."""
     world.tell('all is well again: calls get through, who is paused goes on')
-    world.faults.heal()
+    world.faults.end()
     for name, entry in world.entries.items():
         if entry.process.gone or entry.stopping:
             world.kill(name)
@@ -126,6 +155,14 @@
         else:
             entry.process.go_on()
     await asyncio.sleep(_DELAYED_CALLS_S)
+    while world.witness.attempts.are_pending:
+        await asyncio.sleep(_RETRY_INTERVAL_S)
+
+
+async def _check_results(world: World) -> None:
+    """Check that every entry lists all results."""
+    if world.plan.restarted:
+        await _restart_entries(world)
     until_s = asyncio.get_running_loop().time() + _LIST_ALL_TIMEOUT_S
     await _submit_until_accepted(world, until_s)
     for entry in world.entries.values():
@@ -136,10 +173,29 @@
 async def _submit_until_accepted(world: World, until_s: float) -> None:
     loop = asyncio.get_running_loop()
     while not world.witness.accepted and loop.time() < until_s:
-        _submit_job(world)
+        _submit_job(world, is_calm=True)
         await asyncio.sleep(_RETRY_INTERVAL_S)
 
 
+async def _restart_entries(world: World) -> None:
+    world.tell('all entries start again, one after the other')
+    for name in world.entries:
+        world.kill(name)
+        world.start_entry(name)
+        await asyncio.sleep(_RESTART_S)
+
+
+async def _check_refused_job(world: World) -> None:
+    """Check that nothing of a job that was refused is there, or comes."""
+    world.tell('the job was refused at each attempt')
+    await _restart_entries(world)
+    for _ in range(2):
+        for entry in world.entries.values():
+            _begin_reads(world, entry)
+        await asyncio.sleep(_DELAYED_CALLS_S)
+    world.witness.attempts.see_end_of_history()
+
+
 async def _read_all_results(
     world: World, entry: ModelEntry, until_s: float
 ) -> list[dict[str, Any]]:
--- a/lab/model/pausing.py
+++ b/lab/model/pausing.py
@@ -8,6 +8,8 @@
 
 import async_solipsism
 
+from lab.model.attempts import current_attempt
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine, Iterable
 
@@ -61,9 +63,14 @@
         self._held_callbacks.append(gate)
 
     def start(self, work: Coroutine[Any, Any, Result]) -> asyncio.Task[Result]:
-        """Start a task whose callbacks belong to this process."""
+        """Start a task whose callbacks belong to this process.
+
+        It works on behalf of the same attempt as the caller.
+        """
         loop = asyncio.get_running_loop()
-        return loop.create_task(work, context=self._context.copy())
+        context = self._context.copy()
+        context.run(current_attempt.set, current_attempt.get())
+        return loop.create_task(work, context=context)
 
 
 def start_outside(
--- a/lab/model/plans.py
+++ b/lab/model/plans.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from lab.model.network import Fate
+from lab.model.fates import Fate
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
@@ -25,10 +25,13 @@
 
 _DEFAULT_GAP_S: Final = 0.6
 _SHORT_GAP_S: Final = 0.05
+_STARTUP_S: Final = 1.2
+#: Time that a trainer waits for the response to a request.
+PATIENCE_S: Final = 5
 #: Times between a step and the next one, drawn at random.
 _GAPS_S: Final = (0, _SHORT_GAP_S, 0.2, 0.5, 1.1, 2.3)
 #: Item lengths drawn at random.
-_ITEM_LENGTHS_EVENTS: Final = (3, 12, 40, 120)
+ITEM_LENGTHS_EVENTS: Final = (3, 12, 40, 120)
 #: Item lengths of small plans, by group.
 _SMALL_PLAN_LENGTHS_EVENTS: Final = ((3, 3), (40, 3))
 #: Share of the drawn plans that may have a step which ends the job.
@@ -66,6 +69,10 @@
     BREAK = 'break'
     #: Has the next score calls fail.
     SCORE_FAILS = 'score fails'
+    #: Submits the job at an entry.
+    SUBMIT = 'submit'
+    #: Has the store reject all calls of an entry, and of no other one.
+    REJECT = 'reject'
 
 
 class CallKind(enum.Enum):
@@ -79,6 +86,8 @@
     END = 'that notes an end'
     LOOK = 'that reads from the store'
     PEER = 'between entries'
+    #: Such a call is also one between entries.
+    RELAYED_JOB = 'that relays the creation of a job'
 
 
 class Step(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -99,6 +108,9 @@
     #: Number of calls whose fate is set; `SCORE_FAILS` fails one call more. A
     #: read begins ``count - 1`` positions before the first unread one.
     count: int = 1
+    #: Time that the trainer waits for the response to a submission. With 0
+    #: the entry handles it to the end, and its response is lost.
+    patience_s: float = PATIENCE_S
     #: Time until the next step.
     gap_s: float = _DEFAULT_GAP_S
 
@@ -117,10 +129,23 @@
     #: each step.
     watched: bool
     steps: tuple[Step, ...]
+    #: Whether only the steps submit the job. Otherwise it is submitted at the
+    #: start, and at the end until an entry accepts it.
+    steps_submit: bool = False
+    #: Whether the entries keep connections. A call that fails on a kept one is
+    #: sent a second time.
+    kept_connections: bool = False
+    #: Time from the start of the entries to the first step. They discover each
+    #: other once the old answers of the store tell of them, after 4 s.
+    startup_s: float = _STARTUP_S
+    #: Whether all entries start again after the steps.
+    restarted: bool = False
+    #: Whether it breaks a promise that an entry refuses a job that it knows.
+    checks_known_refusals: bool = False
 
 
 #: Relative frequency at which each kind of step is drawn.
-_VERB_WEIGHTS: Final[Mapping[Verb, int]] = MappingProxyType(
+VERB_WEIGHTS: Final[Mapping[Verb, int]] = MappingProxyType(
     {
         Verb.PAUSE: 3,
         Verb.GO_ON: 3,
@@ -138,15 +163,26 @@
         Verb.SCORE_FAILS: 1,
     }
 )
-#: All faults; the first member, `Fate.DONE`, is none.
-_ALL_FAULTS: Final = tuple(Fate)[1:]
+#: Faults of single calls.
+_ALL_FAULTS: Final = (
+    Fate.LOST,
+    Fate.UNANSWERED,
+    Fate.LATE,
+    Fate.TWICE,
+    Fate.SLOW,
+    Fate.REFUSED,
+)
+#: Kinds of calls whose fate is drawn.
+_CALLS: Final = tuple(
+    call for call in CallKind if call is not CallKind.RELAYED_JOB
+)
 _PEER_FAULTS: Final = tuple(
     fate for fate in _ALL_FAULTS if fate is not Fate.REFUSED
 )
 #: Faults that are drawn for each kind of call.
 _FAULTS_BY_CALL: Final[Mapping[CallKind, _Fates]] = MappingProxyType(
     {
-        **dict.fromkeys(CallKind, _ALL_FAULTS),
+        **dict.fromkeys(_CALLS, _ALL_FAULTS),
         CallKind.LOOK: (Fate.LOST, Fate.SLOW, Fate.REFUSED),
         CallKind.PEER: _PEER_FAULTS,
     }
@@ -191,20 +227,20 @@
     """
     rng = random.Random(seed)
     entries = 3 if rng.random() < _THREE_ENTRIES_SHARE else 2
-    weights = dict(_VERB_WEIGHTS)
+    weights = dict(VERB_WEIGHTS)
     if rng.random() > _END_ALLOWED_SHARE:
         weights.pop(Verb.END)
     return Plan(
         f'seed {seed}',
         entries,
         tuple(
-            tuple(rng.choices(_ITEM_LENGTHS_EVENTS, k=2))
+            tuple(rng.choices(ITEM_LENGTHS_EVENTS, k=2))
             for _ in range(rng.randint(1, 3))
         ),
         rng.random() < _SCORED_JOB_SHARE,
         rng.random() < 1 / 2,
         tuple(
-            _draw_step(rng, verb, entries)
+            draw_step(rng, verb, entries)
             for verb in rng.choices(
                 tuple(weights), weights=tuple(weights.values()), k=steps
             )
@@ -212,8 +248,9 @@
     )
 
 
-def _draw_step(rng: random.Random, verb: Verb, entries: int) -> Step:
-    call = rng.choice(tuple(CallKind))
+def draw_step(rng: random.Random, verb: Verb, entries: int) -> Step:
+    """Return a step of a kind, with fields drawn at random."""
+    call = rng.choice(_CALLS)
     choices = {
         'to': rng.randrange(-1, entries),
         'call': call,
--- a/lab/model/search.py
+++ b/lab/model/search.py
@@ -11,6 +11,7 @@
 
 from lab.model.history import Played, play
 from lab.model.plans import Plan, drawn, small_worlds
+from lab.model.submission_plans import drawn_submissions
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
@@ -40,6 +41,10 @@
     found: list[Played]
     #: Number of histories that broke a promise.
     broken: int
+    #: Number of histories whose job was refused at each attempt.
+    refused: int = 0
+    #: Number of attempts refused by an entry that knew the job.
+    known_refusals: int = 0
 
     def plus(self, played: Played) -> Summary:
         """Return the summary with one more history added."""
@@ -53,6 +58,8 @@
             virtual_s=self.virtual_s + played.took_s,
             found=[*self.found, *reported],
             broken=self.broken + broke,
+            refused=self.refused + played.was_refused,
+            known_refusals=self.known_refusals + played.known_refusals,
         )
 
     def __str__(self) -> str:
@@ -63,6 +70,8 @@
             f'{self.histories} histories of {self.steps} steps, '
             f'{self.checked} checks',
             f'{virtual_h} h of virtual time in {took_s} s',
+            f'{self.refused} jobs refused at each attempt',
+            f'{self.known_refusals} refusals of known jobs',
             f'{self.broken} broken',
         ]
         return '\n'.join((', '.join(lines), *map(told, self.found)))
@@ -84,6 +93,36 @@
     return _search_plans(plans, steps, jobs)
 
 
+def search_submissions(
+    seeds: Iterable[int],
+    steps: int,
+    jobs: int = 1,
+    *,
+    checks_known_refusals: bool = False,
+) -> Summary:
+    """Play the history of each seed, with a job submitted by several attempts.
+
+    Parameters
+    ----------
+    seeds
+        Seeds from which the plans are drawn.
+    steps
+        Number of steps in each history.
+    jobs
+        Number of worker processes; 1 plays all histories in this process.
+    checks_known_refusals
+        Whether it breaks a promise that an entry refuses a job that it knows.
+    """
+    plans = (
+        msgspec.structs.replace(
+            drawn_submissions(seed, steps),
+            checks_known_refusals=checks_known_refusals,
+        )
+        for seed in seeds
+    )
+    return _search_plans(plans, steps, jobs)
+
+
 def search_small(depth: int, jobs: int = 1) -> Summary:
     """Play the histories of all small plans.
 
--- a/lab/model/trainer.py
+++ b/lab/model/trainer.py
@@ -9,8 +9,10 @@
 
 from bergamotdoor.http.messages import Headers
 from bergamotdoor.platform import headers as names
+from lab.model.attempts import current_attempt
 from lab.model.network import received
 from lab.model.pausing import start_outside
+from lab.model.plans import PATIENCE_S
 from lab.model.witness import JOB
 from lab.wire import HOST, JobItem, job_body
 
@@ -23,8 +25,6 @@
 
 JOB_PATH: Final = '/roll/'
 SCORE_PATH: Final = '/score/'
-#: Time that the trainer waits for the response to a request.
-_REQUEST_TIMEOUT_S: Final = 5
 #: Time that an entry may wait for new results before it responds to a read.
 _PAGE_WAIT_MS: Final = '300'
 
@@ -62,19 +62,47 @@
         self._calls.add(task)
         task.add_done_callback(self._remove_call)
 
-    async def hand_in(self, entry: ModelEntry, witness: Witness) -> None:
-        """Submit the job at an entry, also if it was submitted before."""
+    async def submit(
+        self,
+        entry: ModelEntry,
+        witness: Witness,
+        patience_s: float = PATIENCE_S,
+        *,
+        is_calm: bool = False,
+    ) -> None:
+        """Submit the job at an entry, also if it was submitted before.
+
+        Parameters
+        ----------
+        entry
+            Entry at which the job is submitted.
+        witness
+            Checks the response.
+        patience_s
+            Time that the trainer waits for the response; 0 if the response
+            is lost.
+        is_calm
+            Whether no fault is in force any more.
+        """
+        number = witness.attempts.begin(
+            entry.name, was_known=entry.knows(JOB), is_calm=is_calm
+        )
+        current_attempt.set(number)
         body = job_body(JOB_PATH, self.items, 1, self._group_count)
         target = f'{JOB_PATH}{JOB}'
         response = await _send_request(
-            entry, 'POST', target, (names.REQUEST_ID, JOB), body
+            entry,
+            'POST',
+            target,
+            (names.REQUEST_ID, JOB),
+            body,
+            timeout_s=patience_s or PATIENCE_S,
         )
-        if response is None:
-            return
-        if response.status == HTTPStatus.ACCEPTED:
-            witness.accepted = True
-        elif response.status == HTTPStatus.SERVICE_UNAVAILABLE:
-            witness.see_refused()
+        witness.checked += 1
+        status = None
+        if response is not None and patience_s:
+            status = response.status
+        witness.attempts.see_answer(number, status)
 
     async def read(
         self, entry: ModelEntry, witness: Witness, back: int
@@ -171,6 +199,7 @@
     target: str,
     field: tuple[str, str] = ('host', HOST),
     body: bytes = b'',
+    timeout_s: float = PATIENCE_S,
 ) -> HttpResponse | None:
     headers = Headers.of([('host', HOST), field])
     request = received(method, target, headers, body)
@@ -179,7 +208,7 @@
     # A paused process does not notice that its caller gives up, so the
     # cancelled task is not awaited.
     handling = entry.ask(request)
-    await asyncio.wait((handling,), timeout=_REQUEST_TIMEOUT_S)
+    await asyncio.wait((handling,), timeout=timeout_s)
     if handling.done() and not handling.cancelled():
         return handling.result()
     handling.cancel()
--- a/lab/model/witness.py
+++ b/lab/model/witness.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-import enum
 import json
-from typing import TYPE_CHECKING, Any, Final, NamedTuple
+from typing import TYPE_CHECKING, Any, Final
 
+from lab.model.attempts import Attempts
+from lab.model.promises import Broken, Promise
 from lab.model.upstreams import proof_of, text_line
 from lab.wire import score_id
 
@@ -28,28 +29,6 @@
 _ID_KEY: Final = 'id'
 
 
-class Promise(enum.Enum):
-    """Promise to the trainer that every history has to keep."""
-
-    POSITION = 'a position holds one result for good'
-    ONCE = 'no item stands at two positions'
-    READ = 'a position that was read is not denied'
-    BODY = 'the body of an item that is not listed is not denied'
-    ACCEPTED = 'a job that was accepted is not denied'
-    REFUSED = 'of a job that was refused nothing is there'
-    END = 'after a confirmed end nothing starts'
-    TEXT = "versions and score of a result are its text's"
-    LOST = 'an item is lost only if it cannot be done'
-    COMPLETE = 'once all is well every item is listed'
-
-
-class Broken(NamedTuple):
-    """Promise that was broken, with the observation that shows it."""
-
-    promise: Promise
-    detail: str
-
-
 class Witness:
     """Checker that compares new observations with the earlier ones.
 
@@ -64,6 +43,9 @@
     failures
         Function that returns the number of failures with which the score call
         of a given id was answered.
+    checks_known_refusals
+        Whether it breaks a promise that an entry refuses a job that it knows.
+        Otherwise such refusals are only counted.
     """
 
     def __init__(
@@ -72,13 +54,19 @@
         scored: bool,
         table: ObjectTable,
         failures: Callable[[str], int],
+        *,
+        checks_known_refusals: bool = False,
     ) -> None:
         self.lengths = lengths
         self.broken: list[Broken] = []
         #: Number of checks.
         self.checked = 0
-        #: Whether an entry has accepted the job.
-        self.accepted = False
+        #: Attempts of the trainer to submit the job.
+        self.attempts = Attempts(
+            self.broken,
+            lambda: JOB in table.of_kind('jobs'),
+            checks_known_refusals=checks_known_refusals,
+        )
         #: First result that was read at each position.
         self.read: dict[int, dict[str, Any]] = {}
         #: Time of the first read of each position.
@@ -88,6 +76,11 @@
         self._table = table
         self._failures = failures
 
+    @property
+    def accepted(self) -> bool:
+        """Whether an entry has accepted the job."""
+        return self.attempts.are_accepted
+
     @property
     def unread(self) -> list[str]:
         """Items whose results have not been read."""
@@ -125,6 +118,7 @@
         now_s
             Current loop time.
         """
+        self.attempts.signs.append(f'results are read from position {after}')
         if page['total'] != len(self.lengths):
             self._record_broken(
                 Promise.ACCEPTED, f'{page["total"]} items in all'
@@ -154,6 +148,7 @@
 
     def see_body(self, item: str, body: bytes) -> None:
         """Check the body of an item."""
+        self.attempts.signs.append(f'the body of item {item} is read')
         self.checked += 1
         if body != str(self.lengths[item]).encode():
             self._record_broken(Promise.BODY, f'{body!r} of item {item}')
@@ -174,11 +169,6 @@
                 Promise.BODY, f'item {item} is not listed, yet denied'
             )
 
-    def see_refused(self) -> None:
-        """Check that the job is not in the store after it was refused."""
-        if JOB in self._table.of_kind('jobs'):
-            self._record_broken(Promise.REFUSED, 'it is in the store')
-
     def see_end(self, now_s: float) -> None:
         """Record that an entry confirmed the end of the job."""
         if self._end_confirmed_at_s is None:
@@ -198,6 +188,7 @@
         now_s
             Current loop time.
         """
+        self.attempts.signs.append(f'item {item} starts')
         since_s = max(calm_since_s, self._end_confirmed_at_s or now_s)
         if now_s - since_s > _END_EFFECT_S:
             self._record_broken(Promise.END, f'item {item} starts')
--- a/lab/model/world.py
+++ b/lab/model/world.py
@@ -38,9 +38,6 @@
 _SCORER_PORT: Final = 9200
 _ENGINE_COUNT: Final = 2
 _SLOTS_PER_UPSTREAM: Final = 4
-#: Wait after the entries are started; they have discovered each other a second
-#: after their start.
-_STARTUP_S: Final = 1.2
 _SCORER_NAME: Final = 'scorer'
 #: How old the answers of the store are to calls that allow for old ones.
 _STALE_S: Final = 3
@@ -83,13 +80,16 @@
         }
         self.scorer = ModelScorer()
         self.faults = Faults(frozenset((*self.engines, _SCORER_NAME)))
-        self._network = Network(self.faults)
+        self._network = Network(
+            self.faults, keeps_connections=plan.kept_connections
+        )
         self.trainer = ModelTrainer(plan.lengths, plan.scored)
         self.witness = Witness(
             {item.item: item.length for item in self.trainer.items},
             plan.scored,
             self._store.table,
             self.scorer.failures.__getitem__,
+            checks_known_refusals=plan.checks_known_refusals,
         )
         #: Current process of each entry, by name.
         self.entries: dict[str, ModelEntry] = {}
@@ -97,7 +97,7 @@
         self._processes: list[Process] = []
 
     async def start(self) -> None:
-        """Start the servers and entries, and wait for discovery of peers."""
+        """Start the servers and entries, and wait for the first step."""
         self._network.serve(_address_at(_STORE_PORT), STORE, self._answer_store)
         for number, (name, engine) in enumerate(self.engines.items()):
             address = _address_at(_ENGINE_PORT + number)
@@ -107,7 +107,7 @@
         )
         for number in range(self.plan.entries):
             self.start_entry(f'entry-{number}')
-        await asyncio.sleep(_STARTUP_S)
+        await asyncio.sleep(self.plan.startup_s)
 
     async def stop(self) -> None:
         """Kill all entries, and cancel what is left of their tasks."""
@@ -151,7 +151,9 @@
         return sorted(self.entries, key=lambda name: (name != owner, name))
 
     async def _answer_store(self, _: str, request: HttpRequest) -> HttpResponse:
-        return await self._store.handle(request)
+        response = await self._store.handle(request)
+        self.witness.attempts.see_store_call(request, response)
+        return response
 
     def _check_item_start(self, origin: str, item: str) -> None:
         now_s = asyncio.get_running_loop().time()
