Switch off what tells an unclear creation from a refused one

Five mutations that no history of the model noticed before: the rejection of a second attempt taken for both, at the store and at another entry; an unclear attempt at a creation forgotten; an unclear outcome of one path replaced by a rejection on another one; the failure of a second attempt that was not sent returned for both.

`lab_model` fails with each of them.

--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -72,6 +72,41 @@
 
 
 MUTATIONS: Final = (
+    Mutation(
+        'a rejected second attempt does not hide that the first took effect',
+        'objects/client.py',
+        'if response.sent_before and answer.is_rejection:',
+        'if response.sent_before and not answer.status:',
+        _MODEL,
+    ),
+    Mutation(
+        'a rejected second relay does not hide that the first took effect',
+        'peers/relay.py',
+        'if exchange.sent_before and has_no_effect',
+        'if exchange.sent_before and exchange.reply is None',
+        _MODEL,
+    ),
+    Mutation(
+        'an unclear attempt to create a job is not forgotten',
+        'objects/job_store.py',
+        'unclear = unclear or outcome is Outcome.UNCLEAR',
+        'unclear = outcome is Outcome.UNCLEAR',
+        _MODEL,
+    ),
+    Mutation(
+        'a call that is unclear on one path is not rejected by another one',
+        'peers/relay.py',
+        'if earlier is Outcome.UNCLEAR:',
+        'if earlier is found:',
+        _MODEL,
+    ),
+    Mutation(
+        'a second attempt that was not sent does not hide the first one',
+        'http/sending.py',
+        'return second if second.sent else first',
+        'return second',
+        _MODEL,
+    ),
     Mutation(
         'a duty holder acts soon after its write, or not at all',
         'duties/lease.py',
