--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -103,8 +103,8 @@
     Mutation(
         'a second attempt that was not sent does not hide the first one',
         'http/sending.py',
-        'return second if second.sent else first',
-        'return second',
+        'last, other = (second, first) if second.sent else (first, second)',
+        'last, other = second, first',
         _MODEL,
     ),
     Mutation(
