Believe no rejection that an earlier release relays

Callers saw (in a rolling upgrade): an entry of this release answered 503 at each attempt, the job was in the store, and all of its items ran when the entries were restarted, as an upgrade does (RULES, REFUSED).

Evidence: the reply of such an entry, decoded here, before: `Answer(status=503, body=b'')`; now UNCLEAR.

Change: a relaying entry states that its rejection covers every attempt; without that statement a relayed rejection proves nothing. A new field with a default, which older processes ignore. Scenario of the review, red before; the replies in peers_relay state it, so that they still test the second attempt of the call between entries.

--- a/bergamotdoor/peers/messages.py
+++ b/bergamotdoor/peers/messages.py
@@ -195,6 +195,9 @@
     #: What came of the call, for the sender's logs; empty if it succeeded, or
     #: if an earlier release sent the reply.
     detail: str = ''
+    #: Whether a rejection is that of every attempt at the call. Earlier
+    #: releases tell the rejection of the last attempt.
+    covers_all_attempts: bool = False
 
 
 PeerReply: TypeAlias = (
--- a/bergamotdoor/peers/relay.py
+++ b/bergamotdoor/peers/relay.py
@@ -99,11 +99,9 @@
         has_no_effect = answer is Outcome.NOT_DONE or (
             isinstance(answer, Answer) and answer.is_rejection
         )
-        return (
-            Outcome.UNCLEAR
-            if exchange.sent_before and has_no_effect
-            else answer
-        )
+        if exchange.sent_before and has_no_effect:
+            return Outcome.UNCLEAR
+        return answer
 
 
 class RelayingCaller:
@@ -307,7 +305,9 @@
                 detail,
             )
     if isinstance(found, Answer):
-        return StoreReply(found.status, found.body, detail=detail)
+        return StoreReply(
+            found.status, found.body, detail=detail, covers_all_attempts=True
+        )
     return StoreReply(
         None, b'', unclear=found is Outcome.UNCLEAR, detail=detail
     )
@@ -324,7 +324,10 @@
         return Outcome.UNCLEAR
     if reply.status is None:
         return Outcome.UNCLEAR if reply.unclear else Outcome.NOT_DONE
-    return Answer(reply.status, reply.body)
+    answer = Answer(reply.status, reply.body)
+    if answer.is_rejection and not reply.covers_all_attempts:
+        return Outcome.UNCLEAR
+    return answer
 
 
 def _describe(exchange: PeerExchange) -> str:
--- a/features/steps/lab_model_steps.py
+++ b/features/steps/lab_model_steps.py
@@ -24,7 +24,9 @@
 )
 def choose_submissions(context: Any, first: int, last: int, steps: int) -> None:
     context.seeds = range(first, last + 1)
-    context.search = lambda: search_submissions(context.seeds, steps)
+    context.search = lambda: search_submissions(
+        context.seeds, steps, checks_known_refusals=True
+    )
 
 
 @then('none of them breaks a promise')
--- a/features/steps/peers_relay_steps.py
+++ b/features/steps/peers_relay_steps.py
@@ -39,7 +39,9 @@
 #: Replies to the second attempt of a relayed call.
 SECOND_REPLIES: Final[Mapping[str, StoreReply]] = MappingProxyType(
     {
-        'replies with status 503': StoreReply(503, b''),
+        'replies with status 503': StoreReply(
+            503, b'', covers_all_attempts=True
+        ),
         'replies that nothing sent': StoreReply(None, b''),
     }
 )
