Never refuse a job while its creation is under way at the same entry

Callers saw: the first submission waits for the store, which has created the job and does not answer; a second one at the same entry was answered 503, and the first one 504 later.

Cause: a job counted as unclear only once its submission had ended.

Change: a submission counts as unclear while it is under way. Looking a job up copies the memory no more.

--- a/bergamotdoor/steps/job_submission.py
+++ b/bergamotdoor/steps/job_submission.py
@@ -67,10 +67,13 @@
             may have stored it; NOT_DONE if this process knows of no
             submission that may have stored it.
         """
+        record = self._first_record(spec)
         try:
-            submitted = await self._store.submit(spec, self._first_record(spec))
+            with self._finder.unclear_jobs.submitting(spec.job):
+                submitted = await self._store.submit(spec, record)
         except asyncio.CancelledError:
-            # The client has left while a write was under way.
+            # The client has left, or this process stops. A write may have
+            # been under way.
             self._add_unclear(spec.job)
             raise
         outcome = (
--- a/bergamotdoor/steps/unclear_jobs.py
+++ b/bergamotdoor/steps/unclear_jobs.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import contextlib
+from collections import Counter
 from typing import TYPE_CHECKING, Final
 
 from bergamotdoor.peers.messages import JobUnclear
 
 if TYPE_CHECKING:
     import datetime as dt
+    from collections.abc import Iterator
 
     from bergamotdoor.clock import Clock
     from bergamotdoor.types import JobId
 
-#: The most jobs that are remembered; each takes some 200 bytes.
-_MAX_JOBS: Final = 1024
+#: The most jobs that are remembered. Clients choose the ids, so each may take
+#: as much memory as the head of a request.
+_MAX_JOBS: Final = 256
 
 
 class UnclearJobs:
@@ -37,11 +41,13 @@
         self._retention = retention
         #: When jobs were last added, the oldest first.
         self._added_at: dict[JobId, dt.timedelta] = {}
+        #: Submissions that this process has not completed, by job.
+        self._under_way: Counter[JobId] = Counter()
 
     def __contains__(self, job: object) -> bool:
         """Return whether a job may be in the store without a known record."""
         self._forget_old()
-        return job in self._added_at
+        return job in self._added_at or job in self._under_way
 
     def __len__(self) -> int:
         """Return the number of remembered jobs."""
@@ -55,6 +61,17 @@
         if len(self._added_at) > _MAX_JOBS:
             self.discard(next(iter(self._added_at)))
 
+    @contextlib.contextmanager
+    def submitting(self, job: JobId) -> Iterator[None]:
+        """Remember a job for a block, in which this process submits it."""
+        self._under_way[job] += 1
+        try:
+            yield
+        finally:
+            self._under_way[job] -= 1
+            if not self._under_way[job]:
+                self._under_way.pop(job)
+
     def take(self, message: JobUnclear) -> None:
         """Remember a job that another entry has left unclear."""
         self.add(message.job)
@@ -64,8 +81,9 @@
         self._added_at.pop(job, None)
 
     def _forget_old(self) -> None:
-        oldest = self._clock.elapsed() - self._retention
-        for job, added_at in tuple(self._added_at.items()):
-            if added_at >= oldest:
+        kept_since = self._clock.elapsed() - self._retention
+        while self._added_at:
+            oldest = next(iter(self._added_at))
+            if self._added_at[oldest] >= kept_since:
                 return
-            self.discard(job)
+            self.discard(oldest)
--- a/features/gateway_unclear_jobs.feature
+++ b/features/gateway_unclear_jobs.feature
@@ -27,9 +27,15 @@
     Given a site whose client leaves while the store creates its job
     Then another entry answers 504 while the store is away
 
+  Scenario: a job is not refused while its creation is under way
+    Guards against a 503 for a job that the same entry is storing.
+
+    Given a site whose job is submitted twice at one entry, the store silent
+    Then the job is stored, and no submission of it is refused
+
   Scenario: unclear jobs are forgotten
     Guards against a memory of unclear jobs that grows or never ages.
 
     Given a memory of unclear jobs that keeps each for 40 s
     Then a job added 41 s ago is forgotten, and one added again is not
-    And at most 1024 of 3000 jobs are remembered
+    And at most 256 of 3000 jobs are remembered
