Tell all entries of a job that a planned stop leaves unclear

Cause: the submission is cancelled at the end of the time for requests; the messages that it starts then were cancelled with all background work.

--- a/bergamotdoor/gateway/planned_stop.py
+++ b/bergamotdoor/gateway/planned_stop.py
@@ -107,7 +107,10 @@
     async def _send_last_messages(self) -> None:
         """Send what other entries need to know of the last calls."""
         usage = self._components.usage
-        messages = [self._context.strikes.flush()]
+        messages = [
+            self._context.strikes.flush(),
+            self._components.notifier.announce_last_unclear(),
+        ]
         if usage is not None:
             messages.append(usage.close())
         with contextlib.suppress(TimeoutError):
--- a/bergamotdoor/steps/peer_notifier.py
+++ b/bergamotdoor/steps/peer_notifier.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import datetime as dt
 import logging
 from typing import TYPE_CHECKING, Final
@@ -18,6 +19,7 @@
     JobOwned,
     JobUnclear,
     ReadBody,
+    TakeOver,
 )
 from bergamotdoor.stored import Outcome
 
@@ -27,7 +29,6 @@
     from bergamotdoor.objects.job_codec import FoundJob
     from bergamotdoor.peers.client import PeerClient
     from bergamotdoor.peers.directory import Directory
-    from bergamotdoor.peers.messages import TakeOver
     from bergamotdoor.peers.weight_messages import EngineLoaded, LoadAnnounced
     from bergamotdoor.settings.document import Address
     from bergamotdoor.steps.job_finder import JobFinder
@@ -89,6 +90,8 @@
         self._peers = peers
         self._tasks = tasks
         self._clock = clock
+        #: Unclear jobs of which not every entry has been told.
+        self._unannounced: set[JobId] = set()
         finder.on_takeover = self.notify_former_owners
 
     def send_to_preferred_owner(self, found: FoundJob, spec: JobSpec) -> None:
@@ -128,9 +131,12 @@
         A client comes back with its job at another entry, which may have no
         answer of the store either.
         """
-        message = JobUnclear(job)
-        for entry in self.directory.entries.values():
-            self._tasks.start(self._send(entry.address, message))
+        self._unannounced.add(job)
+        self._tasks.start(self._announce_unclear(job))
+
+    async def announce_last_unclear(self) -> None:
+        """Send the announcements that a planned stop has cut off."""
+        await asyncio.gather(*map(self._announce_unclear, self._unannounced))
 
     def notify_former_owners(self, found: FoundJob) -> None:
         """Notify the former owners of a job that this process has taken over.
@@ -194,6 +200,14 @@
         for former in () if record is None else record.former:
             self._tasks.start(self._send_until_done(former, JobEnded(job)))
 
+    async def _announce_unclear(self, job: JobId) -> None:
+        message = JobUnclear(job)
+        entries = self.directory.entries.values()
+        await asyncio.gather(
+            *(self._send(entry.address, message) for entry in entries)
+        )
+        self._unannounced.discard(job)
+
     async def _send(
         self,
         address: Address,
--- a/features/gateway_unclear_jobs.feature
+++ b/features/gateway_unclear_jobs.feature
@@ -33,6 +33,12 @@
     Given a site whose job is submitted twice at one entry, the store silent
     Then the job is stored, and no submission of it is refused
 
+  Scenario: a planned stop tells all entries of a job that it leaves unclear
+    Guards against a 503 for a job whose submission a planned stop cut off.
+
+    Given a site whose entry stops while the store creates a job
+    Then the job is stored, and no submission of it is refused
+
   Scenario: unclear jobs are forgotten
     Guards against a memory of unclear jobs that grows or never ages.
 
