Accept no job from a record that may have been removed

Callers saw: a job that had ended and had been removed after its retention was submitted again during an outage and was answered 202; a read gave 404 later.

Cause: cached records do not age.

Change: a submission is accepted from a cached record only for as long as a job can be read after its first record was cached. Reads use the cache as before: the owner or the store answers them.

--- a/bergamotdoor/steps/job_finder.py
+++ b/bergamotdoor/steps/job_finder.py
@@ -19,6 +19,7 @@
 from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
+    import datetime as dt
     from collections.abc import Callable
 
     from bergamotdoor.entry.context import Context
@@ -61,10 +62,11 @@
         #: A former owner that is alive may run the job until then.
         self.on_takeover: Callable[[FoundJob], None] = _ignore
         #: Jobs that may be in the store, although their record is unknown.
-        self.unclear_jobs = UnclearJobs(
-            context.clock, context.settings.retention
-        )
+        self._retention = context.settings.retention
+        self.unclear_jobs = UnclearJobs(context.clock, self._retention)
         self._records: dict[JobId, JobRecord] = {}
+        #: When the first record of each job was cached.
+        self._cached_at: dict[JobId, dt.timedelta] = {}
         #: Addresses of the owners of each model's newest job.
         self._newest_owners: dict[ModelId, Address] = {}
 
@@ -102,16 +104,27 @@
         if known is not None and known.term > record.term:
             record = known
         self._records[job] = record
+        self._cached_at.setdefault(job, self._context.clock.elapsed())
         if len(self._records) > _MAX_CACHED_RECORDS:
-            self._records.pop(next(iter(self._records)))
+            oldest = next(iter(self._records))
+            self._records.pop(oldest)
+            self._cached_at.pop(oldest)
 
     def is_newest(self, job: JobId, record: JobRecord) -> bool:
         """Return whether no record of a later term is known for a job."""
         known = self._records.get(job)
         return known is None or known.term <= record.term
 
-    def known_record(self, job: JobId) -> JobRecord | None:
-        """Return a job's record without a read; ``None`` if none is cached."""
+    def recent_record(self, job: JobId) -> JobRecord | None:
+        """Return a job's record without a read, if the job is surely kept.
+
+        It is ``None`` if no record is cached, or if the record has been for
+        as long as a job can be read: the job may have been removed since.
+        """
+        cached_at = self._cached_at.get(job)
+        now = self._context.clock.elapsed()
+        if cached_at is None or now - cached_at > self._retention:
+            return None
         return self._records.get(job)
 
     async def find_record(self, job: JobId) -> JobRecord | Outcome:
--- a/bergamotdoor/steps/job_submission.py
+++ b/bergamotdoor/steps/job_submission.py
@@ -124,7 +124,7 @@
         An earlier submission of the job may have been successful, or may
         have been left unclear.
         """
-        record = self._finder.known_record(spec.job)
+        record = self._finder.recent_record(spec.job)
         if record is not None:
             if _is_foreign(record, spec.account):
                 return Outcome.FOREIGN
--- a/features/gateway_unclear_jobs.feature
+++ b/features/gateway_unclear_jobs.feature
@@ -39,6 +39,12 @@
     Given a site whose entry stops while the store creates a job
     Then the job is stored, and no submission of it is refused
 
+  Scenario: a job that was removed is not accepted from memory
+    Guards against a 202 for a job that no longer exists.
+
+    Given a site whose removed job is submitted again during an outage
+    Then it is not accepted
+
   Scenario: unclear jobs are forgotten
     Guards against a memory of unclear jobs that grows or never ages.
 
