Never refuse a known job before its submission is handled

Callers saw: with accounts and a bound for revoked keys, a running job that was submitted again 6 s into an outage was answered 503 'the manifest may be outdated' by each entry, also by the one that runs it.

Cause: the checks before a submission (no manifest, an outdated one) know nothing of jobs, and their 503 promises that nothing of the job runs.

Change: a 503 to a POST whose id is that of a job that is or may be in the store becomes 504 with the usual delay, wherever it comes from. The key is not believed any sooner: nothing is accepted.

--- a/bergamotdoor/gateway/batch_handler.py
+++ b/bergamotdoor/gateway/batch_handler.py
@@ -140,14 +140,31 @@
                 HTTPStatus.CONFLICT, 'a job of another account', job
             )
         if outcome is Outcome.UNCLEAR:
-            return text_response(
-                HTTPStatus.GATEWAY_TIMEOUT,
-                'perhaps kept',
-                job,
-                job_retry_s(job),
-            )
+            return _unclear_response(job)
         return _store_unavailable(job, job_retry_s(job))
 
+    def check_refusal(
+        self, request: HttpRequest, response: HttpResponse
+    ) -> HttpResponse:
+        """Return the response to a request that may submit a known job.
+
+        Parameters
+        ----------
+        request
+            Any request of a caller or a trainer.
+        response
+            Its response, which may promise that nothing of a job runs.
+        """
+        if (
+            response.status != HTTPStatus.SERVICE_UNAVAILABLE
+            or request.method != 'POST'
+        ):
+            return response
+        job = JobId(request.headers.first(names.REQUEST_ID))
+        if self._submission_service.may_be_stored(job):
+            return _unclear_response(job)
+        return response
+
     async def _handle_job_request(
         self, request: HttpRequest, prefix: str, job: JobId
     ) -> HttpResponse:
@@ -203,6 +220,12 @@
     return _store_unavailable(job)
 
 
+def _unclear_response(job: JobId) -> HttpResponse:
+    return text_response(
+        HTTPStatus.GATEWAY_TIMEOUT, 'perhaps kept', job, job_retry_s(job)
+    )
+
+
 def _store_unavailable(
     job: JobId, retry_s: float = _STORE_RETRY_S
 ) -> HttpResponse:
--- a/bergamotdoor/gateway/request_router.py
+++ b/bergamotdoor/gateway/request_router.py
@@ -70,7 +70,8 @@
             The request; its body has not been read yet.
         """
         with subjects.about(request=request.headers.first(names.REQUEST_ID)):
-            return await self._handle(request)
+            response = await self._handle(request)
+            return self._batches.check_refusal(request, response)
 
     async def _handle(self, request: HttpRequest) -> HttpResponse:
         await self._context.startup.wait()
--- a/bergamotdoor/steps/job_finder.py
+++ b/bergamotdoor/steps/job_finder.py
@@ -127,6 +127,10 @@
             return None
         return self._records.get(job)
 
+    def may_be_stored(self, job: JobId) -> bool:
+        """Return whether a job is in the store, as far as it is known here."""
+        return job in self.unclear_jobs or self.recent_record(job) is not None
+
     async def find_record(self, job: JobId) -> JobRecord | Outcome:
         """Return a job's record, from the cache or the store.
 
--- a/bergamotdoor/steps/job_submission.py
+++ b/bergamotdoor/steps/job_submission.py
@@ -85,6 +85,10 @@
             self._context.metrics.count(_counted(outcome))
         return outcome
 
+    def may_be_stored(self, job: JobId) -> bool:
+        """Return whether a job may be in the store, by what is known here."""
+        return self._finder.may_be_stored(job)
+
     async def end(self, job: JobId) -> Outcome | None:
         """End a job and stop its owner; ``None`` once the end is stored."""
         found = await self._store.end(job)
--- a/features/gateway_unclear_jobs.feature
+++ b/features/gateway_unclear_jobs.feature
@@ -39,6 +39,12 @@
     Given a site whose entry stops while the store creates a job
     Then the job is stored, and no submission of it is refused
 
+  Scenario: a running job is not refused for an outdated manifest
+    Guards against a 503 of the entry that runs the job.
+
+    Given a site with accounts whose running job is submitted again
+    Then the job is stored, and no submission of it is refused
+
   Scenario: a job that was removed is not accepted from memory
     Guards against a 202 for a job that no longer exists.
 
