Give the call of a scenario its request id

"a reply of the next start does not prove that a call has not run" judged a response for no call at all. A response's request id is compared with the call's before a refusal is believed, so the step failed with an AttributeError since "Take no refusal of another call for one of this call". The step hands over a call with an id; what it checks stays as it was.

--- a/features/steps/gateway_sent_twice_steps.py
+++ b/features/steps/gateway_sent_twice_steps.py
@@ -5,7 +5,7 @@
 import asyncio
 import datetime as dt
 from types import SimpleNamespace
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 
 from behave import given, then, when
 
@@ -105,11 +105,13 @@
         target=CRASHING,
         timeout=dt.timedelta(seconds=1),
     )
-    upstream = SimpleNamespace(upstream='desk-0')
+    upstream: Any = SimpleNamespace(upstream='desk-0')
+    call: Any = SimpleNamespace(request_id='call-1')
 
     async def exchange() -> Any:
         response = await send(context.client, request)
-        return await judge(None, None, upstream, response)  # type: ignore
+        assert isinstance(response, ClientResponse)
+        return await judge(cast('Any', None), call, upstream, response)
 
     context.attempt = asyncio.run(exchange())
 
