Have the soak lose relayed writes to the store

With the branch of peers/relay.py undone, the scenario with relayed writes was green: the write came mostly from the entry that the store still served, and soon after an outage entries don't relay at all.

--- a/features/steps/lab_lost_writes_steps.py
+++ b/features/steps/lab_lost_writes_steps.py
@@ -20,8 +20,10 @@
 from lab.submitters import Attempt, SmallJob, Submitters
 from lab.upstreams import Seen
 
-OUTAGES = 3
+OUTAGES = 2
 OUTAGE_S = 1
+#: How long the entries take to know each other.
+START_S = 2
 NETWORK_NUMBER = 251
 #: When the item runs; the attempts are sent at 1 s and 3 s.
 TIMES_S = {'between the attempts': 2, 'after both attempts': 4}
@@ -59,6 +61,7 @@
     lost_writes = LostWrites(deployment, random.Random(1))
     await deployment.start()
     submitting = asyncio.create_task(submitters.run())
+    await asyncio.sleep(START_S)
     for _ in range(OUTAGES):
         outage = Outage(StoredWrite.RECORD, Loss.RESET, StoreMode.BUSY)
         await lost_writes.lose_write(outage, OUTAGE_S, relayed=context.relayed)
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -57,6 +57,8 @@
         #: Addresses of the proxies that this process connects to, by the
         #: addresses that they stand for.
         self.ways: dict[str, str] = {}
+        #: Whether trainers that give up submit jobs to it.
+        self.in_rotation = True
         self._store = store
         self._folder = folder
         self._engine = engine
