Have half of the lost writes create a job and be rejected from then on

Half of them have it now; the others are drawn from all writes, losses and modes.

The relay's branch is in the mutation list with it.

--- a/features/steps/lab_lost_writes_steps.py
+++ b/features/steps/lab_lost_writes_steps.py
@@ -23,7 +23,7 @@
 OUTAGES = 2
 OUTAGE_S = 1
 #: How long the entries take to know each other.
-START_S = 2
+START_S = 4
 NETWORK_NUMBER = 251
 #: When the item runs; the attempts are sent at 1 s and 3 s.
 TIMES_S = {'between the attempts': 2, 'after both attempts': 4}
--- a/lab/lost_writes.py
+++ b/lab/lost_writes.py
@@ -14,22 +14,11 @@
 
     from lab.deployment import Deployment
 
-#: Most of the writes create a job.
-_WRITES: Final = (
-    *(StoredWrite.RECORD,) * 5,
-    StoredWrite.PART,
-    StoredWrite.END,
-    StoredWrite.CLAIM,
-)
-#: Most outages are rejections: only these promise that nothing was done.
-_MODES: Final = (
-    *(StoreMode.BUSY,) * 2,
-    *(StoreMode.LIMITED,) * 2,
-    StoreMode.RESETTING,
-    StoreMode.SILENT,
-)
-#: Only after a reset is a write sent again over another connection.
-_LOSSES: Final = (*(Loss.RESET,) * 3, Loss.SILENCE, Loss.CUT)
+#: The share of outages of any manner. The others begin with the write that
+#: creates a job, a reset and rejections, so that the job may be refused at each
+#: attempt.
+_OTHER_SHARE: Final = 0.5
+_MODES: Final = tuple(mode for mode in StoreMode if mode is not StoreMode.UP)
 _DURATION_RANGE_S: Final = (0.5, 4.5)
 _MAX_OUTAGES: Final = 2
 #: How long to wait for the write.
@@ -37,10 +26,8 @@
 #: How long after the outage a late write is applied at most.
 _MAX_LATENESS_S: Final = 1
 _LATE_SHARE: Final = 0.2
-#: The shares of outages that affect some entries only, and of those that
-#: begin with a relayed write.
-_PARTIAL_SHARE: Final = 0.2
-_RELAYED_SHARE: Final = 0.3
+_PARTIAL_SHARE: Final = 0.3
+_RELAYED_SHARE: Final = 0.2
 #: How long calls are relayed before, so that entries have kept connections.
 #: For a second after an outage for all, no calls are relayed.
 _RELAYING_S: Final = 1.5
@@ -73,14 +60,9 @@
             return
         rng = self._rng
         duration_s = rng.uniform(*_DURATION_RANGE_S)
-        outage = Outage(
-            rng.choice(_WRITES), rng.choice(_LOSSES), rng.choice(_MODES)
-        )
-        if rng.random() < _LATE_SHARE:
-            outage.write_delay_s = duration_s + rng.uniform(0, _MAX_LATENESS_S)
-        if rng.random() < _PARTIAL_SHARE:
-            count = rng.randrange(1, max(len(self._entry_ips), 2))
-            outage.client_ips = frozenset(rng.sample(self._entry_ips, count))
+        outage = Outage(StoredWrite.RECORD, Loss.RESET, StoreMode.BUSY)
+        if rng.random() < _OTHER_SHARE:
+            outage = self._draw_outage(duration_s)
         relayed = rng.random() < _RELAYED_SHARE
         await self.lose_write(outage, duration_s, relayed=relayed)
 
@@ -111,6 +93,21 @@
             if outage.begun.is_set():
                 await asyncio.sleep(duration_s)
 
+    def _draw_outage(self, duration_s: float) -> Outage:
+        """Return an outage with any write, at times for some entries only."""
+        rng = self._rng
+        outage = Outage(
+            rng.choice(tuple(StoredWrite)),
+            rng.choice(tuple(Loss)),
+            rng.choice(_MODES),
+        )
+        if rng.random() < _LATE_SHARE:
+            outage.write_delay_s = duration_s + rng.uniform(0, _MAX_LATENESS_S)
+        if rng.random() < _PARTIAL_SHARE:
+            count = rng.randrange(1, max(len(self._entry_ips), 2))
+            outage.client_ips = frozenset(rng.sample(self._entry_ips, count))
+        return outage
+
     def _apply(self, outage: Outage, ends: contextlib.ExitStack) -> None:
         self._outages.append(outage)
         ends.callback(self._outages.remove, outage)
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -53,6 +53,12 @@
     'if response.sent_before and answer.is_rejection:',
     'if not response:',
 )
+_RELAY_REPEATED: Final = (
+    'a relayed call that was sent twice is not refused by its second rejection',
+    'peers/relay.py',
+    'if exchange.sent_before and has_no_effect',
+    'if not exchange',
+)
 
 
 class Mutation(msgspec.Struct, frozen=True):
@@ -1296,14 +1302,8 @@
     ),
     Mutation(*_STORE_REPEATED, 'gateway_jobs'),
     Mutation(*_STORE_REPEATED, _LOST_WRITES),
-    Mutation(
-        'a relayed call that was sent twice is not refused by its second '
-        'rejection',
-        'peers/relay.py',
-        'if exchange.sent_before and has_no_effect',
-        'if not exchange',
-        _RELAY,
-    ),
+    Mutation(*_RELAY_REPEATED, _RELAY),
+    Mutation(*_RELAY_REPEATED, _LOST_WRITES),
 )
 
 
