--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -78,6 +78,13 @@
 
 
 MUTATIONS: Final = (
+    Mutation(
+        'an entry does not refuse a job that it knows',
+        'steps/job_submission.py',
+        'record = self._finder.known_record(spec.job)',
+        'record = None',
+        _MODEL,
+    ),
     Mutation(
         'a rejected second attempt does not hide that the first took effect',
         'objects/client.py',
