Make the text of a failed call's log line where it is logged

The line tells the time so far, by the clock of the event loop. A handler that formats it later, without a loop, failed with 'no running event loop': so did `python -m behave features/objects_watcher.feature`, whose log capture does so, and with it the mutations that are judged by such a run. The program's own handler formats records where they are logged.

Besides: the mutation of known jobs names the present text (its feature was red since the cached record ages), and the row of the promise that it breaks names it. objects_watcher 11 scenarios by behave, tools_mutations, observe_logs and tools_check_promises pass.

--- a/bergamotdoor/objects/client.py
+++ b/bergamotdoor/objects/client.py
@@ -377,7 +377,7 @@
                 if method != _READ_METHOD:
                     self.counts.writes[CallOutcome.UNCLEAR] += 1
                     _log.warning(
-                        'objects: %s %s: given up %s', method, path, trace
+                        'objects: %s %s: given up %s', method, path, str(trace)
                     )
                 raise
             _log_failure(method, path, found, trace)
@@ -455,7 +455,9 @@
     if not (_is_failure(found) or trace.has_failed_path):
         return
     outcome = _call_outcome(found).value
-    _log.warning('objects: %s %s: %s %s', method, path, outcome, trace)
+    # The text tells the time so far, so it is made before another thread
+    # formats the record.
+    _log.warning('objects: %s %s: %s %s', method, path, outcome, str(trace))
 
 
 def _describe_failure(failure: ClientFailure) -> str:
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -81,7 +81,7 @@
     Mutation(
         'an entry does not refuse a job that it knows',
         'steps/job_submission.py',
-        'record = self._finder.known_record(spec.job)',
+        'record = self._finder.recent_record(spec.job)',
         'record = None',
         _MODEL,
     ),
