--- a/features/lab_model.feature
+++ b/features/lab_model.feature
@@ -52,6 +52,20 @@
       "gap_s":0.05}]}
       """
 
+  Scenario: a resumed owner reads the record under a number in use
+    Failure: a resumed owner treats the conflict of its record number as a
+    success.
+
+    Then this history breaks no promise
+      """
+      {"name":"seed 676","entries":3,"lengths":[[12,40],[120,40],[12,12]],
+      "scored":false,"watched":true,"steps":[{"verb":"fate","where":1,
+      "call":"between entries","fate":"done, and again two seconds later",
+      "gap_s":0.5},{"verb":"kill","where":2,"gap_s":0.5},{"verb":"pause",
+      "gap_s":0.2},{"verb":"version","where":1,"gap_s":1.1},
+      {"verb":"break","where":1,"gap_s":0.2}]}
+      """
+
   Scenario: a resumed owner reads the store before it denies a position
     The owner is paused during a takeover. After it resumes, it does not know
     of the takeover, while a reader has read at the new owner. Failure: the
