Name what the logs describe in plain words

Found in the read-through: local names that do not say what they hold, a comment that had moved away from the attribute it is about, and one without a subject.

--- a/bergamotdoor/objects/client.py
+++ b/bergamotdoor/objects/client.py
@@ -468,10 +468,10 @@
 
 
 def _describe_response(response: ClientResponse, error: str = '') -> str:
-    told = f'status {response.status}'
+    text = f'status {response.status}'
     if error:
-        told = f'{told}, {error}'
+        text = f'{text}, {error}'
     if not response.first_failure:
-        return told
+        return text
     sent = 'sent' if response.sent_before else 'not sent'
-    return f'{told}, second attempt, first one {sent}: {response.first_failure}'
+    return f'{text}, second attempt, first one {sent}: {response.first_failure}'
--- a/bergamotdoor/peers/relay.py
+++ b/bergamotdoor/peers/relay.py
@@ -333,14 +333,14 @@
 def _describe(exchange: PeerExchange) -> str:
     """Return what came of a relayed call, for the log."""
     reply = exchange.reply
-    told = 'no reply'
+    text = 'no reply'
     if isinstance(reply, StoreReply):
-        told = f'status {reply.status}' if reply.status else 'no answer'
-        told = f'{told} {reply.detail}' if reply.detail else told
+        text = f'status {reply.status}' if reply.status else 'no answer'
+        text = f'{text} {reply.detail}' if reply.detail else text
     if not exchange.failure:
-        return told
+        return text
     sent = ', sent before' if exchange.sent_before else ''
-    return f'{told}{sent}: {exchange.failure}'
+    return f'{text}{sent}: {exchange.failure}'
 
 
 def _has_usable_answer(task: _CallTask) -> bool:
--- a/bergamotdoor/steps/job_finder.py
+++ b/bergamotdoor/steps/job_finder.py
@@ -61,8 +61,8 @@
         #: Called with each job that this process has taken over and loaded.
         #: A former owner that is alive may run the job until then.
         self.on_takeover: Callable[[FoundJob], None] = _ignore
-        #: Jobs that may be in the store, although their record is unknown.
         self._retention = context.settings.retention
+        #: Jobs that may be in the store, although their record is unknown.
         self.unclear_jobs = UnclearJobs(context.clock, self._retention)
         self._records: dict[JobId, JobRecord] = {}
         #: When the first record of each job was cached.
@@ -116,10 +116,10 @@
         return known is None or known.term <= record.term
 
     def recent_record(self, job: JobId) -> JobRecord | None:
-        """Return a job's record without a read, if the job is surely kept.
+        """Return a job's record from the cache, if the job must still exist.
 
-        It is ``None`` if no record is cached, or if the record has been for
-        as long as a job can be read: the job may have been removed since.
+        It is ``None`` if no record is cached, or if one has been cached for
+        longer than a job can be read: the job may have been removed since.
         """
         cached_at = self._cached_at.get(job)
         now = self._context.clock.elapsed()
--- a/bergamotdoor/steps/job_run.py
+++ b/bergamotdoor/steps/job_run.py
@@ -257,6 +257,6 @@
         term,
         len(run.spec.items),
         len(run.ledger),
-        # Nobody asks for the jobs that a process resumes when it starts.
+        # A process that starts resumes its jobs without a request.
         subjects.current().action or 'start',
     )
--- a/bergamotdoor/steps/unclear_jobs.py
+++ b/bergamotdoor/steps/unclear_jobs.py
@@ -34,6 +34,7 @@
         How long a job is remembered: as long as clients may ask for it.
     """
 
+    #: The message for which `take` is registered.
     message_type = JobUnclear
 
     def __init__(self, clock: Clock, retention: dt.timedelta) -> None:
