Log a store call that another entry answered late

The logs did not tell which call had waited: a watch or a listing that was sent through another entry and answered after seconds left no line, since none of its paths had failed. Three causes fitted: a watch that waits at the frozen entry, a listing that waits there, or an own way that stays silent after it is back.

Change: a relayed call that takes longer than a second is logged with its paths, also if it succeeds.

--- a/bergamotdoor/objects/client.py
+++ b/bergamotdoor/objects/client.py
@@ -56,6 +56,8 @@
 _WATCH_MARGIN_MS: Final = 500
 _WATCH_MARGIN: Final = dt.timedelta(milliseconds=_WATCH_MARGIN_MS)
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
+#: A relayed call that takes longer is logged even if it succeeds.
+_LATE_MS: Final = 1000
 Body = TypeVar('Body')
 _READ_METHOD: Final = 'GET'
 #: With these statuses the store promises that it did nothing.
@@ -451,8 +453,9 @@
     found: Answer | Outcome,
     trace: call_trace.CallTrace,
 ) -> None:
-    """Log a call that failed, or that failed on one of its paths."""
-    if not (_is_failure(found) or trace.has_failed_path):
+    """Log a call that failed on one of its paths, or was relayed and late."""
+    is_late = trace.is_relayed and trace.took_ms > _LATE_MS
+    if not (is_late or _is_failure(found) or trace.has_failed_path):
         return
     outcome = _call_outcome(found).value
     # The text tells the time so far, so it is made before another thread
--- a/bergamotdoor/observe/call_trace.py
+++ b/bergamotdoor/observe/call_trace.py
@@ -20,10 +20,13 @@
     ----------
     name
         Names the path in logs.
+    relayed
+        Whether the path leads through another process.
     """
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, *, relayed: bool = False) -> None:
         self._name = name
+        self.relayed = relayed
         self._began_s = _now_s()
         self._result = 'no answer yet'
         #: Whether the call failed on this path.
@@ -52,10 +55,20 @@
         """Whether the call failed on any path that has ended."""
         return any(path.failed for path in self.paths)
 
+    @property
+    def is_relayed(self) -> bool:
+        """Whether the call was sent through another process."""
+        return any(path.relayed for path in self.paths)
+
+    @property
+    def took_ms(self) -> int:
+        """Time since the start of the call."""
+        return _ms_since(self._began_s)
+
     def __str__(self) -> str:
         """Return the duration so far and all paths."""
         paths = '; '.join(map(str, self.paths))
-        return f'after {_ms_since(self._began_s)} ms ({paths})'
+        return f'after {self.took_ms} ms ({paths})'
 
 
 _current: ContextVar[CallTrace | None] = ContextVar('call_trace', default=None)
@@ -74,9 +87,9 @@
             _current.reset(token)
 
 
-def begin_path(name: str) -> PathTrace:
+def begin_path(name: str, *, relayed: bool = False) -> PathTrace:
     """Return the record of a path on which the current call is sent."""
-    path = PathTrace(name)
+    path = PathTrace(name, relayed=relayed)
     trace = _current.get()
     if trace is not None:
         trace.paths.append(path)
--- a/bergamotdoor/peers/relay.py
+++ b/bergamotdoor/peers/relay.py
@@ -92,7 +92,9 @@
         store rejects the call of the second attempt. Symptom: a write that
         took effect is reported as rejected.
         """
-        sent = call_trace.begin_path(f'through {address.ip}:{address.port}')
+        sent = call_trace.begin_path(
+            f'through {address.ip}:{address.port}', relayed=True
+        )
         exchange = await self._peers.exchange(address, call, timeout)
         answer = _answer_in(exchange.reply)
         sent.end(_describe(exchange), failed=not usable(answer))
