Bound watches and calls through an entry that stops answering

Cause: while the own way has just failed, a watch goes through another entry, on that way alone, for its wait and two margins (3.4 s), and is then sent there once more for as long. A frozen, cut off or powerless entry holds it for 6.8 s, far longer than contact_ms or drain_ms. Reads and writes had the same cause: the relays were tried one after the other, each twice with its whole timeout, before the direct way was asked at all. The relay did the same on its side.

Change: a relayed watch lasts half of the drain bound at most, with the time for which changes were gathered before it, and the own way is tried first after it has failed. Such a failure says nothing about the store. The period in which relays come first counts from the direct call that failed.

--- a/bergamotdoor/http/messages.py
+++ b/bergamotdoor/http/messages.py
@@ -121,6 +121,9 @@
     #: Longest time from the call of ``send`` to the end of the response's
     #: body; ``None`` bounds only the pauses in the body, by ``timeout``.
     total_timeout: dt.timedelta | None = None
+    #: Time within which both attempts of a request that is retried must be
+    #: answered; ``None`` allows each of them ``timeout``.
+    retry_within: dt.timedelta | None = None
     idempotent: bool = True
     #: Whether an orderly close of the connection may end a body without a
     #: declared length. Set it only if the upstream's protocol defines this,
--- a/bergamotdoor/http/sending.py
+++ b/bergamotdoor/http/sending.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import datetime as dt
 import logging
 from typing import TYPE_CHECKING, Final
 
@@ -14,6 +16,7 @@
 
 #: How much of a target is logged.
 _MAX_TARGET_CHARS: Final = 200
+_NO_TIME: Final = dt.timedelta()
 
 _log = logging.getLogger('bergamotdoor.http')
 
@@ -35,6 +38,10 @@
     the request did not run. The result therefore covers both attempts: it
     shows that the first one may have run.
 
+    Failure: the process at the address is frozen. Symptom: the caller waits
+    for the whole timeout twice. With ``retry_within`` the second attempt gets
+    only the time that the first one has left.
+
     Parameters
     ----------
     client
@@ -49,9 +56,13 @@
         if no byte of the retry was sent. ``sent_before`` of a response says
         whether the first attempt may have reached the upstream.
     """
+    started_s = _loop_time_s()
     first = await client.send(request)
     if not isinstance(first, ClientFailure) or not first.reused:
         return first
+    retry = _retry_of(request, _loop_time_s() - started_s)
+    if retry is None:
+        return first
     _log.info(
         'http: %s %s at %s:%d on a kept connection, %s: %s; sending it again',
         request.method,
@@ -61,10 +72,26 @@
         'sent' if first.sent else 'not sent',
         first.detail,
     )
-    second = await client.send(request)
+    second = await client.send(retry)
     if isinstance(second, ClientResponse):
         second.sent_before = first.sent
         second.first_failure = first.detail
         return second
     last, other = (second, first) if second.sent else (first, second)
     return msgspec.structs.replace(last, other_failure=other.detail)
+
+
+def _retry_of(request: ClientRequest, elapsed_s: float) -> ClientRequest | None:
+    """Return the second attempt; ``None`` if no time is left for it."""
+    if request.retry_within is None:
+        return request
+    left = request.retry_within - dt.timedelta(seconds=elapsed_s)
+    if left <= _NO_TIME:
+        return None
+    return msgspec.structs.replace(
+        request, timeout=min(request.timeout, left), total_timeout=left
+    )
+
+
+def _loop_time_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/bergamotdoor/objects/client.py
+++ b/bergamotdoor/objects/client.py
@@ -54,8 +54,9 @@
 #: Time beyond the wait of a watch until it times out: twice what a store
 #: that is sixty times slower than usual needs to answer.
 _WATCH_MARGIN_MS: Final = 500
-_WATCH_MARGIN: Final = dt.timedelta(milliseconds=_WATCH_MARGIN_MS)
+WATCH_MARGIN: Final = dt.timedelta(milliseconds=_WATCH_MARGIN_MS)
 _MILLISECOND: Final = dt.timedelta(milliseconds=1)
+_NO_TIME: Final = dt.timedelta()
 #: A relayed call that takes longer is logged even if it succeeds.
 _LATE_MS: Final = 1000
 Body = TypeVar('Body')
@@ -77,6 +78,8 @@
 
     status: int
     body: bytes
+    #: How long the store was asked to wait, if this answers a watch.
+    wait: dt.timedelta | None = None
 
     @property
     def is_rejection(self) -> bool:
@@ -95,6 +98,30 @@
         )
 
 
+class WatchCall(msgspec.Struct, frozen=True):
+    """A watch of one kind of objects."""
+
+    kind: str
+    #: The revision after which changes are returned.
+    since: Revision
+    #: How long the store waits for a change.
+    wait: dt.timedelta
+    #: How long changes were gathered before the watch.
+    gather: dt.timedelta = _NO_TIME
+
+    @property
+    def path(self) -> str:
+        """Path and query of the watch."""
+        return store_paths.watch_path(
+            self.kind, self.since, self.wait // _MILLISECOND
+        )
+
+    @property
+    def timeout(self) -> dt.timedelta:
+        """The time that the store has to answer, the wait included."""
+        return self.wait + WATCH_MARGIN
+
+
 class Caller(Protocol):
     """Transport of calls to the store, direct or through other processes."""
 
@@ -115,16 +142,15 @@
             The time that the store has to answer.
         """
 
-    async def watch(self, path: str, timeout: dt.timedelta) -> Answer | Outcome:
+    async def watch(self, watch: WatchCall) -> Answer | Outcome:
         """Send a watch; a missing response is no sign of a store failure.
 
-        Parameters
-        ----------
-        path
-            Path and query.
-        timeout
-            The time that the store has to answer, the wait of the watch
-            included.
+        Returns
+        -------
+        Answer or Outcome
+            The answer, with the wait that the store was asked for: it may be
+            shorter than that of `watch`. ``CUT_SHORT`` if the watch failed on
+            the way to another process, which says nothing about the store.
         """
 
 
@@ -156,7 +182,35 @@
         trainer is told that nothing of its job runs, and the job runs later.
         A rejection of the second attempt says nothing about the first one.
         """
-        request = ClientRequest(
+        return await self._send(self._request(method, path, body, timeout))
+
+    async def call_within(
+        self, method: str, path: str, body: bytes, timeout: dt.timedelta
+    ) -> Answer | Outcome:
+        """Send a call, with one timeout for both of its attempts."""
+        request = self._request(method, path, body, timeout)
+        request.retry_within = timeout
+        request.total_timeout = timeout
+        return await self._send(request)
+
+    async def watch(self, watch: WatchCall) -> Answer | Outcome:
+        """Send a watch, with one timeout for both of its attempts.
+
+        Failure: the store accepts a watch and never answers it, not even
+        after it is available again. Symptom: a watch on a reused connection
+        is sent once more after its timeout and waits for a second timeout;
+        callers get responses by an outdated manifest meanwhile. One timeout
+        over both attempts bounds the wait.
+        """
+        found = await self.call_within('GET', watch.path, b'', watch.timeout)
+        if isinstance(found, Outcome):
+            return found
+        return msgspec.structs.replace(found, wait=watch.wait)
+
+    def _request(
+        self, method: str, path: str, body: bytes, timeout: dt.timedelta
+    ) -> ClientRequest:
+        return ClientRequest(
             address=self.address,
             method=method,
             target=path,
@@ -165,6 +219,8 @@
             timeout=timeout,
             total_timeout=timeout * 2,
         )
+
+    async def _send(self, request: ClientRequest) -> Answer | Outcome:
         # Calls are safe to repeat: each is conditional or idempotent.
         sent = call_trace.begin_path('directly')
         response = await send(self._client, request)
@@ -185,21 +241,6 @@
             return Outcome.UNCLEAR
         return answer
 
-    async def watch(self, path: str, timeout: dt.timedelta) -> Answer | Outcome:
-        """Send a watch, with one timeout for both of its attempts.
-
-        Failure: the store accepts a watch and never answers it, not even
-        after it is available again. Symptom: a watch on a reused connection
-        is sent once more after its timeout and waits for a second timeout;
-        callers get responses by an outdated manifest meanwhile. One timeout
-        over both attempts bounds the wait.
-        """
-        try:
-            async with asyncio.timeout(timeout.total_seconds()):
-                return await self.call('GET', path, b'', timeout)
-        except TimeoutError:
-            return Outcome.UNCLEAR
-
 
 class ObjectClient:
     """Typed calls to the store, without retries of its own.
@@ -320,31 +361,28 @@
         )
         return response if isinstance(response, Outcome) else Outcome.ABSENT
 
-    async def changes(
-        self, kind: str, since: Revision, wait: dt.timedelta
-    ) -> Changes | Outcome:
+    async def changes(self, watch: WatchCall) -> Changes | Outcome:
         """Return the changes of a kind after a revision.
 
         Parameters
         ----------
-        kind
-            The kind to watch.
-        since
-            The revision after which changes are returned.
-        wait
-            The time that the store waits for a change. If there is none in
-            this time, the result is empty.
+        watch
+            The watch. If there is no change in its time, the result is
+            empty. The result has the time that the store was asked to wait,
+            which may be shorter.
         """
-        self.counts.add(CallType.WATCH, kind)
-        path = store_paths.watch_path(kind, since, wait // _MILLISECOND)
+        self.counts.add(CallType.WATCH, watch.kind)
         with call_trace.traced_call() as trace:
-            response = await self._caller.watch(path, wait + _WATCH_MARGIN)
-            _log_failure('GET', path, response, trace)
+            response = await self._caller.watch(watch)
+            _log_failure('GET', watch.path, response, trace)
         if isinstance(response, Outcome):
             return response
         if response.status >= HTTPStatus.MULTIPLE_CHOICES:
             return _outcome_of_status(response)
-        return _parse_body(store_wire.parse_changes, response, Outcome.UNCLEAR)
+        found = _parse_body(store_wire.parse_changes, response, Outcome.UNCLEAR)
+        if isinstance(found, Outcome):
+            return found
+        return msgspec.structs.replace(found, wait=response.wait)
 
     async def _write(
         self, method: str, path: str, body: bytes
--- a/bergamotdoor/objects/news.py
+++ b/bergamotdoor/objects/news.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from bergamotdoor.objects.client import WatchCall
 from bergamotdoor.stored import Changes, Outcome
 
 if TYPE_CHECKING:
@@ -87,10 +88,12 @@
         await self._clock.sleep(watch.gather)
         began_at = self._clock.elapsed()
         proven_at = self._clock.uptime()
-        found = await self._store.changes(watch.kind, since, watch.patience)
+        found = await self._store.changes(
+            WatchCall(watch.kind, since, watch.patience, watch.gather)
+        )
         waited = self._clock.elapsed() - began_at
-        ended_early = waited <= watch.patience * _COMPLETE_WAIT_SHARE
         if isinstance(found, Outcome):
+            ended_early = _ended_early(waited, watch.patience)
             is_cut = found is Outcome.UNCLEAR and ended_early
             return Outcome.CUT_SHORT if is_cut else found
         # The store answers at once if the kind had changed before the watch,
@@ -102,4 +105,10 @@
         # report a change. The next watch begins at the same revision, and
         # returns the change or HISTORY_GONE. A watch that ended before its
         # time was cut off.
-        return Outcome.CUT_SHORT if ended_early else found
+        if _ended_early(waited, found.wait or watch.patience):
+            return Outcome.CUT_SHORT
+        return found
+
+
+def _ended_early(waited: dt.timedelta, asked: dt.timedelta) -> bool:
+    return waited <= asked * _COMPLETE_WAIT_SHARE
--- a/bergamotdoor/peers/access.py
+++ b/bergamotdoor/peers/access.py
@@ -45,17 +45,18 @@
         self.rng = random.Random()
         self.peers = PeerClient(client)
         self.direct = DirectCaller(client, settings.store)
+        self.sharing = SharingBounds(settings.drain)
         caller = RelayingCaller(
             self.direct,
             PeerRelay(self.peers),
             clock,
             self.rng,
+            self.sharing,
             settings.node,
         )
         self.store = ObjectClient(caller)
         self.directory = Directory(self.store, settings.node, clock)
         caller.directory = self.directory
-        self.sharing = SharingBounds(settings.drain)
         self.news = SharedNews(
             self.store,
             self.peers,
--- a/bergamotdoor/peers/client.py
+++ b/bergamotdoor/peers/client.py
@@ -79,6 +79,8 @@
         address: Address,
         message: PeerRequest,
         wait: dt.timedelta = _NO_WAIT,
+        *,
+        one_limit: bool = False,
     ) -> PeerReply | None:
         """Send a message to another entry and return its reply.
 
@@ -91,6 +93,9 @@
         wait
             How long the other entry may wait before it replies. The request
             times out after this time and a fixed margin.
+        one_limit
+            Whether a second attempt, after a kept connection has failed, must
+            be answered within the time limit of the first one.
 
         Returns
         -------
@@ -98,13 +103,18 @@
             ``None`` if the entry can't be reached, doesn't reply in time, or
             sends a reply that can't be read.
         """
-        return (await self.exchange(address, message, wait)).reply
+        exchange = await self.exchange(
+            address, message, wait, one_limit=one_limit
+        )
+        return exchange.reply
 
     async def exchange(
         self,
         address: Address,
         message: PeerRequest,
         wait: dt.timedelta = _NO_WAIT,
+        *,
+        one_limit: bool = False,
     ) -> PeerExchange:
         """Send a message as ``ask`` does; return what came of all attempts.
 
@@ -119,7 +129,8 @@
                 target=PEER_PATH,
                 body=codec.encode(message),
                 timeout=timeout,
-                total_timeout=timeout * 2,
+                total_timeout=timeout if one_limit else timeout * 2,
+                retry_within=timeout if one_limit else None,
             ),
         )
         name = type(message).__name__
--- a/bergamotdoor/peers/relay.py
+++ b/bergamotdoor/peers/relay.py
@@ -10,30 +10,30 @@
 
 from __future__ import annotations
 
-import asyncio
 import datetime as dt
+import functools
 import logging
 from typing import TYPE_CHECKING, Final, Protocol
 
-from bergamotdoor.objects.client import Answer, Caller
+import msgspec
+
+from bergamotdoor.objects.client import Answer
 from bergamotdoor.observe import call_trace, subjects
 from bergamotdoor.peers.messages import StoreCall, StoreReply
+from bergamotdoor.peers.paths import Path, try_paths, usable
 from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
     import random
-    from typing import TypeAlias
 
     from bergamotdoor.clock import Clock
+    from bergamotdoor.objects.client import Caller, DirectCaller, WatchCall
     from bergamotdoor.peers.client import PeerClient, PeerExchange
     from bergamotdoor.peers.directory import Directory
     from bergamotdoor.peers.messages import PeerReply
+    from bergamotdoor.peers.sharing import SharingBounds
     from bergamotdoor.settings.document import Address
 
-    _CallResult: TypeAlias = Answer | Outcome
-    #: A call in progress.
-    _CallTask: TypeAlias = asyncio.Task[_CallResult]
-
 #: A call without an answer for so long is also sent through other entries. It
 #: is well above the response time of a store that is slow for everyone, so
 #: that a slow store does not get calls twice, and far below the call's timeout.
@@ -91,11 +91,16 @@
         Failure: the entry has made the call, its connection is reset, and the
         store rejects the call of the second attempt. Symptom: a write that
         took effect is reported as rejected.
+
+        Failure: the entry is frozen. Symptom: the call waits for it twice as
+        long as its caller allows. Both attempts share one time limit.
         """
         sent = call_trace.begin_path(
             f'through {address.ip}:{address.port}', relayed=True
         )
-        exchange = await self._peers.exchange(address, call, timeout)
+        exchange = await self._peers.exchange(
+            address, call, timeout, one_limit=True
+        )
         answer = _answer_in(exchange.reply)
         sent.end(_describe(exchange), failed=not usable(answer))
         has_no_effect = answer is Outcome.NOT_DONE or (
@@ -119,6 +124,8 @@
         Clock for the periods in which one of the paths is not used.
     rng
         Chooses the entries through which a call is relayed.
+    bounds
+        Time limits of a watch through another entry.
     sender
         Name of this process for the logs of the other entries.
     """
@@ -129,6 +136,7 @@
         relay: Relay,
         clock: Clock,
         rng: random.Random,
+        bounds: SharingBounds,
         sender: str = '',
     ) -> None:
         self._direct = direct
@@ -136,6 +144,7 @@
         self._relay = relay
         self._clock = clock
         self._rng = rng
+        self._bounds = bounds
         self._relay_first_until = dt.timedelta()
         self._relay_paused_until = dt.timedelta()
         #: Addresses of the other entries; ``None`` until the directory exists.
@@ -156,29 +165,48 @@
         relays = self._pick_relays()
         if not relays:
             return await self._call_directly(call, timeout)
-        found: Answer | Outcome = Outcome.NOT_DONE
-        if self._clock.elapsed() < self._relay_first_until:
-            found = await self._call_relays(call, relays, timeout)
-            if usable(found):
-                return found
-        # The relayed attempt may have taken effect: an unclear outcome of it
-        # is kept.
-        return _keep_unclear(
-            await self._call_hedged(call, relays, timeout), found
+        started_at = self._clock.elapsed()
+        relay_first = self._is_relay_first()
+        result = await try_paths(
+            self._paths(call, relays, timeout), _HEDGE_DELAY
         )
-
-    async def watch(self, path: str, timeout: dt.timedelta) -> Answer | Outcome:
+        if result.path is None:
+            self._relay_paused_until = self._clock.elapsed() + _RELAY_PAUSE
+        elif not result.path.relayed:
+            self._relay_first_until = dt.timedelta()
+        elif not relay_first:
+            self._prefer_relays(started_at)
+        return result.found
+
+    async def watch(self, watch: WatchCall) -> Answer | Outcome:
         """Watch the store on one path only.
 
         A watch without an answer does not show that its path has failed. An
         interrupted watch is not restarted on another path, since the caller
         has to list first.
+
+        Failure: the entry that relays a watch is frozen or cut off. Symptom:
+        a change that was made meanwhile is missed for as long as the watch
+        waits for that entry, although the direct path works again. A relayed
+        watch is therefore short, and one that fails there says nothing about
+        the store.
         """
         relays = self._pick_relays()
-        if relays and self._clock.elapsed() < self._relay_first_until:
-            call = self._message('GET', path, b'', timeout)
-            return await self._relay.call(relays[0], call, timeout)
-        return await self._direct.watch(path, timeout)
+        if relays and self._is_relay_first():
+            return await self._watch_through(relays[0], watch)
+        return await self._direct.watch(watch)
+
+    async def _watch_through(
+        self, address: Address, watch: WatchCall
+    ) -> Answer | Outcome:
+        wait = min(watch.wait, self._bounds.relayed_wait(watch.gather))
+        shorter = msgspec.structs.replace(watch, wait=wait)
+        call = self._message('GET', shorter.path, b'', shorter.timeout)
+        found = await self._relay.call(address, call, wait)
+        if isinstance(found, Answer) and usable(found):
+            return msgspec.structs.replace(found, wait=wait)
+        self._relay_first_until = dt.timedelta()
+        return Outcome.CUT_SHORT
 
     def _message(
         self, method: str, path: str, body: bytes, timeout: dt.timedelta
@@ -212,90 +240,55 @@
             call.method, call.path, call.body, timeout
         )
 
-    async def _call_hedged(
+    def _paths(
         self, call: StoreCall, relays: list[Address], timeout: dt.timedelta
-    ) -> Answer | Outcome:
-        direct_call = asyncio.create_task(self._call_directly(call, timeout))
-        try:
-            return await self._hedge_call(direct_call, call, relays, timeout)
-        finally:
-            direct_call.cancel()
-
-    async def _hedge_call(
-        self,
-        direct_call: _CallTask,
-        call: StoreCall,
-        relays: list[Address],
-        timeout: dt.timedelta,
-    ) -> _CallResult:
-        await asyncio.wait((direct_call,), timeout=_HEDGE_DELAY.total_seconds())
-        if _has_usable_answer(direct_call):
-            return direct_call.result()
-        relayed_call = asyncio.create_task(
-            self._call_relays(call, relays, timeout)
+    ) -> list[Path]:
+        """Return the paths of a call, in the order to try them."""
+        direct = Path(
+            relayed=False,
+            send=functools.partial(self._call_directly, call, timeout),
         )
-        try:
-            return await self._first_usable_answer(direct_call, relayed_call)
-        finally:
-            relayed_call.cancel()
-
-    async def _first_usable_answer(
-        self, direct_call: _CallTask, relayed_call: _CallTask
-    ) -> _CallResult:
-        """Return the usable answer that arrives first.
-
-        Failure: the direct path is only slow, and so are the relays. Symptom:
-        a call whose direct answer arrived 0.05 s after the hedge delay waited
-        0.7 s for the answer of another entry, and a step that was being handed
-        over made no progress.
-        """
-        pending = {
-            task for task in (direct_call, relayed_call) if not task.done()
-        }
-        while (
-            pending
-            and not _has_usable_answer(direct_call)
-            and not _has_usable_answer(relayed_call)
-        ):
-            _, pending = await asyncio.wait(
-                pending, return_when=asyncio.FIRST_COMPLETED
+        first, *others = (
+            Path(
+                relayed=True,
+                send=functools.partial(self._relay.call, relay, call, timeout),
             )
-        if _has_usable_answer(direct_call):
-            return direct_call.result()
-        if _has_usable_answer(relayed_call):
-            self._prefer_relays()
-            return relayed_call.result()
-        self._relay_paused_until = self._clock.elapsed() + _RELAY_PAUSE
-        return _keep_unclear(direct_call.result(), relayed_call.result())
-
-    def _prefer_relays(self) -> None:
-        now = self._clock.elapsed()
-        if now >= self._relay_first_until:
+            for relay in relays
+        )
+        if self._is_relay_first():
+            return [first, direct, *others]
+        return [direct, first, *others]
+
+    def _is_relay_first(self) -> bool:
+        return self._clock.elapsed() < self._relay_first_until
+
+    def _prefer_relays(self, failed_at: dt.timedelta) -> None:
+        """Try relays first for a while.
+
+        Parameters
+        ----------
+        failed_at
+            When the direct call was sent that was not answered in time.
+        """
+        if not self._is_relay_first():
             _log.warning('peers: the store is reached by others only')
-        self._relay_first_until = now + _RELAY_FIRST_PERIOD
+        self._relay_first_until = failed_at + _HEDGE_DELAY + _RELAY_FIRST_PERIOD
 
-    async def _call_relays(
-        self, call: StoreCall, relays: list[Address], timeout: dt.timedelta
-    ) -> Answer | Outcome:
-        found: Answer | Outcome = Outcome.NOT_DONE
-        for address in relays:
-            found = _keep_unclear(
-                await self._relay.call(address, call, timeout), found
-            )
-            if usable(found):
-                return found
-        return found
 
+async def relayed(direct: DirectCaller, call: StoreCall) -> StoreReply:
+    """Make a call to the store for another process, directly only.
 
-async def relayed(direct: Caller, call: StoreCall) -> StoreReply:
-    """Make a call to the store for another process, directly only."""
+    The other process does not wait longer than the call's timeout.
+    """
     timeout = call.timeout_ms * _MS
     detail = ''
     with (
         subjects.about(job=call.job, request=call.request, action='relay'),
         call_trace.traced_call() as trace,
     ):
-        found = await direct.call(call.method, call.path, call.body, timeout)
+        found = await direct.call_within(
+            call.method, call.path, call.body, timeout
+        )
         if not usable(found) or trace.has_failed_path:
             detail = str(trace)
             _log.warning(
@@ -315,11 +308,6 @@
     )
 
 
-def usable(found: Answer | Outcome) -> bool:
-    """Return whether the store answered and did not reject the call."""
-    return isinstance(found, Answer) and not found.is_rejection
-
-
 def _answer_in(reply: PeerReply | None) -> Answer | Outcome:
     """Return the store's answer in the reply to a relayed call."""
     if not isinstance(reply, StoreReply):
@@ -343,25 +331,3 @@
         return text
     sent = ', sent before' if exchange.sent_before else ''
     return f'{text}{sent}: {exchange.failure}'
-
-
-def _has_usable_answer(task: _CallTask) -> bool:
-    return task.done() and usable(task.result())
-
-
-def _keep_unclear(
-    found: Answer | Outcome, earlier: Answer | Outcome
-) -> Answer | Outcome:
-    """Merge the results of two attempts at a call.
-
-    Returns
-    -------
-    Answer or Outcome
-        The newer result `found`. If it is not usable and the earlier attempt
-        may have taken effect, ``UNCLEAR``.
-    """
-    if usable(found):
-        return found
-    if earlier is Outcome.UNCLEAR:
-        return earlier
-    return found
--- a/bergamotdoor/peers/shared_news.py
+++ b/bergamotdoor/peers/shared_news.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-import asyncio
 import datetime as dt
 import logging
 from typing import TYPE_CHECKING
 
 from bergamotdoor import utils
 from bergamotdoor.objects.news import StoreNews
-from bergamotdoor.peers.client import PEER_MARGIN
 from bergamotdoor.peers.news_messages import (
     HistoryGone,
     KindChanges,
@@ -142,12 +140,9 @@
         learns of a change after twice the wait, beyond the bound. The timeout
         here covers both attempts.
         """
-        wait = self._bounds.answer_wait
-        try:
-            async with asyncio.timeout((wait + PEER_MARGIN).total_seconds()):
-                return await self._peers.ask(address, message, wait)
-        except TimeoutError:
-            return None
+        return await self._peers.ask(
+            address, message, self._bounds.answer_wait, one_limit=True
+        )
 
     def _suspend_source(self, source: NodeId, silent: bool) -> None:
         _log.info(
--- a/bergamotdoor/peers/sharing.py
+++ b/bergamotdoor/peers/sharing.py
@@ -37,6 +37,9 @@
 #: store again within seconds.
 _STORE_LOST_PAUSE_S: Final = 5
 _STORE_LOST_PAUSE: Final = dt.timedelta(seconds=_STORE_LOST_PAUSE_S)
+#: Shortest wait of a watch; a wait of zero might not be taken as one.
+_LEAST_WAIT_MS: Final = 50
+_LEAST_WAIT: Final = dt.timedelta(milliseconds=_LEAST_WAIT_MS)
 
 
 class SharingBounds(msgspec.Struct, frozen=True):
@@ -60,6 +63,20 @@
         """How long a request for changes may wait at the source."""
         return self.bound / 2
 
+    def relayed_wait(self, gather: dt.timedelta) -> dt.timedelta:
+        """Return how long a watch through another entry lasts at most.
+
+        The other entry may be frozen or cut off without notice. The pause
+        before the watch and the watch take half of the bound together, as
+        they do at a source.
+
+        Parameters
+        ----------
+        gather
+            Pause before the watch, in which changes are collected.
+        """
+        return max(self.bound / 2 - gather, _LEAST_WAIT)
+
     def watch_wait(self, gather: dt.timedelta) -> dt.timedelta:
         """Return how long one watch of the store by the source lasts.
 
--- a/bergamotdoor/steps/peer_service.py
+++ b/bergamotdoor/steps/peer_service.py
@@ -37,7 +37,7 @@
     from collections.abc import Callable
 
     from bergamotdoor.entry.context import Context
-    from bergamotdoor.objects.client import Caller
+    from bergamotdoor.objects.client import DirectCaller
     from bergamotdoor.peers.news_source import NewsSource
     from bergamotdoor.steps.job_finder import JobFinder
     from bergamotdoor.steps.owner import JobOwner
@@ -71,7 +71,7 @@
         finder: JobFinder,
         notifier: PeerNotifier,
         context: Context,
-        direct: Caller,
+        direct: DirectCaller,
         news: NewsSource,
     ) -> None:
         self._news = news
--- a/bergamotdoor/stored.py
+++ b/bergamotdoor/stored.py
@@ -75,6 +75,8 @@
     #: When these changes were complete, as time since the machine's start;
     #: ``None`` if unknown.
     proven_at: dt.timedelta | None = None
+    #: How long the store was asked to wait for a change; ``None`` if unknown.
+    wait: dt.timedelta | None = None
 
 
 class Outcome(enum.Enum):
--- a/features/refusal_scenes.py
+++ b/features/refusal_scenes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import datetime as dt
 import json
 import random
 from http import HTTPStatus
@@ -26,6 +27,7 @@
 from bergamotdoor.peers.directory import Directory, EntryRecord
 from bergamotdoor.peers.messages import StoreCall
 from bergamotdoor.peers.relay import PeerRelay, RelayingCaller, relayed
+from bergamotdoor.peers.sharing import SharingBounds
 from bergamotdoor.types import JobId, ModelId, NodeId, WeightVersion
 from lab.site import at
 from lab.virtual import run_virtual, virtual_clock
@@ -39,6 +41,7 @@
 
     _StatusesByFate: TypeAlias = Mapping[str, Sequence[int]]
 
+_DRAIN: Final = dt.timedelta(seconds=2)
 #: How the store may treat a call, from frequent to rare.
 STORE_FATES: Final = (
     *('done', 'done', 'done', 'rejected', 'rejected', 'unanswered'),
@@ -170,7 +173,11 @@
         """Return the access to the store that an entry has."""
         relay = PeerRelay(PeerClient(self))
         caller = RelayingCaller(
-            DirectCaller(self, _STORE), relay, virtual_clock(), self._rng
+            DirectCaller(self, _STORE),
+            relay,
+            virtual_clock(),
+            self._rng,
+            SharingBounds(_DRAIN),
         )
         if self._rng.choice((True, False, False)):
             return JobStore(ObjectClient(caller))
--- a/features/steps/http_endless_steps.py
+++ b/features/steps/http_endless_steps.py
@@ -22,7 +22,11 @@
     HttpResponse,
 )
 from bergamotdoor.http.server import HttpServer
-from bergamotdoor.objects.client import DirectCaller
+from bergamotdoor.objects.client import (
+    WATCH_MARGIN,
+    DirectCaller,
+    WatchCall,
+)
 from bergamotdoor.peers.client import PeerClient
 from bergamotdoor.peers.messages import StoreCall
 from bergamotdoor.reporting.receiver import Receipt, Receiver
@@ -32,6 +36,7 @@
     FencingToken,
     ModelId,
     NodeId,
+    Revision,
     UsageWindow,
     WeightVersion,
 )
@@ -284,7 +289,8 @@
 
 
 async def watch_store(client: HttpClient) -> bool:
-    found = await DirectCaller(client, ADDRESS).watch('/x', TIMEOUT)
+    watch = WatchCall('x', Revision(1), TIMEOUT - WATCH_MARGIN)
+    found = await DirectCaller(client, ADDRESS).watch(watch)
     return found is Outcome.UNCLEAR
 
 
--- a/features/steps/peers_relay_steps.py
+++ b/features/steps/peers_relay_steps.py
@@ -23,6 +23,7 @@
 from bergamotdoor.peers.directory import Directory, EntryRecord
 from bergamotdoor.peers.messages import StoreCall, StoreReply
 from bergamotdoor.peers.relay import PeerRelay, RelayingCaller
+from bergamotdoor.peers.sharing import SharingBounds
 from bergamotdoor.stored import Outcome
 from bergamotdoor.types import NodeId
 from lab.site import at
@@ -34,6 +35,7 @@
     from bergamotdoor.settings.document import Address
 
 CALL_INTERVAL_S = 0.1
+BOUND = dt.timedelta(seconds=2)
 REFUSED = Answer(503, b'')
 DONE = Answer(200, b'')
 #: Replies to the second attempt of a relayed call.
@@ -114,7 +116,11 @@
 
 def caller_of(paths: StorePaths) -> RelayingCaller:
     caller = RelayingCaller(
-        paths, FakeRelay(paths), virtual_clock(), random.Random(1)
+        paths,
+        FakeRelay(paths),
+        virtual_clock(),
+        random.Random(1),
+        SharingBounds(BOUND),
     )
     directory = Directory.__new__(Directory)
     directory.entries = {
--- a/lab/site.py
+++ b/lab/site.py
@@ -6,6 +6,7 @@
 import datetime as dt
 import logging
 import warnings
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, Final
 
 from bergamotdoor.agent.daemon import AgentDaemon
@@ -22,7 +23,7 @@
 from lab.wire import DESKS, ENGINES, HOST, JobItem, job_body, manifest
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Mapping
 
 logging.getLogger('bergamotdoor').addHandler(logging.NullHandler())
 warnings.filterwarnings('ignore', message='Ignoring socket option')
@@ -59,6 +60,8 @@
     revocation: dt.timedelta | None = None
     #: The receiver of usage reports, ``None`` if usage is not reported.
     receiver: Receiver | None = None
+    #: Addresses at which single processes reach the store, by their names.
+    store_addresses: Mapping[str, Address] = MappingProxyType({})
     #: The time after which a leaving upstream must receive no new work.
     drain: dt.timedelta = dt.timedelta(seconds=2)
 
@@ -149,7 +152,7 @@
             node=NodeId(name),
             zone=ZoneId(self._zones.get(name, 'here')),
             ip=IP,
-            store=self.store.address,
+            store=self.store_addresses.get(name, self.store.address),
             object_bytes=_MAX_OBJECT_BYTES,
             callers=at(port),
             readiness=at(port + 1),
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -46,6 +46,7 @@
 _UPSTREAM_LOADS: Final = 'fleet_loads'
 _LOAD_SHARING: Final = 'peers_load_sharing'
 _RELAY: Final = 'peers_relay'
+_SILENT_RELAY: Final = 'peers_silent_relay'
 _LOST_WRITES: Final = 'lab_lost_writes'
 _STORE_REPEATED: Final = (
     'a store call that was sent twice is not refused by its second rejection',
@@ -108,9 +109,9 @@
     ),
     Mutation(
         'a call that is unclear on one path is not rejected by another one',
-        'peers/relay.py',
-        'if earlier is Outcome.UNCLEAR:',
-        'if earlier is found:',
+        'peers/paths.py',
+        'if Outcome.UNCLEAR in results:',
+        'if Outcome.ABSENT in results:',
         _MODEL,
     ),
     Mutation(
@@ -186,8 +187,8 @@
     Mutation(
         'a watch is trusted for a bounded time',
         'objects/news.py',
-        'self._store.changes(watch.kind, since, watch.patience)',
-        'self._store.changes(watch.kind, since, LONG_WAIT)',
+        'WatchCall(watch.kind, since, watch.patience, watch.gather)',
+        'WatchCall(watch.kind, since, LONG_WAIT, watch.gather)',
         'objects_watcher',
     ),
     Mutation(
@@ -427,8 +428,29 @@
         'planned_stops',
     ),
     Mutation(
-        'the first response of the store is used, by whichever route',
+        'a watch through another entry is short',
+        'peers/relay.py',
+        'wait = min(watch.wait, self._bounds.relayed_wait(watch.gather))',
+        'wait = watch.wait',
+        _SILENT_RELAY,
+    ),
+    Mutation(
+        'both attempts at a relayed call share one time limit',
         'peers/relay.py',
+        'address, call, timeout, one_limit=True',
+        'address, call, timeout',
+        _SILENT_RELAY,
+    ),
+    Mutation(
+        'a relay that does not answer is not waited for alone',
+        'peers/paths.py',
+        'longest = delay * len(attempts.tasks) if remaining else None',
+        'longest = None',
+        _SILENT_RELAY,
+    ),
+    Mutation(
+        'the first response of the store is used, by whichever route',
+        'peers/paths.py',
         'return_when=asyncio.FIRST_COMPLETED',
         'return_when=asyncio.ALL_COMPLETED',
         _RELAY,
@@ -500,8 +522,8 @@
     Mutation(
         'a change source that does not respond is given up within the bound',
         'peers/shared_news.py',
-        'wait = self._bounds.answer_wait',
-        'wait = self._bounds.answer_wait * 4',
+        'address, message, self._bounds.answer_wait, one_limit=True',
+        'address, message, self._bounds.answer_wait * 4, one_limit=True',
         _NEWS,
     ),
     Mutation(
