Log at which revisions the pages of a listing were read

The log shows the engine as not draining, and no change of it later; it doesn't tell whether the listing was old, the watch began too late, or the change was read and dropped.

Change: a listing of several pages is logged with the revision of each page.

--- a/bergamotdoor/objects/client.py
+++ b/bergamotdoor/objects/client.py
@@ -282,7 +282,7 @@
             Such a listing costs a tenth of a current one.
         """
         objects: list[StoredObject] = []
-        revision = Revision(0)
+        revisions: list[Revision] = []
         more = True
         while more:
             self.counts.add(_listing_type(stale), kind)
@@ -298,10 +298,17 @@
             if isinstance(page, Outcome):
                 return page
             objects.extend(page.listing.objects)
-            revision = page.listing.revision
+            revisions.append(page.listing.revision)
             more = page.more and bool(page.listing.objects)
             after = objects[-1].name if objects else after
-        return Listing(tuple(objects), revision)
+        if len(revisions) > 1:
+            _log.info(
+                'objects: %s listed in %d pages at revisions %s',
+                kind,
+                len(revisions),
+                revisions,
+            )
+        return Listing(tuple(objects), revisions[-1])
 
     async def create(
         self, kind: str, name: str, spec: bytes
