Watch from the first page of a listing on

Cause: a listing of several pages had the revision of its last page, and the watch began there. What changed on the earlier pages meanwhile is neither in the listing nor in the watch. This holds for every kind that is followed: registrations, manifest, versions, evacuations; at a start, after an interruption and after a lost history.

Change: a listing has the oldest revision of its pages, and the watcher goes on from exactly there, no longer from the highest revision that it has known. Changes that the listing has already now arrive again. They come in order up to the revision of their batch, but a source of news may lag behind the listing; the changes of an object are left out until their batch reaches the revision at which it was listed, so that no view turns back.

--- a/bergamotdoor/objects/client.py
+++ b/bergamotdoor/objects/client.py
@@ -271,6 +271,11 @@
     ) -> Listing | Outcome:
         """Return all objects of a kind, loaded page by page.
 
+        Failure: an object of an earlier page changes while a later page is
+        loaded. Symptom: a process that watches from the revision of the later
+        page never learns of that change. The listing therefore has the oldest
+        revision of its pages; what changed after it is told by a watch.
+
         Parameters
         ----------
         kind
@@ -308,7 +313,7 @@
                 len(revisions),
                 revisions,
             )
-        return Listing(tuple(objects), revisions[-1])
+        return Listing(tuple(objects), min(revisions))
 
     async def create(
         self, kind: str, name: str, spec: bytes
--- a/bergamotdoor/objects/watcher.py
+++ b/bergamotdoor/objects/watcher.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, Final, Protocol
 
+from bergamotdoor.objects.listed_ahead import ListedAhead
 from bergamotdoor.objects.patient_listing import list_patiently
 from bergamotdoor.stored import Listing, Outcome
 from bergamotdoor.types import Revision
@@ -49,6 +50,10 @@
     since a listing can't miss a change, and after a watch that ended without
     an event the next watch begins at the same revision.
 
+    A listing of several pages has objects that are newer than its revision,
+    so changes that the listing includes arrive once more. They are left out
+    until the changes have caught up with it.
+
     Parameters
     ----------
     store
@@ -83,7 +88,8 @@
         self._clock = clock
         self._on_proof = on_proof
         self._backoff = _MIN_BACKOFF
-        #: The highest known revision of the kind.
+        self._ahead = ListedAhead()
+        #: The revision up to which all changes of the kind are known.
         self.revision = Revision(0)
 
     async def run(self) -> None:
@@ -101,6 +107,7 @@
             await self._back_off(found)
             return
         self._view.reset(found)
+        self._ahead = ListedAhead.from_listing(found)
         self._advance(found.revision)
         self._report_proof(began_at)
         outcome: Outcome | None = None
@@ -113,8 +120,8 @@
         if isinstance(found, Outcome):
             return await self._handle_interruption(found)
         if found.changes:
-            self._view.apply(found.changes)
-            self._advance(found.revision)
+            self._view.apply(self._ahead.without_older(found))
+            self._advance(max(self.revision, found.revision))
         self._report_proof(found.proven_at)
         return None
 
@@ -132,7 +139,7 @@
         return found
 
     def _advance(self, revision: Revision) -> None:
-        self.revision = max(self.revision, revision)
+        self.revision = revision
         self._backoff = _MIN_BACKOFF
 
     async def _back_off(self, reason: Outcome) -> None:
--- a/bergamotdoor/stored.py
+++ b/bergamotdoor/stored.py
@@ -54,7 +54,10 @@
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """All objects of a kind at one revision."""
+    """All objects of a kind, read at `revision` or later.
+
+    Of what changed after it, the listing has some, but not all.
+    """
 
     objects: tuple[StoredObject, ...]
     revision: Revision
--- a/lab/outages.py
+++ b/lab/outages.py
@@ -99,12 +99,21 @@
         self.delayed = 0
         #: Outages that have begun or wait for their write.
         self.outages: list[Outage] = []
+        #: Writes that are carried out after the next page of a listing that
+        #: has further pages, by kind.
+        self.between_pages: dict[str, Callable[[], object]] = {}
 
     def outage_for(self, client_ip: str) -> Outage | None:
         """Return the outage that affects a client now, if any."""
         affecting = (one for one in self.outages if one.affects(client_ip))
         return next(affecting, None)
 
+    def write_between_pages(self, kind: str) -> None:
+        """Carry out the write that waits for a page of a kind, if any."""
+        write = self.between_pages.pop(kind, None)
+        if write is not None:
+            write()
+
     def next_fault(self, call: WriteCall) -> WriteFault | None:
         """Return what goes wrong with a write; begin its outage."""
         for outage in self.outages:
--- a/lab/store.py
+++ b/lab/store.py
@@ -173,6 +173,8 @@
         # The page is built before the delay, so it can be outdated when it
         # arrives.
         listed = answer(HTTPStatus.OK, page)
+        if page['more_pages']:
+            self.write_faults.write_between_pages(query.kind)
         await asyncio.sleep(self.list_s + self.kind_s.get(query.kind, 0))
         return listed
 
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -46,6 +46,7 @@
 _UPSTREAM_LOADS: Final = 'fleet_loads'
 _LOAD_SHARING: Final = 'peers_load_sharing'
 _RELAY: Final = 'peers_relay'
+_PAGED_LISTING: Final = 'objects_paged_listing'
 _SILENT_RELAY: Final = 'peers_silent_relay'
 _LOST_WRITES: Final = 'lab_lost_writes'
 _STORE_REPEATED: Final = (
@@ -434,6 +435,20 @@
         'context.settings.contact - _LISTING_RESERVE',
         'objects_watcher',
     ),
+    Mutation(
+        'a listing of several pages has the revision of the first one',
+        'objects/client.py',
+        'return Listing(tuple(objects), min(revisions))',
+        'return Listing(tuple(objects), revisions[-1])',
+        _PAGED_LISTING,
+    ),
+    Mutation(
+        'changes that a listing has already do not turn a view back',
+        'objects/listed_ahead.py',
+        'if change.stored.name not in self._revisions',
+        'if change.stored.name',
+        _PAGED_LISTING,
+    ),
     Mutation(
         'a watch through another entry is short',
         'peers/relay.py',
