Keep a lapsed registration from the failed call on, not from its notice

Cause: two times add up. A watch that is lost is noticed seconds after it was sent, and only then began the 2.5 s for which a registration that is missing is kept, since it may have lapsed in an outage: up to 5.5 s after the way is back, where contact_ms allows 3. The expiry was also looked at each 0.5 s only.

Change: the view is told when the call was sent that failed; the store or the way can't have been back before that, so the sum is bounded by contact_ms from the return on, whatever was lost. The expiry waits for the next deadline in place of looking each 0.5 s.

--- a/bergamotdoor/agent/evacuation.py
+++ b/bergamotdoor/agent/evacuation.py
@@ -16,6 +16,8 @@
 from bergamotdoor.stored import Outcome
 
 if TYPE_CHECKING:
+    import datetime as dt
+
     from bergamotdoor.objects.client import ObjectClient
     from bergamotdoor.stored import Change, Listing, StoredObject
 
@@ -54,7 +56,7 @@
             if not change.removed:
                 self._add_if_open(change.stored)
 
-    def interrupted(self) -> None:
+    def interrupted(self, failed_at: dt.timedelta) -> None:
         """Keep the open evacuations while the store is unreachable."""
 
     async def run(self) -> None:
--- a/bergamotdoor/agent/weights.py
+++ b/bergamotdoor/agent/weights.py
@@ -107,7 +107,7 @@
                 self._advance_token(change.stored.revision)
         self._versions_changed.set()
 
-    def interrupted(self) -> None:
+    def interrupted(self, failed_at: dt.timedelta) -> None:
         """Keep the known versions while the store is unreachable."""
 
     async def run(self) -> None:
--- a/bergamotdoor/entry/views.py
+++ b/bergamotdoor/entry/views.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import datetime as dt
 import logging
 from typing import TYPE_CHECKING, Final, NamedTuple
@@ -24,10 +26,8 @@
     from bergamotdoor.jobs.messages import JobSpec
     from bergamotdoor.stored import Change, Listing, StoredObject
 
-#: How long a lapsed registration is kept after a failure of the store.
-#: Running upstreams register again within two seconds after its recovery.
-_REREGISTRATION_GRACE_S: Final = 2.5
-_REREGISTRATION_GRACE: Final = dt.timedelta(seconds=_REREGISTRATION_GRACE_S)
+#: Longer than any lapsed registration is kept.
+_LONGEST_LAPSE: Final = dt.timedelta(hours=1)
 
 _log = logging.getLogger('bergamotdoor.gateway')
 
@@ -94,7 +94,7 @@
             if not change.removed:
                 self._apply_manifest(change.stored)
 
-    def interrupted(self) -> None:
+    def interrupted(self, failed_at: dt.timedelta) -> None:
         """Keep the manifest in force while the store is unreachable."""
 
     def record_proof(self, proven_at: dt.timedelta) -> None:
@@ -138,6 +138,10 @@
         The registered upstreams, which this view updates.
     clock
         The clock that times how long lapsed registrations are kept.
+    grace
+        How long a lapsed registration is kept after a call to the store that
+        failed. Running upstreams register again within two seconds after the
+        store's return.
     on_change
         Called after each listing and after each batch of changes.
     startup
@@ -148,14 +152,17 @@
         self,
         fleet: Fleet,
         clock: Clock,
+        grace: dt.timedelta,
         on_change: Callable[[], None],
         startup: StartupGate | None = None,
     ) -> None:
         self._startup = startup or StartupGate()
         self._fleet = fleet
         self._clock = clock
+        self._grace = grace
         self._on_change = on_change
         self._store_failed_at: dt.timedelta | None = None
+        self._lapsed = asyncio.Event()
         self._reader = ObjectReader(_log, 'gateway')
 
     def reset(self, listing: Listing) -> None:
@@ -177,12 +184,29 @@
                 self._apply_registration(change.stored)
         self._on_change()
 
-    def interrupted(self) -> None:
-        """Record when the store was last found unreachable.
+    def interrupted(self, failed_at: dt.timedelta) -> None:
+        """Record when the store was last known to be unreachable.
 
         Registrations of running upstreams may lapse during that time.
+
+        Failure: the time for which a lapsed registration is kept counts from
+        the moment at which an interruption is noticed, seconds after the
+        store's return. Symptom: an upstream that has left gets requests for
+        the sum of both times. So it counts from the call that failed.
         """
-        self._store_failed_at = self._clock.elapsed()
+        known = self._store_failed_at
+        self._store_failed_at = (
+            failed_at if known is None else max(known, failed_at)
+        )
+
+    async def remove_lapsed(self) -> None:
+        """Remove upstreams that did not register again, until cancelled."""
+        while True:
+            left = self._fleet.remove_expired(self._clock.elapsed())
+            self._lapsed.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_timeout_s(left)):
+                    await self._lapsed.wait()
 
     def _apply_registration(self, stored: StoredObject) -> None:
         upstream = self._reader.read(stored, parse_upstream)
@@ -206,15 +230,16 @@
         self._fleet.put(upstream)
 
     def _remove_registration(self, name: RegistrationId) -> None:
-        now = self._clock.elapsed()
         failed_at = self._store_failed_at
-        if failed_at is not None and now < failed_at + _REREGISTRATION_GRACE:
+        until = None if failed_at is None else failed_at + self._grace
+        if until is not None and self._clock.elapsed() < until:
             _log.info(
                 'gateway: registration of upstream %s lapsed, '
                 'kept for a grace period',
                 name,
             )
-            self._fleet.keep_missing(name, failed_at + _REREGISTRATION_GRACE)
+            self._fleet.keep_missing(name, until)
+            self._lapsed.set()
             return
         _log.info('gateway: upstream %s is gone', name)
         self._fleet.remove(name)
@@ -227,5 +252,10 @@
     draining: bool
 
 
+def _timeout_s(left: dt.timedelta) -> float | None:
+    """Return a time limit in seconds; ``None`` for an unlimited time."""
+    return None if left > _LONGEST_LAPSE else left.total_seconds()
+
+
 def _logged_fields(upstream: Upstream) -> _LoggedFields:
     return _LoggedFields(upstream.upstream, upstream.draining)
--- a/bergamotdoor/gateway/daemon.py
+++ b/bergamotdoor/gateway/daemon.py
@@ -28,8 +28,6 @@
 
 _RESUME_RETRY_MS: Final = 300
 _RESUME_RETRY: Final = dt.timedelta(milliseconds=_RESUME_RETRY_MS)
-_EXPIRY_INTERVAL_MS: Final = 500
-_EXPIRY_INTERVAL: Final = dt.timedelta(milliseconds=_EXPIRY_INTERVAL_MS)
 
 _NO_TIME: Final = dt.timedelta()
 
@@ -103,7 +101,6 @@
             self._tasks,
         )
         self._tasks.start(self._resume_jobs())
-        self._tasks.start(self._expire_upstreams())
 
     async def stop(self) -> None:
         """Stop as planned, within the grace period."""
@@ -197,8 +194,3 @@
     async def _resume_jobs(self) -> None:
         while not await self._components.resume_jobs():
             await self._clock.sleep(_RESUME_RETRY)
-
-    async def _expire_upstreams(self) -> None:
-        while True:
-            left = self._context.fleet.remove_expired(self._clock.elapsed())
-            await self._clock.sleep(min(left, _EXPIRY_INTERVAL))
--- a/bergamotdoor/gateway/platform_watchers.py
+++ b/bergamotdoor/gateway/platform_watchers.py
@@ -62,7 +62,11 @@
     gather = context.settings.drain * _FLEET_GATHER_SHARE
     wait = context.settings.contact - WATCH_MARGIN - _LISTING_RESERVE
     fleet = FleetView(
-        context.fleet, context.clock, owner.wake_up, context.startup
+        context.fleet,
+        context.clock,
+        context.settings.contact,
+        owner.wake_up,
+        context.startup,
     )
     revocation = context.settings.revocation
     proof = None if revocation is None else revocation * _PROOF_INTERVAL_SHARE
@@ -83,3 +87,4 @@
     )
     tasks.start(manifest_watcher.run())
     tasks.start(fleet_watcher.run())
+    tasks.start(fleet.remove_lapsed())
--- a/bergamotdoor/objects/watcher.py
+++ b/bergamotdoor/objects/watcher.py
@@ -36,8 +36,15 @@
     def apply(self, changes: tuple[Change, ...]) -> None:
         """Apply changes, in order."""
 
-    def interrupted(self) -> None:
-        """Note that the store can't be reached."""
+    def interrupted(self, failed_at: dt.timedelta) -> None:
+        """Note that the store could not be reached.
+
+        Parameters
+        ----------
+        failed_at
+            When the call was sent that failed, as monotonic time. The store
+            may have been reachable again right after it.
+        """
 
 
 class Watcher:
@@ -96,16 +103,18 @@
         """Keep the view up to date until cancelled."""
         while True:
             began_at = self._clock.uptime()
-            found = await list_patiently(self._store, self._kind)
-            await self._watch_from_listing(found, began_at)
+            listed = await list_patiently(self._store, self._kind, self._clock)
+            if listed.failed_at is not None:
+                self._view.interrupted(listed.failed_at)
+            if isinstance(listed.found, Outcome):
+                await self._back_off(listed.found)
+            else:
+                await self._watch_from_listing(listed.found, began_at)
 
     async def _watch_from_listing(
-        self, found: Listing | Outcome, began_at: dt.timedelta
+        self, found: Listing, began_at: dt.timedelta
     ) -> None:
         """Apply a listing, then changes until a watch is interrupted."""
-        if isinstance(found, Outcome):
-            await self._back_off(found)
-            return
         self._view.reset(found)
         self._ahead = ListedAhead.from_listing(found)
         self._advance(found.revision)
@@ -116,9 +125,10 @@
 
     async def _watch_once(self) -> Outcome | None:
         """Apply the changes of one watch; return why it was interrupted."""
+        sent_at = self._clock.elapsed() + self._watch.gather
         found = await self._news.changes(self._watch, self.revision)
         if isinstance(found, Outcome):
-            return await self._handle_interruption(found)
+            return await self._handle_interruption(found, sent_at)
         if found.changes:
             self._view.apply(self._ahead.without_older(found))
             self._advance(max(self.revision, found.revision))
@@ -129,13 +139,24 @@
         if self._on_proof is not None and proven_at is not None:
             self._on_proof(proven_at)
 
-    async def _handle_interruption(self, found: Outcome) -> Outcome:
+    async def _handle_interruption(
+        self, found: Outcome, sent_at: dt.timedelta
+    ) -> Outcome:
+        """Notify the view unless the interruption says nothing of the store.
+
+        Failure: a single watch ends early, and registrations that are removed
+        next count as lapsed in an outage. Symptom: an upstream that has left
+        gets calls until it ends. If the store is really away, the listing
+        that follows fails as well.
+        """
         if found is Outcome.HISTORY_GONE:
             _log.info(
                 'objects: change history of %s is gone, listing it', self._kind
             )
-        else:
-            await self._back_off(found)
+            return found
+        if found is not Outcome.CUT_SHORT:
+            self._view.interrupted(min(sent_at, self._clock.elapsed()))
+        await self._back_off(found)
         return found
 
     def _advance(self, revision: Revision) -> None:
@@ -143,15 +164,7 @@
         self._backoff = _MIN_BACKOFF
 
     async def _back_off(self, reason: Outcome) -> None:
-        """Notify the view of an interruption, log it, and pause.
-
-        Failure: a single watch ends early, and registrations that are removed
-        next count as lapsed in an outage. Symptom: an upstream that has left
-        gets calls until it ends. If the store is really away, the listing
-        that follows fails as well.
-        """
-        if reason is not Outcome.CUT_SHORT:
-            self._view.interrupted()
+        """Log an interruption, and pause."""
         _log.warning(
             'objects: watch of %s interrupted: %s, revision %d',
             self._kind,
--- a/features/objects_watcher.feature
+++ b/features/objects_watcher.feature
@@ -94,3 +94,11 @@
     Given an entry without others whose way to the store fails for 0.1 s, often
     When the manifest and a registration change 0.3 s after each failure
     Then the entry knows both changes 3 s after each failure
+
+  Scenario: an upstream that is removed while an entry is cut off is dropped
+    Guards against a time for which a lapsed registration is kept that counts
+    from when the entry noticed the interruption.
+
+    Given an entry without others whose way to the store is cut, often
+    When an upstream is removed before each time that the way is back
+    Then the entry knows the upstream no more 3 s after the way is back
--- a/features/peers_silent_relay.feature
+++ b/features/peers_silent_relay.feature
@@ -15,6 +15,8 @@
       | the manifest changes   | loses power     |
       | an upstream drains     | freezes for 4 s |
       | an upstream drains     | loses power     |
+      | an upstream is removed | freezes for 4 s |
+      | an upstream is removed | loses power     |
 
   Scenario: a relayed watch that is not answered ends soon and is sent once
     Guards against a watch that waits twice for a silent entry.
--- a/features/steps/objects_foreign_steps.py
+++ b/features/steps/objects_foreign_steps.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import datetime as dt
 import json
 from typing import TYPE_CHECKING, Any
 
@@ -29,6 +30,7 @@
     from collections.abc import Callable
 
 draws = hypothesis.strategies
+GRACE = dt.timedelta(seconds=3)
 SETTINGS = hypothesis.settings(
     derandomize=True, max_examples=300, deadline=None, database=None
 )
@@ -120,7 +122,7 @@
 
     def __init__(self) -> None:
         self.fleet = Fleet()
-        self.view = FleetView(self.fleet, virtual_clock(), lambda: None)
+        self.view = FleetView(self.fleet, virtual_clock(), GRACE, lambda: None)
 
     def names(self) -> list[str]:
         """Return the names of the registrations in the fleet."""
--- a/features/steps/objects_paged_listing_steps.py
+++ b/features/steps/objects_paged_listing_steps.py
@@ -78,7 +78,7 @@
             if not change.removed:
                 self.specs[change.stored.name] = change.stored.spec
 
-    def interrupted(self) -> None:
+    def interrupted(self, failed_at: dt.timedelta) -> None:
         """Keep the objects."""
 
 
--- a/features/steps/objects_watcher_steps.py
+++ b/features/steps/objects_watcher_steps.py
@@ -280,3 +280,45 @@
 @then('the entry knows both changes 3 s after each failure')
 def check_known_in_time(context: Any) -> None:
     assert not context.found, context.found
+
+
+@given('an entry without others whose way to the store is cut, often')
+def entry_with_cuts(context: Any) -> None:
+    context.cuts_s = [
+        (pause_s, cut_s)
+        for pause_s in (0, 0.4, 0.9, 1.7)
+        for cut_s in (0.3, 1.2, 2.1, 2.9, 4, 5.5)
+    ]
+
+
+@when('an upstream is removed before each time that the way is back')
+def remove_before_return(context: Any) -> None:
+    async def scene(site: Site) -> list[str]:
+        way = StoreWay(site, 'entry-0')
+        await way.start()
+        await site.start(engines=0, entries=1)
+        found = []
+        for number, (pause_s, cut_s) in enumerate(context.cuts_s):
+            name = f'desk-removed-{number}'
+            spec = site.services['desk-0'].registration()
+            site.store.put('servers', name, spec)
+            await asyncio.sleep(3 + pause_s)
+            fleet = site.entries['entry-0']._context.fleet
+            assert fleet.find_registered(RegistrationId(name)), name
+            way.silence()
+            await asyncio.sleep(cut_s - 0.1)
+            site.store.remove('servers', name)
+            await asyncio.sleep(0.1)
+            way.heal()
+            await asyncio.sleep(3)
+            if fleet.find_registered(RegistrationId(name)):
+                found.append(f'pause {pause_s} s, cut {cut_s} s')
+        await way.stop()
+        return found
+
+    context.found = play(scene)
+
+
+@then('the entry knows the upstream no more 3 s after the way is back')
+def check_dropped(context: Any) -> None:
+    assert not context.found, context.found
--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -30,6 +30,7 @@
 _REVOCATION: Final = 'gateway_revocation'
 _USAGE: Final = 'reporting_usage'
 _NEWS: Final = 'peers_news'
+_WATCHER: Final = 'objects_watcher'
 _ITEM_CRASHES: Final = 'steps_crashes'
 _STRIKES: Final = 'peers_strikes'
 _QUARANTINE: Final = 'fleet/quarantine.py'
@@ -181,16 +182,16 @@
     Mutation(
         'objects are listed again after an interrupted watch',
         'objects/watcher.py',
-        '            await self._back_off(found)\n        return found',
-        '            await self._back_off(found)\n        return None',
-        'objects_watcher',
+        '        await self._back_off(found)\n        return found',
+        '        await self._back_off(found)\n        return None',
+        _WATCHER,
     ),
     Mutation(
         'a watch is trusted for a bounded time',
         'objects/news.py',
         'WatchCall(watch.kind, since, watch.patience, watch.gather)',
         'WatchCall(watch.kind, since, LONG_WAIT, watch.gather)',
-        'objects_watcher',
+        _WATCHER,
     ),
     Mutation(
         'results that are listed already are left out of each record',
@@ -433,7 +434,7 @@
         'gateway/platform_watchers.py',
         'context.settings.contact - WATCH_MARGIN - _LISTING_RESERVE',
         'context.settings.contact - _LISTING_RESERVE',
-        'objects_watcher',
+        _WATCHER,
     ),
     Mutation(
         'a listing of several pages has the revision of the first one',
@@ -449,6 +450,20 @@
         'if change.stored.name',
         _PAGED_LISTING,
     ),
+    Mutation(
+        'a lapsed registration is kept from the call that failed on',
+        'entry/views.py',
+        'failed_at if known is None else max(known, failed_at)',
+        'self._clock.elapsed()',
+        _WATCHER,
+    ),
+    Mutation(
+        'a lapsed registration is removed as soon as its time is over',
+        'entry/views.py',
+        '            self._lapsed.set()',
+        '            self._lapsed.clear()',
+        _WATCHER,
+    ),
     Mutation(
         'a watch through another entry is short',
         'peers/relay.py',
@@ -525,7 +540,7 @@
         'objects/watcher.py',
         'await list_patiently(self._store, self._kind)',
         'await self._store.listing(self._kind)',
-        'objects_watcher',
+        _WATCHER,
     ),
     Mutation(
         'an engine that no job can use loads new weights at once',
