--- a/tools/mutations.py
+++ b/tools/mutations.py
@@ -537,9 +537,9 @@
     ),
     Mutation(
         'a listing that gets no response is hedged',
-        'objects/watcher.py',
-        'await list_patiently(self._store, self._kind)',
-        'await self._store.listing(self._kind)',
+        'objects/patient_listing.py',
+        'if len(pending) < _MAX_IN_FLIGHT:',
+        'if not pending:',
         _WATCHER,
     ),
     Mutation(
