Wait at least a millisecond for the end of a lapsed registration

A wait for the rest of a time below the clock's resolution may end without the clock's advance, so the task that removes lapsed registrations could look again and again until it does. The wait is a millisecond at least.

--- a/bergamotdoor/entry/views.py
+++ b/bergamotdoor/entry/views.py
@@ -28,6 +28,7 @@
 
 #: Longer than any lapsed registration is kept.
 _LONGEST_LAPSE: Final = dt.timedelta(hours=1)
+_CLOCK_RESOLUTION: Final = dt.timedelta(milliseconds=1)
 
 _log = logging.getLogger('bergamotdoor.gateway')
 
@@ -253,8 +254,13 @@
 
 
 def _timeout_s(left: dt.timedelta) -> float | None:
-    """Return a time limit in seconds; ``None`` for an unlimited time."""
-    return None if left > _LONGEST_LAPSE else left.total_seconds()
+    """Return a time limit in seconds; ``None`` for an unlimited time.
+
+    A limit below the resolution of a clock might pass without its advance.
+    """
+    if left > _LONGEST_LAPSE:
+        return None
+    return max(left, _CLOCK_RESOLUTION).total_seconds()
 
 
 def _logged_fields(upstream: Upstream) -> _LoggedFields:
