Judge manifests and leaving upstreams while faults go on

Change: lab/contact.py records impairments where they are made (signals, broken ways, switches of the store), so that a process is excused for contact_ms after its own and the store's only, and while the machine itself holds everything back.

--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -1,4 +1,4 @@
-"""The commands of ``python -m lab``: soak, demo, experiment, model."""
+"""The commands of ``python -m lab``, from soak to model."""
 
 from __future__ import annotations
 
@@ -6,17 +6,17 @@
 import logging
 import pathlib
 import sys
-from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
 import msgspec
 from absl import app, flags
 
 from bergamotdoor.settings.problems import SettingsError
+from lab.contact_history import search_histories, summarize_histories
 from lab.demo import demo
 from lab.deployment import Size
 from lab.experiment import run_scenario
-from lab.faults import AIMED, CRASHING, LOST_WRITES, RANDOM
+from lab.faults import FAULT_SETS
 from lab.help import COMMANDS, help_of, help_wanted
 from lab.model.search import (
     search_seeds,
@@ -34,15 +34,6 @@
 _EXPERIMENT: Final = 'experiment'
 _MODEL: Final = 'model'
 _DEFAULT_FAULT_S: Final = 12
-_FAULT_SETS: Final = MappingProxyType(
-    {
-        'all': (*RANDOM, *AIMED),
-        'random': RANDOM,
-        'aimed': AIMED,
-        'crashing': CRASHING,
-        'lost-writes': LOST_WRITES,
-    }
-)
 _SEEDS: Final = flags.DEFINE_string(
     'seeds', '1-4', 'Seeds to play, such as 3, 1-50 or 2,5,9.'
 )
@@ -60,7 +51,7 @@
 _SERVICES: Final = flags.DEFINE_integer('services', 2, 'Services of a run.')
 _GROUPS: Final = flags.DEFINE_integer('groups', 3, 'Groups of a step.')
 _FAULTS: Final = flags.DEFINE_enum(
-    'faults', 'all', list(_FAULT_SETS), 'Which faults are drawn.'
+    'faults', 'all', list(FAULT_SETS), 'Which faults are drawn.'
 )
 _OUT: Final = flags.DEFINE_string(
     'out', '', 'Folder for the report of an experiment.'
@@ -113,6 +104,8 @@
         return _run_experiment(files)
     if command == _MODEL:
         return _run_model()
+    if command == 'contact':
+        return _run_contact()
     if command == 'demo':
         return _print_demo(asyncio.run(demo(_first_seed(), _deployment_size())))
     outcomes = asyncio.run(_run_soak(tuple(_parse_seeds(_SEEDS.value))))
@@ -132,7 +125,7 @@
 async def _run_seed(seed: int, slots: asyncio.Semaphore) -> Outcome:
     async with slots:
         outcome = await soak(
-            seed, _SECONDS.value, _deployment_size(), _FAULT_SETS[_FAULTS.value]
+            seed, _SECONDS.value, _deployment_size(), FAULT_SETS[_FAULTS.value]
         )
     print(_format_outcome(outcome), flush=True)
     return outcome
@@ -174,6 +167,15 @@
     return 1 if found.broken else 0
 
 
+def _run_contact() -> int:
+    """Play histories judged while faults go on; print what was broken."""
+    results = search_histories(
+        tuple(_parse_seeds(_SEEDS.value)), _SECONDS.value, _JOBS.value
+    )
+    print(summarize_histories(results))
+    return 1 if any(found.broken for found in results) else 0
+
+
 def _deployment_size() -> Size:
     return Size(_ENTRIES.value, _ENGINES.value, _SERVICES.value, _GROUPS.value)
 
--- a/lab/aimed_faults.py
+++ b/lab/aimed_faults.py
@@ -13,7 +13,7 @@
 import signal
 from typing import TYPE_CHECKING, Final
 
-from lab.deployment import STORE
+from lab.contact import STORE
 from lab.proxy import Link
 from lab.store import ANSWER_S
 
--- a/lab/callers.py
+++ b/lab/callers.py
@@ -4,11 +4,13 @@
 
 import asyncio
 from http import HTTPStatus
-from typing import TYPE_CHECKING, Final
+from typing import TYPE_CHECKING, Final, NamedTuple
 
+from bergamotdoor.clock import LoopClock
 from bergamotdoor.platform.headers import REQUEST_ID
 from lab.client import Call, Reply
 from lab.deployment import SAFE_PATH, UNSAFE_PATH, new_client
+from lab.manifest_probes import ManifestProbes
 from lab.promises import Promise, Promises
 
 if TYPE_CHECKING:
@@ -22,6 +24,13 @@
 _UNSAFE_SHARE: Final = 0.4
 
 
+class SentCall(NamedTuple):
+    """The entry that got a call, and when it was sent."""
+
+    entry: str
+    at_s: float
+
+
 class Callers:
     """Callers of all entries; each entry gets one call at a time.
 
@@ -43,7 +52,10 @@
         self._promises = promises
         self._rng = rng
         self._client = new_client()
+        self._probes = ManifestProbes(deployment, promises, LoopClock())
         self._sent_count = 0
+        #: All calls, by the id of the request.
+        self.sent: dict[str, SentCall] = {}
         #: Requests that were refused with the statement that they did not
         #: run.
         self._refused_requests: set[str] = set()
@@ -55,12 +67,14 @@
     async def run(self) -> None:
         """Send calls until cancelled."""
         async with asyncio.TaskGroup() as group:
+            group.create_task(self._probes.run())
             for entry in self._deployment.entries:
                 group.create_task(self._call_repeatedly(entry))
 
     async def close(self) -> None:
         """Close the connections and check which requests ran."""
         await self._client.close()
+        await self._probes.close()
         ran: dict[str, int] = {}
         for service in self._deployment.services:
             for seen_request in service.seen:
@@ -90,6 +104,8 @@
         if unsafe:
             self._unsafe_requests.add(request)
         call = Call('POST', path, request.encode(), ((REQUEST_ID, request),))
+        now_s = asyncio.get_running_loop().time()
+        self.sent[request] = SentCall(entry.name, now_s)
         reply = await self._client.send(entry.front, call)
         if reply is not None:
             self._check_reply(request, path, reply)
--- a/lab/deployment.py
+++ b/lab/deployment.py
@@ -3,21 +3,23 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import itertools
-import signal
 from typing import TYPE_CHECKING, Any, Final
 
 from bergamotdoor.clock import LoopClock
 from bergamotdoor.settings.document import Address
 from bergamotdoor.tasks import Tasks
 from lab.client import Client
+from lab.contact import STORE, Contact
+from lab.manifests import Manifests
 from lab.networks import Network
 from lab.open_steps import OpenSteps
 from lab.processes import ProductProcess
 from lab.proxy import Proxy
 from lab.store import Store
 from lab.upstreams import Engine, Upstream, register, written
-from lab.wire import DESKS, ENGINES, HOST, MODEL, manifest, route
+from lab.wire import DESKS, ENGINES, HOST, MODEL, route
 
 if TYPE_CHECKING:
     import pathlib
@@ -27,7 +29,6 @@
 SAFE_PATH: Final = '/safe/'
 UNSAFE_PATH: Final = '/unsafe/'
 SCORE_PATH: Final = '/score/'
-STORE: Final = 'store'
 _STORE_PORT: Final = 8266
 _UPSTREAM_PORT: Final = 8100
 _PROXY_PORT: Final = 8101
@@ -40,6 +41,8 @@
 #: How long a process may take until it listens.
 _START_TIMEOUT_S: Final = 60
 _POLL_INTERVAL_S: Final = 0.1
+#: How long the machine may hold a process back.
+_SCHEDULING_S: Final = 0.25
 #: Interval at which upstreams register changes, such as loaded weights.
 _REGISTER_INTERVAL_S: Final = 0.3
 
@@ -87,16 +90,27 @@
         clock = LoopClock()
         store = Address(ip=self._next_ip(), port=_STORE_PORT)
         self.store = Store(store, clock)
+        self.manifests = Manifests(self.store, _usual_routes())
         self.steps = OpenSteps(self.store)
         #: Proxies by the names of client and server. The client's name is
         #: empty if all clients use the proxy.
         self.ways: dict[tuple[str, str], Proxy] = {}
         self.engines = [
-            Engine(f'engine-{number}', ENGINES, self._upstream_address(), clock)
+            Engine(
+                f'engine-{number}',
+                ENGINES,
+                Address(ip=self._next_ip(), port=_UPSTREAM_PORT),
+                clock,
+            )
             for number in range(size.engines)
         ]
         self.services = [
-            Upstream(f'desk-{number}', DESKS, self._upstream_address(), clock)
+            Upstream(
+                f'desk-{number}',
+                DESKS,
+                Address(ip=self._next_ip(), port=_UPSTREAM_PORT),
+                clock,
+            )
             for number in range(size.services)
         ]
         for upstream in self.upstreams:
@@ -119,7 +133,7 @@
             self._add_entry_proxy(entry, other)
         self._replacement_count = 0
         self._tasks = Tasks()
-        self.generation = 1
+        self._record_impairments()
         self.version = 1
 
     @property
@@ -130,12 +144,13 @@
     async def start(self) -> None:
         """Start everything; return once all entries accept connections."""
         await self.store.start()
-        self.put_manifest()
+        self.manifests.put()
         for upstream in (*self.engines, *self.services):
             await upstream.start()
         for proxy in self.ways.values():
             await proxy.start()
         self._tasks.start(self._keep_registered())
+        self._tasks.start(self.contact.watch(self.store))
         for process in self.processes:
             await process.start()
         async with asyncio.timeout(_START_TIMEOUT_S):
@@ -145,7 +160,6 @@
         """Stop everything that `start` has started."""
         await self._tasks.stop()
         for process in self.processes:
-            process.send(signal.SIGCONT)
             await process.kill()
         for proxy in self.ways.values():
             await proxy.stop()
@@ -154,16 +168,14 @@
         await self.store.stop()
         self._network.give_back()
 
-    def put_manifest(self) -> None:
-        """Write the next manifest to the store."""
-        self.generation += 1
-        routes = [
-            _bounded_route(SAFE_PATH, 'safe', DESKS),
-            _bounded_route(UNSAFE_PATH, 'unsafe', DESKS),
-            _bounded_route(SCORE_PATH, 'unsafe', DESKS),
-            _bounded_route(STEP_PATH, 'rollout', ENGINES, due_ms=_JOB_DUE_MS),
-        ]
-        self.store.put('config', 'main', manifest(self.generation, routes))
+    @functools.cached_property
+    def contact(self) -> Contact:
+        """The impairments of the run."""
+        return Contact(_SCHEDULING_S)
+
+    def address_of(self, service: Upstream) -> Address:
+        """Return the address at which a service is registered."""
+        return self.ways['', service.name].listen
 
     def publish(self) -> None:
         """Write the next version of the weights, as a trainer does."""
@@ -202,7 +214,8 @@
 
     def replace(self, upstream: Upstream) -> None:
         """Replace an upstream by another incarnation at its address."""
-        self.store.remove('servers', upstream.name)
+        if upstream.name in self.store.table.of_kind('servers'):
+            self.store.remove('servers', upstream.name)
         proxy = self.ways.pop(('', upstream.name))
         proxy.reset()
         self._replacement_count += 1
@@ -210,6 +223,18 @@
         self.ways['', upstream.name] = proxy
         self._register_upstream(upstream)
 
+    def _record_impairments(self) -> None:
+        """Have signals and broken ways recorded in ``contact``."""
+        for process in self.processes:
+            process.on_signal = functools.partial(
+                self.contact.begin, process.name
+            )
+        for (client, server), proxy in self.ways.items():
+            harmed = {client or proxy.listen.ip, server} - {STORE}
+            if not client:
+                harmed = {proxy.listen.ip}
+            proxy.on_harm = functools.partial(self.contact.begin, *harmed)
+
     async def _keep_registered(self) -> None:
         """Register the upstreams and their changes until cancelled.
 
@@ -217,12 +242,13 @@
         """
         while True:
             for upstream in (*self.engines, *self.services):
-                self._register_upstream(upstream)
+                if not upstream.is_leaving:
+                    self._register_upstream(upstream)
             await asyncio.sleep(_REGISTER_INTERVAL_S)
 
     def _register_upstream(self, upstream: Upstream) -> None:
-        proxy = self.ways['', upstream.name]
-        register(self.store, upstream, address=written(proxy.listen))
+        address = written(self.address_of(upstream))
+        register(self.store, upstream, address=address)
 
     def _add_process(
         self, name: str, command: str, engine: Address | None = None
@@ -241,9 +267,6 @@
         entry.ways[written(target)] = written(listen)
         self.ways[entry.name, other.name] = Proxy(listen, target)
 
-    def _upstream_address(self) -> Address:
-        return Address(ip=self._next_ip(), port=_UPSTREAM_PORT)
-
     def _next_ip(self) -> str:
         self._host_count += 1
         third, fourth = divmod(self._host_count, _HOSTS_PER_SUBNET)
@@ -279,6 +302,15 @@
     raise RuntimeError(f'{process.name} ended, see its log')
 
 
+def _usual_routes() -> list[dict[str, Any]]:
+    return [
+        _bounded_route(SAFE_PATH, 'safe', DESKS),
+        _bounded_route(UNSAFE_PATH, 'unsafe', DESKS),
+        _bounded_route(SCORE_PATH, 'unsafe', DESKS),
+        _bounded_route(STEP_PATH, 'rollout', ENGINES, due_ms=_JOB_DUE_MS),
+    ]
+
+
 def _bounded_route(
     path: str, kind: str, service: str, **bounds: int
 ) -> dict[str, Any]:
--- a/lab/faults.py
+++ b/lab/faults.py
@@ -6,10 +6,13 @@
 import enum
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Final
 
 from lab.aimed_faults import AimedFaults
+from lab.contact_faults import ContactFaults
 from lab.crash_faults import CrashFaults
+from lab.leaving import Leaving
 from lab.lost_writes import LostWrites
 from lab.process_faults import ProcessFaults
 from lab.store_faults import StoreFaults
@@ -54,6 +57,9 @@
     ENTRY_KILLED = 'an entry is killed and started again'
     ENTRY_STOPPED = 'an entry is stopped as planned and started again'
     ENTRY_PAUSED = 'an entry is paused'
+    RELAY_PAUSED = 'an entry is back at the store as the others are paused'
+    SERVICE_LEAVES = 'a service drains or is removed, and serves on'
+    SERVICE_LEAVES_LISTED = 'a service leaves between two pages of a listing'
 
 
 #: In the order in which they are applied if no other kinds are.
@@ -72,6 +78,18 @@
     Fault.ENTRY_STOPPED,
     Fault.ENTRY_PAUSED,
 )
+#: Faults of single processes, so that the others are in touch meanwhile.
+CONTACT: Final = (
+    *(Fault.RELAY_PAUSED,) * 3,
+    *(Fault.SERVICE_LEAVES_LISTED,) * 3,
+    *(Fault.MANIFEST,) * 2,
+    Fault.SERVICE_LEAVES,
+    Fault.STORE_LINK,
+    Fault.ENTRY_KILLED,
+    Fault.ENTRY_STOPPED,
+    Fault.ENTRY_PAUSED,
+    Fault.STORE_HISTORY,
+)
 #: Only these are drawn unless another set is named. Further kinds would change
 #: the faults that a seed gives, so that seeds which have failed would no longer
 #: repeat their runs.
@@ -95,6 +113,19 @@
     Fault.LATE_ORDER,
     Fault.MANIFEST,
 )
+#: Faults that a soak can draw from, by name.
+FAULT_SETS: Final = MappingProxyType(
+    {
+        'all': (*RANDOM, *AIMED),
+        'random': RANDOM,
+        'aimed': AIMED,
+        'crashing': CRASHING,
+        'lost-writes': LOST_WRITES,
+        'contact': CONTACT,
+    }
+)
+#: No other fault begins while one of these lasts.
+_ALONE: Final = frozenset((*AIMED, Fault.RELAY_PAUSED))
 
 
 class Faults:
@@ -124,6 +155,8 @@
         upstreams = UpstreamFaults(deployment, rng)
         aimed = AimedFaults(deployment, processes, rng)
         crashes = CrashFaults(deployment, promises, rng)
+        self.leaving = Leaving(deployment, rng)
+        contact = ContactFaults(deployment, entries, self.leaving, rng)
         self._actions = {
             Fault.KILL: processes.kill,
             Fault.STOP: processes.stop,
@@ -151,6 +184,9 @@
             Fault.ENTRY_KILLED: entries.kill,
             Fault.ENTRY_STOPPED: entries.stop,
             Fault.ENTRY_PAUSED: entries.pause,
+            Fault.RELAY_PAUSED: contact.pause_relay,
+            Fault.SERVICE_LEAVES: self.leaving.leave,
+            Fault.SERVICE_LEAVES_LISTED: self.leaving.leave_between_pages,
         }
 
     async def run(
@@ -172,9 +208,9 @@
             while loop.time() < until or self._is_kind_missing(kinds):
                 fault = self._choose_fault(kinds)
                 applied = group.create_task(self.apply(fault))
-                if fault in AIMED:
-                    # The fault needs two owners at a time; another fault
-                    # could stop one of them.
+                if fault in _ALONE:
+                    # Another fault could stop an owner that is needed, or
+                    # impair the process that is to be in touch.
                     await applied
                 await asyncio.sleep(self._rng.choice(_FAULT_PAUSES_S))
 
--- a/lab/help.py
+++ b/lab/help.py
@@ -42,6 +42,11 @@
             ' lab/scenarios/slow-engine-no-moves.jsonc --seeds=1-4',
             ('seeds', 'out'),
         ),
+        'contact': _Command(
+            'Judges processes in touch while faults go on, in virtual time.',
+            'python -m lab contact --seeds=1-40 --seconds=20',
+            ('seeds', 'seconds', 'jobs'),
+        ),
         'model': _Command(
             'Plays histories of entries that share a job, in virtual time.',
             'python -m lab model --seeds=1-400 --steps=20',
--- a/lab/outages.py
+++ b/lab/outages.py
@@ -103,6 +103,11 @@
         #: has further pages, by kind.
         self.between_pages: dict[str, Callable[[], object]] = {}
 
+    @property
+    def are_open(self) -> bool:
+        """Whether any write is yet to fail, or an outage to end."""
+        return bool(self.unanswered or self.delayed or self.outages)
+
     def outage_for(self, client_ip: str) -> Outage | None:
         """Return the outage that affects a client now, if any."""
         affecting = (one for one in self.outages if one.affects(client_ip))
--- a/lab/play.py
+++ b/lab/play.py
@@ -134,6 +134,7 @@
     async def run_with_faults(self, apply_faults: Harm) -> None:
         """Run the clients under faults, then wait for the recovery."""
         await self._deployment.start()
+        self._faults.leaving.register_others()
         background = [
             asyncio.create_task(self._callers.run()),
             asyncio.create_task(self._watch_manifests()),
@@ -157,6 +158,7 @@
         # leaves no process behind.
         await self._deployment.stop()
         await self._callers.close()
+        self._faults.leaving.check(self._promises, self._callers.sent)
         await self._trainer.close()
         await self._submitters.close()
         await self._client.close()
@@ -202,7 +204,7 @@
         for name, generation in self._generations.items():
             self._promises.check(
                 Promise.NEWEST,
-                generation == self._deployment.generation,
+                generation == self._deployment.manifests.generation,
                 f'{name} has manifest {generation}',
             )
         for engine in self._deployment.engines:
@@ -215,7 +217,7 @@
     def _has_recovered(self) -> bool:
         deployment = self._deployment
         newest = all(
-            self._generations.get(entry.name) == deployment.generation
+            self._generations.get(entry.name) == deployment.manifests.generation
             for entry in deployment.entries
         )
         return newest and all(
--- a/lab/processes.py
+++ b/lab/processes.py
@@ -16,10 +16,14 @@
 if TYPE_CHECKING:
     import pathlib
 
+    from lab.contact import Begin, Span
+
 _FRONT_PORT: Final = 8263
 _READY_PORT: Final = 8268
 _CONTACT_MS: Final = 3000
 _GRACE_S: Final = 8
+#: Signals that impair a process until it goes on or is started again.
+_IMPAIRING: Final = frozenset((signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP))
 
 
 class ProductProcess:
@@ -63,6 +67,10 @@
         self._folder = folder
         self._engine = engine
         self._process: asyncio.subprocess.Process | None = None
+        #: Records that the process is impaired.
+        self.on_signal: Begin | None = None
+        #: Impairments by signals that are in force.
+        self._impairments: dict[signal.Signals, Span] = {}
 
     @property
     def front(self) -> Address:
@@ -104,11 +112,13 @@
                 stdout=log,
                 stderr=log,
             )
+        self._record_start()
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
         if self._process is not None and self.running:
             self._process.send_signal(number)
+            self._record(number)
 
     async def wait(self) -> int:
         """Wait until the process has ended; return its exit code."""
@@ -121,6 +131,25 @@
         self.send(signal.SIGKILL)
         await self.wait()
 
+    def _record_start(self) -> None:
+        for number in tuple(self._impairments):
+            self._end_impairment(number)
+        if self.on_signal is not None:
+            self.on_signal().end()
+
+    def _record(self, number: signal.Signals) -> None:
+        """Record the impairment that a signal begins or ends."""
+        if number is signal.SIGCONT:
+            self._end_impairment(signal.SIGSTOP)
+        elif number in _IMPAIRING and number not in self._impairments:
+            if self.on_signal is not None:
+                self._impairments[number] = self.on_signal()
+
+    def _end_impairment(self, number: signal.Signals) -> None:
+        span = self._impairments.pop(number, None)
+        if span is not None:
+            span.end()
+
     def _settings(self) -> dict[str, Any]:
         listen = {}
         if self.command == 'gateway':
--- a/lab/promises.py
+++ b/lab/promises.py
@@ -28,6 +28,8 @@
     VERSION = 'a text is of versions that its step takes'
     COMPLETE = 'a job is whole once the faults are over'
     MANIFEST = 'a process never goes back to an older manifest'
+    CURRENT = 'at an entry in touch no manifest stays too long'
+    LEFT = 'an upstream that leaves gets no more calls of entries in touch'
     NEWEST = 'the newest manifest is in force once the faults are over'
     WEIGHTS = 'engines have the newest version once the faults are over'
     ORDERS = 'an engine is never ordered back to an older version'
--- a/lab/proxy.py
+++ b/lab/proxy.py
@@ -16,6 +16,7 @@
     from collections.abc import Iterator
 
     from bergamotdoor.settings.document import Address
+    from lab.contact import Begin, Span
 
 _CHUNK_BYTES: Final = 65_536
 #: The delay of a chunk: makes a call slow, and is far below every timeout.
@@ -62,6 +63,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._server: asyncio.Server | None = None
         self._start_task: asyncio.Task[None] | None = None
+        #: Records that the link is harmed.
+        self.on_harm: Begin | None = None
+        self._harm: Span | None = None
 
     async def start(self) -> None:
         """Accept connections."""
@@ -92,6 +96,7 @@
     def use(self, link: Link) -> None:
         """Change the link, also for open connections."""
         self._link = link
+        self._record_harm()
         if link in {Link.OPEN, Link.DELAYED}:
             self._may_forward.set()
         else:
@@ -101,9 +106,19 @@
 
     def reset(self) -> None:
         """Reset all open connections."""
+        if self.on_harm is not None:
+            self.on_harm().end()
         for writer in tuple(self._writers):
             _reset_connection(writer)
 
+    def _record_harm(self) -> None:
+        if self._link is Link.OPEN:
+            if self._harm is not None:
+                self._harm.end()
+            self._harm = None
+        elif self._harm is None and self.on_harm is not None:
+            self._harm = self.on_harm()
+
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/lab/store_faults.py
+++ b/lab/store_faults.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Any, Final
 
-from lab.deployment import STORE
+from lab.contact import STORE
 from lab.proxy import break_way
 from lab.spans import span_s
 from lab.store import StoreMode
@@ -91,4 +91,4 @@
 
     async def put_manifest(self) -> None:
         """Write the next manifest to the store."""
-        self._deployment.put_manifest()
+        self._deployment.manifests.put()
--- a/lab/upstreams.py
+++ b/lab/upstreams.py
@@ -77,6 +77,8 @@
     #: and not reported.
     pace_percent: int | None = None
     slots: int = 4
+    #: Whether it has drained or removed its registration and serves on.
+    is_leaving: bool = False
     #: Whether it refuses requests beyond its slots.
     refuses_beyond_slots: bool = False
 
--- a/tools/soak_mutations.py
+++ b/tools/soak_mutations.py
@@ -39,6 +39,12 @@
         '--faults=lost-writes',
         '--jobs=2',
     ),
+    (
+        '--seeds=8001,8002',
+        '--seconds=20',
+        '--faults=contact',
+        '--jobs=2',
+    ),
 )
 #: Mutations that no feature detects: their fault shows only while a job has
 #: two owners.
