--- a/bergamotdoor/entry/views.py
+++ b/bergamotdoor/entry/views.py
@@ -190,10 +190,8 @@
 
         Registrations of running upstreams may lapse during that time.
 
-        Failure: the time for which a lapsed registration is kept counts from
-        the moment at which an interruption is noticed, seconds after the
-        store's return. Symptom: an upstream that has left gets requests for
-        the sum of both times. So it counts from the call that failed.
+        The time for which they are kept counts from the call that failed, as
+        the interruption may be noticed seconds after the store's return.
         """
         known = self._store_failed_at
         self._store_failed_at = (
--- a/bergamotdoor/http/sending.py
+++ b/bergamotdoor/http/sending.py
@@ -38,9 +38,8 @@
     the request did not run. The result therefore covers both attempts: it
     shows that the first one may have run.
 
-    Failure: the process at the address is frozen. Symptom: the caller waits
-    for the whole timeout twice. With ``retry_within`` the second attempt gets
-    only the time that the first one has left.
+    With ``retry_within`` the second attempt gets only the time that the first
+    one has left, so that a silent upstream is not waited for twice.
 
     Parameters
     ----------
--- a/bergamotdoor/objects/client.py
+++ b/bergamotdoor/objects/client.py
@@ -271,10 +271,9 @@
     ) -> Listing | Outcome:
         """Return all objects of a kind, loaded page by page.
 
-        Failure: an object of an earlier page changes while a later page is
-        loaded. Symptom: a process that watches from the revision of the later
-        page never learns of that change. The listing therefore has the oldest
-        revision of its pages; what changed after it is told by a watch.
+        The listing has the oldest revision of its pages, since objects of an
+        earlier page may change while a later one is loaded. A watch from that
+        revision on reports these changes.
 
         Parameters
         ----------
--- a/bergamotdoor/objects/listed_ahead.py
+++ b/bergamotdoor/objects/listed_ahead.py
@@ -12,12 +12,10 @@
 class ListedAhead:
     """Filter for changes that are older than what a listing showed.
 
-    Failure: the changes after a listing come from a process that has not seen
-    as much of the store as the listing has. Symptom: an upstream that was
-    listed as draining gets requests again until the next changes arrive. An
-    object is left as listed until the changes reach its listed revision. The
-    store does not tell the revision of a removal, so single changes can't be
-    compared.
+    Changes may come from a process that has not seen as much of the store as
+    the listing has. An object is left as listed until the changes reach its
+    listed revision. Single changes can't be compared, since the store does not
+    report the revision of a removal.
     """
 
     def __init__(self) -> None:
--- a/bergamotdoor/peers/paths.py
+++ b/bergamotdoor/peers/paths.py
@@ -36,10 +36,8 @@
 async def try_paths(paths: Iterable[Path], delay: dt.timedelta) -> PathsResult:
     """Return the first usable answer to a call.
 
-    Failure: the entry that relays a call is frozen. Symptom: the call waits
-    for its timeout there, although the direct path works again. Therefore no
-    path is waited for alone: the next one is started when one fails, and when
-    the started ones have not answered for a while.
+    No path is waited for alone: the next one is started when one fails, and
+    when the started ones have not answered for a while.
 
     Parameters
     ----------
--- a/bergamotdoor/peers/relay.py
+++ b/bergamotdoor/peers/relay.py
@@ -92,8 +92,8 @@
         store rejects the call of the second attempt. Symptom: a write that
         took effect is reported as rejected.
 
-        Failure: the entry is frozen. Symptom: the call waits for it twice as
-        long as its caller allows. Both attempts share one time limit.
+        Both attempts share one time limit, so that an entry which does not
+        answer is not waited for twice.
         """
         sent = call_trace.begin_path(
             f'through {address.ip}:{address.port}', relayed=True
@@ -185,11 +185,9 @@
         interrupted watch is not restarted on another path, since the caller
         has to list first.
 
-        Failure: the entry that relays a watch is frozen or cut off. Symptom:
-        a change that was made meanwhile is missed for as long as the watch
-        waits for that entry, although the direct path works again. A relayed
-        watch is therefore short, and one that fails there says nothing about
-        the store.
+        A relayed watch is short, since the relaying entry may stop answering
+        while the direct path works again. Its failure says nothing about the
+        store.
         """
         relays = self._pick_relays()
         if relays and self._is_relay_first():
